--- /dev/null
+++ b/crates/briarctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command-line tool for operators.
--- /dev/null
+++ b/crates/briarload/src/lib.rs
@@ -0,0 +1,1 @@
+//! A load tool for routers and stand-ins.
--- /dev/null
+++ b/crates/briarrail_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements that drive the decisions in virtual time.
--- /dev/null
+++ b/crates/briarrail_burn/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level objectives, multi-window burn rates and their report.
--- /dev/null
+++ b/crates/briarrail_fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, exchange and configuration adoption state machines.
--- /dev/null
+++ b/crates/briarrail_model/src/lib.rs
@@ -0,0 +1,1 @@
+//! Keys, units, routes and pools, with their validation.
--- /dev/null
+++ b/crates/briarrail_outcome/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request outcomes, retries, idempotency claims and stream integrity.
--- /dev/null
+++ b/crates/briarrail_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The inner protocol between routers: messages, codec, authentication, byte budget.
--- /dev/null
+++ b/crates/briarrail_policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement, load, admission and retry-budget decisions.
--- /dev/null
+++ b/crates/briarrail_settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checked settings of the daemon, in JSON with comments.
--- /dev/null
+++ b/crates/briarraild/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router daemon.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! A router fleet for returning chats.
