feat(settings): check the daemon's settings whole

Cause: the daemon needs settings before anything starts, and an operator should see every mistake at once. Change: DaemonSettings from text, file or builder; each mistake has line, key, offending value and hint; unknown and doubled keys are mistakes; values below exchange.keys are kept out of messages.

--- /dev/null
+++ b/crates/briarrail_settings/src/exchange_settings.rs
@@ -0,0 +1,79 @@
+//! The exchange between routers.
+
+use briarrail_model::MilliDuration;
+
+use crate::section_reader::SectionReader;
+use crate::{SecretText, SettingsErrorKind};
+
+const MAX_KEYS: usize = 2;
+
+/// A key that authenticates messages between routers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ExchangeKey {
+    /// Name of the key, equal on all routers.
+    pub id: String,
+    /// The shared secret.
+    pub secret: SecretText,
+}
+
+impl ExchangeKey {
+    fn read(section: SectionReader<'_>) -> Option<Self> {
+        let id = section.required("id");
+        let secret = section.required("secret");
+        section.finish();
+        Some(Self {
+            id: id?,
+            secret: secret?,
+        })
+    }
+}
+
+/// How routers find and trust each other, and what they may spend on it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ExchangeSettings {
+    /// One key, or two during a change of key; messages are signed with the first.
+    pub keys: Vec<ExchangeKey>,
+    /// Service by which routers are recognised in the host list.
+    pub router_service: String,
+    /// Time between two rounds, in milliseconds.
+    pub interval_ms: MilliDuration,
+    /// Bytes a second that this router may send and receive, headers included.
+    pub budget_bytes_per_s: u64,
+}
+
+impl ExchangeSettings {
+    pub(crate) const ROUTER_SERVICE: &'static str = "briarraild";
+    pub(crate) const INTERVAL: MilliDuration = MilliDuration::from_secs(1);
+    pub(crate) const BUDGET_BYTES_PER_S: u64 = 5_000;
+
+    pub(crate) fn read(section: SectionReader<'_>) -> Self {
+        let readers = section.list("keys");
+        let count = readers.len();
+        let keys: Vec<_> = readers.into_iter().filter_map(ExchangeKey::read).collect();
+        if !(1..=MAX_KEYS).contains(&count) {
+            let hint = "give one key, or two during a change of key";
+            section.report(SettingsErrorKind::OutOfRange, "keys", hint);
+        }
+        if let [first, second, ..] = &keys[..]
+            && first.id == second.id
+        {
+            section.report(
+                SettingsErrorKind::Conflict,
+                "keys",
+                "give each key its own id",
+            );
+        }
+        let exchange = Self {
+            keys,
+            router_service: section.or("router_service", Self::ROUTER_SERVICE.to_owned()),
+            interval_ms: section.millis("interval_ms", Self::INTERVAL, 10..=60_000),
+            budget_bytes_per_s: section.number(
+                "budget_bytes_per_s",
+                Self::BUDGET_BYTES_PER_S,
+                500..=100_000_000,
+            ),
+        };
+        section.finish();
+        exchange
+    }
+}
--- /dev/null
+++ b/crates/briarrail_settings/src/identity_settings.rs
@@ -0,0 +1,47 @@
+//! Headers that say who calls.
+
+use crate::SettingsErrorKind;
+use crate::section_reader::SectionReader;
+use crate::setting_value::HeaderText;
+
+/// Names of the request headers that carry customer, chat and idempotency key, in lower case.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct IdentitySettings {
+    /// Header with the customer.
+    pub customer_header: String,
+    /// Header with the chat's id.
+    pub chat_header: String,
+    /// Header with the idempotency key.
+    pub key_header: String,
+}
+
+impl Default for IdentitySettings {
+    fn default() -> Self {
+        Self {
+            customer_header: "x-customer".into(),
+            chat_header: "x-chat-id".into(),
+            key_header: "idempotency-key".into(),
+        }
+    }
+}
+
+impl IdentitySettings {
+    pub(crate) fn read(section: SectionReader<'_>) -> Self {
+        let default = Self::default();
+        let header = |key, default| section.or(key, HeaderText(default)).0;
+        let identity = Self {
+            customer_header: header("customer_header", default.customer_header),
+            chat_header: header("chat_header", default.chat_header),
+            key_header: header("key_header", default.key_header),
+        };
+        let hint = "give each of the three its own header";
+        if identity.chat_header == identity.customer_header {
+            section.report(SettingsErrorKind::Conflict, "chat_header", hint);
+        }
+        if [&identity.customer_header, &identity.chat_header].contains(&&identity.key_header) {
+            section.report(SettingsErrorKind::Conflict, "key_header", hint);
+        }
+        section.finish();
+        identity
+    }
+}
--- a/crates/briarrail_settings/src/lib.rs
+++ b/crates/briarrail_settings/src/lib.rs
@@ -1,1 +1,37 @@
 //! Checked settings of the daemon, in JSON with comments.
+//!
+//! One file holds all settings. It is checked whole: [`DaemonSettings::from_text`] reports every
+//! mistake at once, each with its line, the offending value and a hint. Unknown keys are mistakes.
+
+mod address_settings;
+mod claim_settings;
+mod daemon_settings;
+mod error_log;
+mod exchange_settings;
+mod host_settings;
+mod identity_settings;
+mod limit_settings;
+mod log_settings;
+mod platform_settings;
+mod secret_text;
+mod section_reader;
+mod setting_value;
+mod settings_builder;
+mod settings_error;
+mod stop_settings;
+mod thread_settings;
+
+pub use address_settings::AddressSettings;
+pub use claim_settings::ClaimSettings;
+pub use daemon_settings::DaemonSettings;
+pub use exchange_settings::{ExchangeKey, ExchangeSettings};
+pub use host_settings::HostSettings;
+pub use identity_settings::IdentitySettings;
+pub use limit_settings::LimitSettings;
+pub use log_settings::{LogFormat, LogSettings};
+pub use platform_settings::PlatformSettings;
+pub use secret_text::SecretText;
+pub use settings_builder::SettingsBuilder;
+pub use settings_error::{SettingsError, SettingsErrorKind, SettingsErrors};
+pub use stop_settings::StopSettings;
+pub use thread_settings::ThreadSettings;
--- /dev/null
+++ b/crates/briarrail_settings/src/log_settings.rs
@@ -0,0 +1,43 @@
+//! Logs.
+
+use crate::section_reader::SectionReader;
+
+/// Form of the log lines.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// What is logged, and how.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Form of the lines.
+    pub format: LogFormat,
+    /// Filter in the syntax of `tracing-subscriber`, such as `info,briarraild=debug`.
+    pub filter: String,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            format: LogFormat::Text,
+            filter: "info".into(),
+        }
+    }
+}
+
+impl LogSettings {
+    pub(crate) fn read(section: SectionReader<'_>) -> Self {
+        let default = Self::default();
+        let logs = Self {
+            format: section.or("format", default.format),
+            filter: section.or("filter", default.filter),
+        };
+        section.finish();
+        logs
+    }
+}
--- /dev/null
+++ b/crates/briarrail_settings/src/section_reader.rs
@@ -0,0 +1,227 @@
+//! Reads one section of a settings file.
+
+use std::cell::RefCell;
+use std::ops::RangeInclusive;
+
+use briarrail_model::MilliDuration;
+use jsonc_parser::ast::{Object, ObjectProp, Value};
+use jsonc_parser::common::{Range, Ranged};
+
+use crate::SettingsErrorKind;
+use crate::error_log::ErrorLog;
+use crate::setting_value::SettingValue;
+
+/// Values below this path are kept out of messages.
+const SECRET_PATH: &str = "exchange.keys";
+
+/// One section; keys that nobody asked for are reported when it is finished.
+#[derive(Debug)]
+pub(crate) struct SectionReader<'t> {
+    log: &'t ErrorLog<'t>,
+    path: String,
+    range: Range,
+    object: Option<&'t Object<'t>>,
+    known: RefCell<Vec<&'static str>>,
+}
+
+impl<'t> SectionReader<'t> {
+    /// Returns the section that holds all others, or nothing when the value is no object.
+    pub(crate) fn root(log: &'t ErrorLog<'t>, value: &'t Value<'t>) -> Option<Self> {
+        if value.as_object().is_some() {
+            return Some(Self::new(log, String::new(), value));
+        }
+        let shown = log.shown(value.range());
+        let hint = "write an object in braces";
+        log.add(
+            SettingsErrorKind::WrongForm,
+            value.range(),
+            "file",
+            &shown,
+            hint,
+        );
+        None
+    }
+
+    fn new(log: &'t ErrorLog<'t>, path: String, value: &'t Value<'t>) -> Self {
+        let object = value.as_object();
+        if object.is_none() {
+            let shown = log.shown(value.range());
+            let hint = "write an object in braces";
+            log.add(
+                SettingsErrorKind::WrongForm,
+                value.range(),
+                &path,
+                &shown,
+                hint,
+            );
+        }
+        Self {
+            log,
+            path,
+            range: value.range(),
+            object,
+            known: RefCell::default(),
+        }
+    }
+
+    /// Returns a section below this one; an absent section has no keys.
+    pub(crate) fn section(&self, key: &'static str) -> Self {
+        let path = self.path_of(key);
+        match self.property(key) {
+            Some(property) => Self::new(self.log, path, &property.value),
+            None => Self {
+                log: self.log,
+                path,
+                range: Range::new(self.range.start, self.range.start),
+                object: None,
+                known: RefCell::default(),
+            },
+        }
+    }
+
+    /// Returns a reader for each element of a list.
+    pub(crate) fn list(&self, key: &'static str) -> Vec<Self> {
+        let Some(property) = self.property(key) else {
+            return Vec::new();
+        };
+        let Some(array) = property.value.as_array() else {
+            self.report(
+                SettingsErrorKind::WrongForm,
+                key,
+                "write a list in brackets",
+            );
+            return Vec::new();
+        };
+        let elements = array.elements.iter().enumerate();
+        let path = |index| format!("{}[{index}]", self.path_of(key));
+        elements
+            .map(|(index, value)| Self::new(self.log, path(index), value))
+            .collect()
+    }
+
+    /// Returns a value that must be present.
+    pub(crate) fn required<T>(&self, key: &'static str) -> Option<T>
+    where
+        T: SettingValue,
+    {
+        if self.property(key).is_none() {
+            let path = self.path_of(key);
+            self.log.add(
+                SettingsErrorKind::MissingKey,
+                self.range,
+                &path,
+                "",
+                T::FORM,
+            );
+            return None;
+        }
+        self.optional(key)
+    }
+
+    /// Returns a value that may be absent.
+    pub(crate) fn optional<T>(&self, key: &'static str) -> Option<T>
+    where
+        T: SettingValue,
+    {
+        let property = self.property(key)?;
+        let value = T::from_node(&property.value);
+        if value.is_none() {
+            self.report(SettingsErrorKind::WrongForm, key, T::FORM);
+        }
+        value
+    }
+
+    /// Returns a value, or its default when it is absent.
+    pub(crate) fn or<T>(&self, key: &'static str, default: T) -> T
+    where
+        T: SettingValue,
+    {
+        self.optional(key).unwrap_or(default)
+    }
+
+    /// Returns a whole number within a range.
+    pub(crate) fn number(
+        &self,
+        key: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> u64 {
+        let number = self.or(key, default);
+        if !range.contains(&number) {
+            let hint = format!("use {} to {}", range.start(), range.end());
+            self.report(SettingsErrorKind::OutOfRange, key, &hint);
+        }
+        number
+    }
+
+    /// Returns a span of milliseconds within a range.
+    pub(crate) fn millis(
+        &self,
+        key: &'static str,
+        default: MilliDuration,
+        range: RangeInclusive<u64>,
+    ) -> MilliDuration {
+        MilliDuration::from_millis(self.number(key, default.as_millis(), range))
+    }
+
+    /// Reports a mistake in the value of a key.
+    pub(crate) fn report(&self, kind: SettingsErrorKind, key: &'static str, hint: &str) {
+        let path = self.path_of(key);
+        let node = self.property(key).map(|property| &property.value);
+        let range = node.map_or(self.range, Ranged::range);
+        let shown = match node {
+            Some(_) => shown_value(self.log, &path, range),
+            None => String::new(),
+        };
+        self.log.add(kind, range, &path, &shown, hint);
+    }
+
+    /// Reports keys that stand twice or that nobody asked for.
+    pub(crate) fn finish(self) {
+        let properties = self.object.map_or(&[][..], |object| &object.properties);
+        let known = self.known.borrow();
+        for (index, property) in properties.iter().enumerate() {
+            let name = property.name.as_str();
+            let path = self.path_of(name);
+            if !known.contains(&name) {
+                let hint = format!("known keys: {}", known.join(", "));
+                self.report_key(SettingsErrorKind::UnknownKey, property, &path, &hint);
+            }
+            let earlier = &properties[..index];
+            if earlier.iter().any(|other| other.name.as_str() == name) {
+                let hint = "keep one of them";
+                self.report_key(SettingsErrorKind::DuplicateKey, property, &path, hint);
+            }
+        }
+    }
+
+    fn report_key(&self, kind: SettingsErrorKind, at: &ObjectProp<'_>, path: &str, hint: &str) {
+        let shown = shown_value(self.log, path, at.value.range());
+        self.log.add(kind, at.range, path, &shown, hint);
+    }
+
+    fn property(&self, key: &'static str) -> Option<&'t ObjectProp<'t>> {
+        let mut known = self.known.borrow_mut();
+        if !known.contains(&key) {
+            known.push(key);
+        }
+        self.object?.get(key)
+    }
+
+    fn path_of(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        }
+    }
+}
+
+/// Returns the text of a value, unless it may hold a secret.
+fn shown_value(log: &ErrorLog<'_>, path: &str, range: Range) -> String {
+    if path.starts_with(SECRET_PATH) {
+        "(hidden)".to_owned()
+    } else {
+        log.shown(range)
+    }
+}
--- /dev/null
+++ b/crates/briarrail_settings/src/thread_settings.rs
@@ -0,0 +1,27 @@
+//! Threads of the daemon.
+
+use crate::section_reader::SectionReader;
+
+/// How many threads the daemon runs beside the control thread.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ThreadSettings {
+    /// Threads that carry requests.
+    pub traffic: u64,
+}
+
+impl Default for ThreadSettings {
+    fn default() -> Self {
+        Self { traffic: 2 }
+    }
+}
+
+impl ThreadSettings {
+    pub(crate) fn read(section: SectionReader<'_>) -> Self {
+        let default = Self::default();
+        let threads = Self {
+            traffic: section.number("traffic", default.traffic, 1..=256),
+        };
+        section.finish();
+        threads
+    }
+}
--- /dev/null
+++ b/crates/briarrail_settings/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the settings.
+
+mod bad_settings;
+mod good_settings;
