--- a/crates/briarrail_outcome/src/request_outcome.rs
+++ b/crates/briarrail_outcome/src/request_outcome.rs
@@ -41,6 +41,8 @@
     KeyMissing,
     /// The key is older than the retention period.
     KeyExpired,
+    /// The key's time lies in the future, or its kind is not accepted.
+    KeyInvalid,
     /// The router stops.
     Stopping,
 }
@@ -56,6 +58,8 @@
     DeadlinePassed,
     /// The answer did not belong to the request or was not whole.
     BadAnswer,
+    /// The target failed without proof that it did not run the request.
+    TargetFailed,
     /// An earlier call with the key was sent, and its outcome was not recorded.
     EarlierCall,
 }
--- /dev/null
+++ b/crates/briarrail_outcome/src/stream_event.rs
@@ -0,0 +1,48 @@
+//! One event of a stream, as far as the checker reads it.
+
+use crate::StreamFault;
+
+const DONE_MARK: &[u8] = b"[DONE]";
+const ERROR_NAME: &[u8] = b"error";
+
+/// The fields of one event that decide whether it is relayed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct StreamEvent {
+    pub(crate) id: Option<u64>,
+    pub(crate) has_data: bool,
+    pub(crate) is_terminal: bool,
+    pub(crate) is_error: bool,
+}
+
+impl StreamEvent {
+    /// Reads the lines of one event.
+    pub(crate) fn parse(text: &[u8]) -> Result<Self, StreamFault> {
+        let mut event = Self::default();
+        let mut data_lines = 0_u32;
+        let mut is_done = false;
+        for line in text.split(|&byte| byte == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if let Some(value) = field(line, b"data") {
+                data_lines += 1;
+                is_done = value == DONE_MARK;
+            } else if let Some(value) = field(line, b"id") {
+                event.id = Some(parse_id(value)?);
+            } else if let Some(value) = field(line, b"event") {
+                event.is_error = value == ERROR_NAME;
+            }
+        }
+        event.has_data = data_lines > 0;
+        event.is_terminal = is_done && data_lines == 1;
+        Ok(event)
+    }
+}
+
+fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let value = line.strip_prefix(name)?.strip_prefix(b":")?;
+    Some(value.strip_prefix(b" ").unwrap_or(value))
+}
+
+fn parse_id(value: &[u8]) -> Result<u64, StreamFault> {
+    let text = std::str::from_utf8(value).map_err(|_| StreamFault::BadId)?;
+    text.parse().map_err(|_| StreamFault::BadId)
+}
--- /dev/null
+++ b/crates/briarrail_outcome/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of outcomes, retries, streams and claims.
+
+mod reply;
+mod retry;
+mod stream;
