--- /dev/null
+++ b/crates/briarrail_policy/src/place.rs
@@ -0,0 +1,205 @@
+//! Placement of a request.
+
+use briarrail_model::{MilliDuration, StableHash, hash_pair};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::view_target::OpenTarget;
+use crate::{
+    CandidateList, OwnCounts, PlacementChoice, PlacementRequest, PlacementView, TargetIndex,
+};
+
+const HOME_CANDIDATES: usize = 8;
+const KEEP_SALT: StableHash = StableHash(0x6b65_6570);
+const WAIT_STEP: MilliDuration = MilliDuration::from_millis(200);
+const MIN_RETRY_AFTER: MilliDuration = MilliDuration::from_secs(1);
+const MAX_RETRY_AFTER: MilliDuration = MilliDuration::from_secs(30);
+
+/// Chooses the targets of a request.
+///
+/// A chat goes to the first target of its rendezvous order that keeps it; which chats a loaded
+/// target keeps depends on the chat alone, so that routers with like views agree. Requests
+/// without a chat, and those to targets that cache nothing, go to the less loaded of two targets
+/// that `seed` picks.
+#[must_use]
+pub fn place<C>(
+    view: &PlacementView,
+    request: &PlacementRequest,
+    counts: &C,
+    seed: u64,
+) -> PlacementChoice
+where
+    C: OwnCounts + ?Sized,
+{
+    let chat = request.chat.filter(|_| view.settings.caches_context);
+    for tier in [&view.near, &view.far] {
+        let list = match chat {
+            Some(chat) => place_chat(view, tier, chat, counts),
+            None => place_anywhere(view, tier, counts, seed),
+        };
+        if !list.is_empty() {
+            return PlacementChoice::Send(list);
+        }
+    }
+    hold_back(view, request)
+}
+
+fn place_chat<C>(
+    view: &PlacementView,
+    tier: &[OpenTarget],
+    chat: StableHash,
+    counts: &C,
+) -> CandidateList
+where
+    C: OwnCounts + ?Sized,
+{
+    let order = rank_home_targets(tier, chat);
+    let mut list = CandidateList::default();
+    let mut ranked = order.iter().filter(|ranked| ranked.score > 0);
+    for ranked in ranked.clone() {
+        if keeps_chat(view, ranked, counts) {
+            list.push(ranked.index);
+        }
+        if list.is_full() {
+            return list;
+        }
+    }
+    let lightest = |ranked: &&RankedTarget| ordered_load(view, ranked.index, counts);
+    if list.is_empty()
+        && let Some(ranked) = ranked.clone().min_by_key(lightest)
+        && takes_request(view, ranked.index, counts)
+    {
+        list.push(ranked.index);
+    }
+    if !list.is_empty() {
+        for ranked in ranked.by_ref() {
+            if takes_request(view, ranked.index, counts) {
+                list.push(ranked.index);
+            }
+        }
+    }
+    list
+}
+
+/// A target and its rendezvous score for a chat.
+#[derive(Debug, Clone, Copy, Default)]
+struct RankedTarget {
+    score: u64,
+    index: TargetIndex,
+}
+
+/// Returns the targets with the highest scores, highest first; unused places have score 0.
+fn rank_home_targets(tier: &[OpenTarget], chat: StableHash) -> [RankedTarget; HOME_CANDIDATES] {
+    let mut order = [RankedTarget::default(); HOME_CANDIDATES];
+    for target in tier {
+        let score = hash_pair(chat, target.name).0;
+        if score <= order[HOME_CANDIDATES - 1].score {
+            continue;
+        }
+        let index = target.index;
+        let mut place = HOME_CANDIDATES - 1;
+        while place > 0 && order[place - 1].score < score {
+            order[place] = order[place - 1];
+            place -= 1;
+        }
+        order[place] = RankedTarget { score, index };
+    }
+    order
+}
+
+fn keeps_chat<C>(view: &PlacementView, ranked: &RankedTarget, counts: &C) -> bool
+where
+    C: OwnCounts + ?Sized,
+{
+    let target = &view.targets[ranked.index.as_usize()];
+    let room = (target.shed_limit - view.load(ranked.index, counts)) / target.shed_band;
+    let kept = room.clamp(0.0, 1.0) * target.share;
+    let draw = hash_pair(StableHash(ranked.score), KEEP_SALT);
+    has_slot(view, ranked.index, counts) && unit_fraction(draw) < kept
+}
+
+fn takes_request<C>(view: &PlacementView, target: TargetIndex, counts: &C) -> bool
+where
+    C: OwnCounts + ?Sized,
+{
+    let limit = view.targets[target.as_usize()].promise_limit;
+    has_slot(view, target, counts) && view.load(target, counts) < limit
+}
+
+fn has_slot<C>(view: &PlacementView, target: TargetIndex, counts: &C) -> bool
+where
+    C: OwnCounts + ?Sized,
+{
+    counts.in_flight(target) < view.settings.max_in_flight_per_target
+}
+
+fn place_anywhere<C>(
+    view: &PlacementView,
+    tier: &[OpenTarget],
+    counts: &C,
+    seed: u64,
+) -> CandidateList
+where
+    C: OwnCounts + ?Sized,
+{
+    let mut list = CandidateList::default();
+    if tier.is_empty() {
+        return list;
+    }
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut draws = [TargetIndex::default(); HOME_CANDIDATES];
+    for draw in &mut draws {
+        *draw = tier[rng.random_range(0..tier.len())].index;
+    }
+    for pair in draws.chunks_exact_mut(2) {
+        pair.sort_by_key(|&index| ordered_load(view, index, counts));
+        for &index in pair.iter() {
+            if takes_request(view, index, counts) {
+                list.push(index);
+            }
+        }
+    }
+    list
+}
+
+/// Returns the load as an integer key that orders like it.
+fn ordered_load<C>(view: &PlacementView, target: TargetIndex, counts: &C) -> i64
+where
+    C: OwnCounts + ?Sized,
+{
+    (view.load(target, counts) * 1_024.0) as i64
+}
+
+fn hold_back(view: &PlacementView, request: &PlacementRequest) -> PlacementChoice {
+    let remaining = view.settings.max_wait.as_millis();
+    if request.waited.as_millis() < remaining {
+        return PlacementChoice::Wait {
+            retry_after: WAIT_STEP,
+        };
+    }
+    PlacementChoice::Refuse {
+        retry_after: expected_relief(view),
+    }
+}
+
+/// Returns the time after which the least loaded target is expected below its limit.
+fn expected_relief(view: &PlacementView) -> MilliDuration {
+    let excess = |target: &OpenTarget| {
+        let entry = &view.targets[target.index.as_usize()];
+        entry.expected / entry.promise_limit.max(1.0)
+    };
+    let ratios = view.near.iter().chain(&view.far).map(excess);
+    let least = ratios.fold(f32::INFINITY, f32::min);
+    if !least.is_finite() {
+        return MAX_RETRY_AFTER;
+    }
+    let stream_time = view.settings.stream_time.as_millis() as f32;
+    let millis = (least.max(1.0).ln() * stream_time) as u64;
+    let bounds = (MIN_RETRY_AFTER.as_millis(), MAX_RETRY_AFTER.as_millis());
+    MilliDuration::from_millis(millis.clamp(bounds.0, bounds.1))
+}
+
+/// Maps a hash to the half-open range from 0 to 1.
+fn unit_fraction(hash: StableHash) -> f32 {
+    (hash.0 >> 40) as f32 / (1_u64 << 24) as f32
+}
--- /dev/null
+++ b/crates/briarrail_policy/src/placement_view.rs
@@ -0,0 +1,83 @@
+//! Snapshots of a pool's targets for traffic threads.
+
+use briarrail_model::MilliTime;
+
+use crate::view_target::{OpenTarget, ViewTarget};
+use crate::{OwnCounts, PlacementSettings};
+
+/// Position of a target in the inputs from which its view was made.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetIndex(u32);
+
+impl TargetIndex {
+    /// Makes the index of a position.
+    #[must_use]
+    pub const fn new(position: usize) -> Self {
+        Self(position as u32)
+    }
+
+    /// Returns the position.
+    #[must_use]
+    pub const fn as_usize(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// Immutable snapshot of a pool's targets and their expected loads.
+///
+/// The control thread makes one about once a second and whenever the host list changes.
+#[derive(Debug, Clone)]
+pub struct PlacementView {
+    pub(crate) settings: PlacementSettings,
+    pub(crate) made_at: MilliTime,
+    pub(crate) mean: f32,
+    pub(crate) pressure: Option<f32>,
+    pub(crate) targets: Vec<ViewTarget>,
+    pub(crate) near: Vec<OpenTarget>,
+    pub(crate) far: Vec<OpenTarget>,
+}
+
+impl PlacementView {
+    /// Returns the number of targets that take new work.
+    #[must_use]
+    pub fn open_targets(&self) -> usize {
+        self.near.len() + self.far.len()
+    }
+
+    /// Returns the mean expected load of the targets of this region, in streams.
+    #[must_use]
+    pub const fn mean_load(&self) -> f32 {
+        self.mean
+    }
+
+    /// Returns the load of the region as a part of its capacity, for [`crate::AdmissionGate`].
+    ///
+    /// Returns none when the pool's row sets no limit of streams, or nothing has been reported.
+    #[must_use]
+    pub const fn pressure(&self) -> Option<f32> {
+        self.pressure
+    }
+
+    /// Returns when the view was made.
+    #[must_use]
+    pub const fn made_at(&self) -> MilliTime {
+        self.made_at
+    }
+
+    /// Returns whether a target takes new work.
+    #[must_use]
+    pub fn is_open(&self, target: TargetIndex) -> bool {
+        let mut open = self.near.iter().chain(&self.far);
+        open.any(|candidate| candidate.index == target)
+    }
+
+    /// Returns the expected load of a target now, in streams.
+    pub(crate) fn load<C>(&self, target: TargetIndex, counts: &C) -> f32
+    where
+        C: OwnCounts + ?Sized,
+    {
+        let entry = &self.targets[target.as_usize()];
+        let own_change = counts.in_flight(target) as f32 - entry.own_at_report as f32;
+        entry.expected + own_change
+    }
+}
