feat(standin): add engine, service, object API and host list stand-ins

Cause: the daemon, the tests and the example need targets and a platform whose faults can be switched, in one process or in many. Change: a library whose stand-ins start on any port and return a handle with fault switches, and a program with one subcommand each. Tokens are a function of (request body, position), so that a caller can verify a whole answer. The platform's HTTP clients are tested against the stand-ins. Conclusion: the protocols are fixed; further faults are added as tests ask.

--- /dev/null
+++ b/crates/briarrail_platform/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the HTTP clients against the stand-ins.
+
+mod directory;
+mod store;
--- /dev/null
+++ b/crates/briarrail_standin/src/cli/mod.rs
@@ -0,0 +1,164 @@
+//! The command line.
+
+mod cli_error;
+mod cli_options;
+
+use std::time::Duration;
+
+use briarrail_model::HostEntry;
+use briarrail_standin::{
+    EngineSettings, HostSettings, ObjectSettings, ServiceSettings, start_engine, start_hosts,
+    start_objects, start_service,
+};
+
+use cli_error::CliError;
+use cli_options::CliOptions;
+
+const USAGE: &str = "\
+Usage: briarrail_standin COMMAND [OPTIONS]
+
+Commands:
+  engine   Model engine
+  service  Plain service with a ledger of runs
+  objects  Object API of the platform
+  hosts    Host list of the platform
+
+`briarrail_standin COMMAND --help` lists the options of a command. Faults are switched by
+POST /_standin/faults; GET shows them.";
+
+/// Runs the command that the arguments name, until the process is ended.
+pub(crate) fn run(arguments: &[String]) -> Result<(), CliError> {
+    let Some((command, rest)) = arguments.split_first() else {
+        return Err(CliError::Usage(USAGE.to_owned()));
+    };
+    let runtime = tokio::runtime::Runtime::new()?;
+    match command.as_str() {
+        "engine" => runtime.block_on(run_engine(rest)),
+        "service" => runtime.block_on(run_service(rest)),
+        "objects" => runtime.block_on(run_objects(rest)),
+        "hosts" => runtime.block_on(run_hosts(rest)),
+        "help" | "-h" | "--help" => {
+            println!("{USAGE}");
+            Ok(())
+        }
+        _ => Err(CliError::Usage(USAGE.to_owned())),
+    }
+}
+
+async fn run_engine(arguments: &[String]) -> Result<(), CliError> {
+    let default = EngineSettings::default();
+    let options = CliOptions::new("engine")
+        .option("name", "TEXT", "name in the header x-standin")
+        .option("capacity", "N", "streams that run at once")
+        .option("queue-limit", "N", "requests that wait for a place")
+        .option(
+            "first-token-ms",
+            "MS",
+            "time to the first token when all is cached",
+        )
+        .option("token-interval-ms", "MS", "time between tokens")
+        .option(
+            "prefill-us",
+            "US",
+            "time that each uncached token of the prompt adds",
+        )
+        .option("cache-tokens", "N", "tokens that the prefix cache holds")
+        .option("load-lag-ms", "MS", "age of the reported load")
+        .option("event-lag-ms", "MS", "age at which cache events show")
+        .option(
+            "event-gap-every",
+            "N",
+            "lose one in N cache events; 0 for none",
+        )
+        .option(
+            "hold-ms",
+            "MS",
+            "time for which a stream without a reader is kept",
+        )
+        .flag(
+            "resumes-foreign",
+            "run a resume anew when the stream is not held",
+        )
+        .flag(
+            "ignores-fencing",
+            "take orders with outdated fencing numbers",
+        );
+    let Some(matches) = options.parse(arguments)? else {
+        return Ok(());
+    };
+    let settings = EngineSettings {
+        name: matches.value("name", default.name)?,
+        capacity: matches.value("capacity", default.capacity)?,
+        queue_limit: matches.value("queue-limit", default.queue_limit)?,
+        first_token: matches.millis("first-token-ms", default.first_token)?,
+        token_interval: matches.millis("token-interval-ms", default.token_interval)?,
+        prefill_per_token: Duration::from_micros(matches.value("prefill-us", 20)?),
+        cache_tokens: matches.value("cache-tokens", default.cache_tokens)?,
+        load_lag: matches.millis("load-lag-ms", default.load_lag)?,
+        event_lag: matches.millis("event-lag-ms", default.event_lag)?,
+        event_gap_every: matches.value("event-gap-every", default.event_gap_every)?,
+        hold: matches.millis("hold-ms", default.hold)?,
+        resumes_foreign: matches.is_present("resumes-foreign"),
+        checks_fencing: !matches.is_present("ignores-fencing"),
+        faults: matches.faults()?,
+    };
+    let standin = start_engine(&matches.listen(), settings).await?;
+    serve_until_killed("engine", &standin.base_url()).await
+}
+
+async fn run_service(arguments: &[String]) -> Result<(), CliError> {
+    let options = CliOptions::new("service").option("name", "TEXT", "name in the header x-standin");
+    let Some(matches) = options.parse(arguments)? else {
+        return Ok(());
+    };
+    let settings = ServiceSettings {
+        name: matches.value("name", String::new())?,
+        faults: matches.faults()?,
+    };
+    let standin = start_service(&matches.listen(), settings).await?;
+    serve_until_killed("service", &standin.base_url()).await
+}
+
+async fn run_objects(arguments: &[String]) -> Result<(), CliError> {
+    let Some(matches) = CliOptions::new("objects").parse(arguments)? else {
+        return Ok(());
+    };
+    let settings = ObjectSettings {
+        faults: matches.faults()?,
+    };
+    let standin = start_objects(&matches.listen(), settings).await?;
+    serve_until_killed("objects", &standin.base_url()).await
+}
+
+async fn run_hosts(arguments: &[String]) -> Result<(), CliError> {
+    let options = CliOptions::new("hosts").option("file", "FILE", "JSON array of hosts to list");
+    let Some(matches) = options.parse(arguments)? else {
+        return Ok(());
+    };
+    let file: String = matches.value("file", String::new())?;
+    let settings = HostSettings {
+        hosts: read_hosts(&file)?,
+        faults: matches.faults()?,
+    };
+    let standin = start_hosts(&matches.listen(), settings).await?;
+    serve_until_killed("hosts", &standin.base_url()).await
+}
+
+fn read_hosts(file: &str) -> Result<Vec<HostEntry>, CliError> {
+    if file.is_empty() {
+        return Ok(Vec::new());
+    }
+    let text = std::fs::read_to_string(file)?;
+    let invalid = |error: serde_json::Error| CliError::Value {
+        option: "file".to_owned(),
+        value: file.to_owned(),
+        hint: error.to_string(),
+    };
+    serde_json::from_str(&text).map_err(invalid)
+}
+
+/// Prints the address, so that a test driver can read it, and waits.
+async fn serve_until_killed(kind: &str, base_url: &str) -> Result<(), CliError> {
+    println!("{kind} {base_url}");
+    std::future::pending().await
+}
--- /dev/null
+++ b/crates/briarrail_standin/src/engine/token_text.rs
@@ -0,0 +1,31 @@
+//! The tokens of an answer.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Returns the seed of the answer to a request body.
+#[must_use]
+pub fn answer_seed(body: &[u8]) -> u64 {
+    xxh3_64(body)
+}
+
+/// Returns one token of an answer, a function of the request body and the position alone.
+///
+/// ```
+/// use briarrail_standin::{answer_seed, token_text};
+///
+/// let seed = answer_seed(b"{}");
+/// assert_eq!(token_text(seed, 3), token_text(seed, 3));
+/// assert_ne!(token_text(seed, 3), token_text(seed, 4));
+/// ```
+#[must_use]
+pub fn token_text(seed: u64, index: u64) -> String {
+    let hash = xxh3_64_with_seed(&index.to_le_bytes(), seed);
+    format!("{:06x} ", hash & 0xff_ffff)
+}
+
+/// Returns the first `count` tokens of the answer to a request body.
+#[must_use]
+pub fn answer_text(body: &[u8], count: u64) -> String {
+    let seed = answer_seed(body);
+    (0..count).map(|index| token_text(seed, index)).collect()
+}
--- /dev/null
+++ b/crates/briarrail_standin/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the stand-ins.
+
+mod engine;
+mod service;
+mod support;
