feat(peer): seal exchange messages under two keys and pack load records

Change: frames are MessagePack maps behind version, kind and a truncated HMAC-SHA256; two keys are accepted during a change; load records pack into 11 bytes, notices into 16; a byte budget counts both directions. Conclusion: the codec serves exchanges and claims alike.

--- /dev/null
+++ b/crates/briarrail_fleet/src/config_adopter.rs
@@ -0,0 +1,186 @@
+//! Adoption of the configuration.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use briarrail_config::{ConfigEdit, ConfigState, EditError};
+use briarrail_model::ConfigSnapshot;
+use bytes::Bytes;
+use thiserror::Error;
+
+const MAX_LOG_EDITS: usize = 512;
+const MAX_WAITING_EDITS: usize = 128;
+
+/// Why an edit or a configuration of a peer was not adopted.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[non_exhaustive]
+pub enum AdoptError {
+    /// The bytes are not an edit or a configuration.
+    #[error("the bytes can't be decoded: {0} (hint: the sender runs another release)")]
+    Malformed(String),
+    /// The edit does not fit the configuration in force.
+    #[error("edit {sequence} does not apply: {error} (hint: the whole configuration is read)")]
+    Refused {
+        /// Sequence number of the edit.
+        sequence: u64,
+        /// What does not fit.
+        error: EditError,
+    },
+}
+
+/// Encodes an edit as frames carry it.
+///
+/// # Panics
+///
+/// Does not panic: every edit can be encoded.
+#[must_use]
+pub fn encode_edit(edit: &ConfigEdit) -> Bytes {
+    let encoded = rmp_serde::to_vec_named(edit);
+    encoded.expect("every edit can be encoded").into()
+}
+
+#[derive(Debug, Clone)]
+struct LogEntry {
+    sequence: u64,
+    encoded: Bytes,
+}
+
+/// The configuration in force, and the latest edits for peers that miss them.
+///
+/// The sequence number never falls. Edits that arrive early wait for those before them.
+#[derive(Debug, Default)]
+pub struct ConfigAdopter {
+    state: ConfigState,
+    snapshot: Option<Arc<ConfigSnapshot>>,
+    log: VecDeque<LogEntry>,
+    waiting: BTreeMap<u64, (ConfigEdit, Bytes)>,
+    diverged: bool,
+}
+
+impl ConfigAdopter {
+    /// Returns the sequence number in force; 0 before the first configuration.
+    #[must_use]
+    pub fn sequence(&self) -> u64 {
+        self.state.sequence()
+    }
+
+    /// Returns the configuration in force, if there is one.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<&Arc<ConfigSnapshot>> {
+        self.snapshot.as_ref()
+    }
+
+    /// Returns whether an edit did not apply, so that a whole configuration is needed.
+    #[must_use]
+    pub fn needs_whole(&self) -> bool {
+        self.diverged
+    }
+
+    /// Takes over a whole configuration unless it is older, and returns whether it did.
+    pub fn adopt_snapshot(&mut self, snapshot: &Arc<ConfigSnapshot>) -> bool {
+        let newer = snapshot.sequence > self.sequence();
+        let same = snapshot.sequence == self.sequence();
+        if !newer && !(same && (self.snapshot.is_none() || self.diverged)) {
+            return false;
+        }
+        self.state = ConfigState::new((**snapshot).clone());
+        self.snapshot = Some(Arc::clone(snapshot));
+        self.diverged = false;
+        self.log.clear();
+        self.waiting = self.waiting.split_off(&(snapshot.sequence + 1));
+        // Edits that waited may follow the new configuration at once.
+        let _ = self.apply_waiting();
+        true
+    }
+
+    /// Takes over an encoded whole configuration of a peer.
+    ///
+    /// # Errors
+    ///
+    /// Refuses bytes that are not a configuration.
+    pub fn adopt_encoded(&mut self, encoded: &[u8]) -> Result<bool, AdoptError> {
+        let snapshot: ConfigSnapshot = rmp_serde::from_slice(encoded).map_err(malformed)?;
+        Ok(self.adopt_snapshot(&Arc::new(snapshot)))
+    }
+
+    /// Takes over an encoded edit of a peer, and returns whether the sequence number rose.
+    ///
+    /// # Errors
+    ///
+    /// Refuses bytes that are not an edit, and edits that do not fit the configuration.
+    pub fn offer_encoded(&mut self, encoded: &Bytes) -> Result<bool, AdoptError> {
+        let edit: ConfigEdit = rmp_serde::from_slice(encoded).map_err(malformed)?;
+        // The copy does not keep the frame alive that the bytes came in.
+        self.offer(edit, Bytes::copy_from_slice(encoded))
+    }
+
+    /// Takes over an edit, and returns whether the sequence number rose.
+    ///
+    /// # Errors
+    ///
+    /// Refuses edits that do not fit the configuration.
+    pub fn offer_edit(&mut self, edit: &ConfigEdit) -> Result<bool, AdoptError> {
+        let encoded = encode_edit(edit);
+        self.offer(edit.clone(), encoded)
+    }
+
+    fn offer(&mut self, edit: ConfigEdit, encoded: Bytes) -> Result<bool, AdoptError> {
+        if edit.sequence <= self.sequence() {
+            return Ok(false);
+        }
+        self.waiting.insert(edit.sequence, (edit, encoded));
+        if self.waiting.len() > MAX_WAITING_EDITS {
+            self.waiting.pop_last();
+        }
+        self.apply_waiting()
+    }
+
+    fn apply_waiting(&mut self) -> Result<bool, AdoptError> {
+        let mut rose = false;
+        if self.snapshot.is_none() {
+            return Ok(rose);
+        }
+        while let Some((edit, encoded)) = self.waiting.remove(&(self.sequence() + 1)) {
+            let sequence = edit.sequence;
+            if let Err(error) = self.state.apply(&edit) {
+                self.diverged = true;
+                return Err(AdoptError::Refused { sequence, error });
+            }
+            self.record(LogEntry { sequence, encoded });
+            rose = true;
+        }
+        if rose {
+            self.snapshot = Some(Arc::new(self.state.snapshot().clone()));
+        }
+        Ok(rose)
+    }
+
+    fn record(&mut self, entry: LogEntry) {
+        self.log.push_back(entry);
+        if self.log.len() > MAX_LOG_EDITS {
+            self.log.pop_front();
+        }
+    }
+
+    /// Returns the encoded edits after a sequence number, if all of them are at hand.
+    #[must_use]
+    pub fn edits_after(&self, sequence: u64) -> Option<Vec<Bytes>> {
+        let first = self.log.front()?.sequence;
+        if self.snapshot.is_none() || sequence + 1 < first || sequence >= self.sequence() {
+            return None;
+        }
+        let later = self.log.iter().filter(|entry| entry.sequence > sequence);
+        Some(later.map(|entry| entry.encoded.clone()).collect())
+    }
+
+    /// Returns the whole configuration, encoded, if there is one of at most `limit` bytes.
+    #[must_use]
+    pub fn encoded_snapshot(&self, limit: usize) -> Option<Bytes> {
+        let encoded = rmp_serde::to_vec_named(self.snapshot.as_deref()?).ok()?;
+        (encoded.len() <= limit).then(|| encoded.into())
+    }
+}
+
+fn malformed(error: rmp_serde::decode::Error) -> AdoptError {
+    AdoptError::Malformed(error.to_string())
+}
--- /dev/null
+++ b/crates/briarrail_fleet/src/host_table.rs
@@ -0,0 +1,265 @@
+//! The hosts that a router knows.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use briarrail_model::{HostEntry, HostName, RegionName};
+use briarrail_peer::{HostNotice, HostPart, HostPatch};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::host_slot::HostSlot;
+use crate::{HostChange, ViewPhase};
+
+const MAX_TOMBSTONES: usize = 4_096;
+
+new_key_type! {
+    /// Identifies a host in a [`HostTable`].
+    pub struct HostKey;
+}
+
+/// Returns the 32 bits by which frames refer to a host.
+#[must_use]
+pub fn host_code(name: &HostName) -> u32 {
+    name.stable_hash().0 as u32
+}
+
+/// The hosts of a router's region, and of other regions as far as a relay needs them.
+#[derive(Debug)]
+pub struct HostTable {
+    region: RegionName,
+    slots: SlotMap<HostKey, HostSlot>,
+    codes: BTreeMap<u32, HostKey>,
+    tombstones: VecDeque<(u64, HostName)>,
+    revision: u64,
+    /// Revision from which on all changes are known.
+    baseline: u64,
+    generation: u64,
+}
+
+impl HostTable {
+    /// Makes an empty table for a router of a region.
+    #[must_use]
+    pub fn new(region: RegionName) -> Self {
+        Self {
+            region,
+            slots: SlotMap::with_key(),
+            codes: BTreeMap::new(),
+            tombstones: VecDeque::new(),
+            revision: 0,
+            baseline: u64::MAX,
+            generation: 0,
+        }
+    }
+
+    /// Returns the revision of the platform's list that the table holds; 0 before the first.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns whether the table holds a list.
+    #[must_use]
+    pub fn is_loaded(&self) -> bool {
+        self.baseline != u64::MAX
+    }
+
+    /// Returns a number that rises with each change of the table.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Returns the key of the host with a code.
+    #[must_use]
+    pub fn key_of(&self, code: u32) -> Option<HostKey> {
+        self.codes.get(&code).copied()
+    }
+
+    /// Returns the key of the host with a name.
+    #[must_use]
+    pub fn key(&self, name: &HostName) -> Option<HostKey> {
+        let key = self.key_of(host_code(name))?;
+        (self.slots[key].entry.name == *name).then_some(key)
+    }
+
+    /// Returns the entry of a host.
+    #[must_use]
+    pub fn entry(&self, key: HostKey) -> Option<&Arc<HostEntry>> {
+        self.slots.get(key).map(|slot| &slot.entry)
+    }
+
+    /// Returns the phase of a host.
+    #[must_use]
+    pub fn phase(&self, key: HostKey) -> Option<ViewPhase> {
+        self.slots.get(key).map(HostSlot::phase)
+    }
+
+    pub(crate) fn slot(&self, key: HostKey) -> Option<&HostSlot> {
+        self.slots.get(key)
+    }
+
+    pub(crate) fn slots(&self) -> impl Iterator<Item = (HostKey, &HostSlot)> {
+        let keys = self.codes.values();
+        keys.filter_map(|&key| self.slots.get(key).map(|slot| (key, slot)))
+    }
+
+    /// Takes over changes and returns whether anything differed.
+    ///
+    /// Changes that start after the table's revision are refused, and stale ones have no effect.
+    /// Hosts for which `keep` is false are passed over.
+    pub fn apply<K>(&mut self, change: &HostChange, keep: K) -> bool
+    where
+        K: Fn(&HostEntry) -> bool,
+    {
+        if change.full {
+            return self.replace(change, keep);
+        }
+        let follows = self.is_loaded() && change.since <= self.revision;
+        if !follows || change.revision <= self.revision {
+            return false;
+        }
+        for entry in change.upserts.iter().filter(|entry| keep(entry)) {
+            self.upsert(entry, change.revision);
+        }
+        for name in &change.removed {
+            self.remove(name, change.revision);
+        }
+        self.revision = change.revision;
+        true
+    }
+
+    fn replace<K>(&mut self, change: &HostChange, keep: K) -> bool
+    where
+        K: Fn(&HostEntry) -> bool,
+    {
+        let mut gone: BTreeMap<HostName, ()> = BTreeMap::new();
+        for (_, slot) in self.slots() {
+            gone.insert(slot.entry.name.clone(), ());
+        }
+        for entry in change.upserts.iter().filter(|entry| keep(entry)) {
+            gone.remove(&entry.name);
+            self.upsert(entry, change.revision);
+        }
+        for name in gone.keys() {
+            self.remove(name, change.revision);
+        }
+        if !self.is_loaded() || change.revision < self.revision {
+            self.baseline = change.revision;
+        }
+        self.revision = change.revision;
+        self.generation += 1;
+        true
+    }
+
+    fn upsert(&mut self, entry: &Arc<HostEntry>, revision: u64) {
+        let code = host_code(&entry.name);
+        let Some(&key) = self.codes.get(&code) else {
+            let slot = HostSlot::new(Arc::clone(entry), revision);
+            let key = self.slots.insert(slot);
+            self.codes.insert(code, key);
+            self.generation += 1;
+            return;
+        };
+        // Two names with one code can't be told apart in frames: the first one keeps the code.
+        if self.slots[key].entry.name != entry.name {
+            return;
+        }
+        if self.slots[key].update(entry, revision) {
+            self.generation += 1;
+        }
+    }
+
+    fn remove(&mut self, name: &HostName, revision: u64) {
+        let Some(key) = self.key(name) else { return };
+        self.slots.remove(key);
+        self.codes.remove(&host_code(name));
+        self.tombstones.push_back((revision, name.clone()));
+        if self.tombstones.len() > MAX_TOMBSTONES {
+            let oldest = self.tombstones.pop_front();
+            let (revision, _) = oldest.expect("the queue is longer than its limit");
+            self.baseline = self.baseline.max(revision);
+        }
+        self.generation += 1;
+    }
+
+    /// Takes over a part of another router's table and returns whether it advanced this one.
+    pub fn apply_part(&mut self, part: &HostPart) -> bool {
+        let patched = part
+            .patches
+            .iter()
+            .filter_map(|patch| self.patched_entry(patch));
+        let upserts = part.upserts.iter().cloned().map(Arc::new);
+        let change = HostChange {
+            since: part.since,
+            revision: part.revision,
+            full: false,
+            upserts: upserts.chain(patched).collect(),
+            removed: part.removed.clone(),
+        };
+        self.apply(&change, |_| true)
+    }
+
+    fn patched_entry(&self, patch: &HostPatch) -> Option<Arc<HostEntry>> {
+        let key = self.key_of(patch.host)?;
+        let entry = HostEntry {
+            phase: patch.phase(),
+            incarnation: patch.incarnation,
+            ..(*self.slots[key].entry).clone()
+        };
+        Some(Arc::new(entry))
+    }
+
+    /// Returns the changes of the own region after a revision, if all of them are known.
+    #[must_use]
+    pub fn part_since(&self, since: u64) -> Option<HostPart> {
+        if !self.is_loaded() || since < self.baseline || since >= self.revision {
+            return None;
+        }
+        let mut part = HostPart {
+            since,
+            revision: self.revision,
+            ..HostPart::default()
+        };
+        for (_, slot) in self.slots() {
+            self.add_change(&mut part, slot);
+        }
+        let removed = self
+            .tombstones
+            .iter()
+            .filter(|(revision, _)| *revision > since);
+        let removed = removed.map(|(_, name)| name.clone());
+        part.removed = removed.filter(|name| self.key(name).is_none()).collect();
+        Some(part)
+    }
+
+    fn add_change(&self, part: &mut HostPart, slot: &HostSlot) {
+        if slot.changed_at <= part.since || slot.entry.region != self.region {
+            return;
+        }
+        if slot.shaped_at > part.since {
+            part.upserts.push((*slot.entry).clone());
+            return;
+        }
+        part.patches.push(HostPatch {
+            host: slot.hash.0 as u32,
+            leaving: slot.entry.phase == briarrail_model::HostPhase::Leaving,
+            incarnation: slot.entry.incarnation,
+        });
+    }
+
+    /// Takes over a notice and returns whether it was news.
+    pub fn apply_notice(&mut self, key: HostKey, notice: HostNotice) -> bool {
+        let Some(slot) = self.slots.get_mut(key) else {
+            return false;
+        };
+        if notice <= slot.notice || notice.incarnation < slot.entry.incarnation {
+            return false;
+        }
+        let before = slot.phase();
+        slot.notice = notice;
+        if before != slot.phase() {
+            self.generation += 1;
+        }
+        true
+    }
+}
--- a/crates/briarrail_fleet/src/lib.rs
+++ b/crates/briarrail_fleet/src/lib.rs
@@ -1,1 +1,38 @@
 //! Membership, exchange and configuration adoption state machines.
+//!
+//! [`FleetNode`] is the whole of one router's part in the fleet. It does no I/O: the caller hands
+//! it frames, replies, reads of the platform and the present time, and carries out the
+//! [`FleetOutput`]s.
+
+mod config_adopter;
+mod config_read;
+mod fleet_counters;
+mod fleet_node;
+mod fleet_output;
+mod fleet_settings;
+mod fleet_view;
+mod host_change;
+mod host_slot;
+mod host_table;
+mod load_table;
+mod node_inbox;
+mod node_observed;
+mod node_platform;
+mod node_rounds;
+mod node_sends;
+mod node_urgent;
+mod peer_ring;
+mod pending_send;
+
+pub use config_adopter::{AdoptError, ConfigAdopter, encode_edit};
+pub use config_read::{ConfigRead, WatchOutcome};
+pub use fleet_counters::FleetCounters;
+pub use fleet_node::FleetNode;
+pub use fleet_output::{FleetOutput, SendId};
+pub use fleet_settings::FleetSettings;
+pub use fleet_view::{FleetView, HostView};
+pub use host_change::HostChange;
+pub use host_slot::ViewPhase;
+pub use host_table::{HostKey, HostTable, host_code};
+pub use load_table::LoadTable;
+pub use peer_ring::PeerRing;
--- /dev/null
+++ b/crates/briarrail_fleet/src/load_table.rs
@@ -0,0 +1,129 @@
+//! Load records of targets.
+
+use std::collections::BTreeMap;
+
+use briarrail_model::{LoadRecord, MilliDuration, MilliTime};
+use briarrail_peer::LoadItem;
+
+const MIN_PUBLISH_GAP: MilliDuration = MilliDuration::from_millis(1_000);
+/// Number of targets from which on the dead band has its full width.
+const WIDE_TABLE: u64 = 2_000;
+/// Full width of the dead band: a change by an eighth.
+const DEAD_BAND_PARTS: u64 = 8;
+
+#[derive(Debug, Clone, Copy)]
+struct LoadSlot {
+    record: LoadRecord,
+    distances: u16,
+}
+
+/// The latest load record of each target, and the ring distances that each still has to go.
+#[derive(Debug, Clone, Default)]
+pub struct LoadTable {
+    slots: BTreeMap<u32, LoadSlot>,
+    published: BTreeMap<u32, LoadRecord>,
+}
+
+impl LoadTable {
+    /// Returns the number of targets with a record.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Returns whether there is no record.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Returns the record of the target with a code.
+    #[must_use]
+    pub fn get(&self, code: u32) -> Option<LoadRecord> {
+        self.slots.get(&code).map(|slot| slot.record)
+    }
+
+    /// Returns all records with the codes of their targets.
+    pub fn iter(&self) -> impl Iterator<Item = (u32, LoadRecord)> + '_ {
+        self.slots.iter().map(|(&code, slot)| (code, slot.record))
+    }
+
+    /// Takes over the router's own observation, and publishes it when it differs enough.
+    pub fn observe(
+        &mut self,
+        code: u32,
+        record: &LoadRecord,
+        distances: u16,
+        refresh: MilliDuration,
+    ) -> bool {
+        let record = LoadItem::quantize(record);
+        let known = self.get(code);
+        if known.is_some_and(|known| !record.supersedes(&known)) {
+            return false;
+        }
+        let publish = self.is_worth_sending(code, &record, refresh);
+        let pending = self.slots.get(&code).map_or(0, |slot| slot.distances);
+        let distances = if publish { distances } else { pending };
+        self.slots.insert(code, LoadSlot { record, distances });
+        if publish {
+            self.published.insert(code, record);
+        }
+        publish
+    }
+
+    fn is_worth_sending(&self, code: u32, record: &LoadRecord, refresh: MilliDuration) -> bool {
+        let Some(published) = self.published.get(&code) else {
+            return true;
+        };
+        let age = record.version.since(published.version);
+        if age < MIN_PUBLISH_GAP {
+            return false;
+        }
+        let moved = u64::from(record.streams.abs_diff(published.streams));
+        let table = (self.slots.len() as u64).min(WIDE_TABLE);
+        let band = u64::from(published.streams) * table / (DEAD_BAND_PARTS * WIDE_TABLE);
+        record.keep_share != published.keep_share || moved > band || age >= refresh
+    }
+
+    /// Takes over a record of a peer and returns whether it was news.
+    pub fn merge(&mut self, now: MilliTime, item: &LoadItem, distances: u16) -> bool {
+        let record = item.record(now);
+        let known = self.get(item.target);
+        if known.is_some_and(|known| !record.supersedes(&known)) {
+            return false;
+        }
+        let distances = item.distances & distances;
+        self.slots
+            .insert(item.target, LoadSlot { record, distances });
+        true
+    }
+
+    /// Takes at most `limit` records that still have to go the distance with bit `bit`.
+    pub fn take_due(&mut self, bit: u16, limit: usize) -> Vec<LoadItem> {
+        let due = self
+            .slots
+            .iter_mut()
+            .filter(|(_, slot)| slot.distances & bit != 0);
+        let taken = due.take(limit).map(|(&code, slot)| {
+            slot.distances &= !bit;
+            LoadItem::new(code, slot.distances, &slot.record)
+        });
+        taken.collect()
+    }
+
+    /// Returns the number of records that still have to go the distance with bit `bit`.
+    #[must_use]
+    pub fn due_count(&self, bit: u16) -> usize {
+        let due = |slot: &&LoadSlot| slot.distances & bit != 0;
+        self.slots.values().filter(due).count()
+    }
+
+    /// Drops the records of targets that are gone.
+    pub fn retain<K>(&mut self, keep: K)
+    where
+        K: Fn(u32) -> bool,
+    {
+        self.slots.retain(|&code, _| keep(code));
+        self.published.retain(|&code, _| keep(code));
+    }
+}
--- /dev/null
+++ b/crates/briarrail_fleet/src/node_platform.rs
@@ -0,0 +1,138 @@
+//! Reads of the platform.
+
+use std::sync::Arc;
+
+use briarrail_model::{HostEntry, MilliDuration, MilliTime};
+
+use crate::{ConfigRead, FleetNode, FleetOutput, HostChange, WatchOutcome};
+
+const FIRST_BACKOFF: MilliDuration = MilliDuration::from_millis(1_000);
+const MAX_BACKOFF_DOUBLINGS: u32 = 4;
+/// Time for which a router that is behind asks peers before it reads the platform itself.
+const PEER_REPAIR_TIME: MilliDuration = MilliDuration::from_secs(5);
+
+impl FleetNode {
+    pub(crate) fn read_platform(&mut self, now: MilliTime) {
+        let is_relay = self.relay_rank().is_some();
+        self.read_hosts(now, is_relay);
+        self.read_config(now);
+        if is_relay && !self.platform.watching && now >= self.platform.watch_due {
+            self.platform.watching = true;
+            let after = self.sequence();
+            self.outputs.push_back(FleetOutput::WatchConfig { after });
+        }
+    }
+
+    fn read_hosts(&mut self, now: MilliTime, is_relay: bool) {
+        let lacks_hosts = self.repair.revision_seen > self.hosts.revision();
+        let stuck = self.is_stuck(now) && lacks_hosts;
+        let wanted = is_relay || stuck || !self.hosts.is_loaded();
+        if !wanted || self.platform.hosts_reading || now < self.platform.hosts_due {
+            return;
+        }
+        self.platform.hosts_reading = true;
+        let since = self.hosts.revision();
+        self.outputs.push_back(FleetOutput::ReadHostList { since });
+    }
+
+    fn read_config(&mut self, now: MilliTime) {
+        let lacks_config = self.repair.sequence_seen > self.sequence();
+        let stuck = self.is_stuck(now) && lacks_config;
+        let wanted = stuck || self.config.needs_whole();
+        if wanted && self.platform.config_due.is_none() {
+            self.platform.config_due = Some(now);
+        }
+        let due = self.platform.config_due.is_some_and(|due| now >= due);
+        if !due || self.platform.config_reading {
+            return;
+        }
+        self.platform.config_reading = true;
+        let after = if self.config.needs_whole() {
+            0
+        } else {
+            self.sequence()
+        };
+        self.outputs.push_back(FleetOutput::ReadConfig { after });
+    }
+
+    fn is_stuck(&self, now: MilliTime) -> bool {
+        let since = self.repair.behind_since;
+        since.is_some_and(|since| now.since(since) >= PEER_REPAIR_TIME)
+    }
+
+    /// Takes over a read of the host list; `None` when the platform did not answer.
+    pub fn on_hosts_read(&mut self, now: MilliTime, change: Option<&HostChange>) {
+        self.platform.hosts_reading = false;
+        let Some(change) = change else {
+            self.platform.hosts_failures += 1;
+            self.platform.hosts_due = now + self.backoff(self.platform.hosts_failures);
+            return;
+        };
+        self.platform.hosts_failures = 0;
+        self.platform.hosts_due = now + self.settings.host_interval;
+        let region = self.own.region.clone();
+        self.hosts
+            .apply(change, |entry: &HostEntry| entry.region == region);
+    }
+
+    /// Takes over a read of the configuration.
+    pub fn on_config_read(&mut self, now: MilliTime, read: ConfigRead) {
+        self.platform.config_reading = false;
+        self.platform.config_due = None;
+        let before = self.sequence();
+        match read {
+            ConfigRead::Edits(edits) => {
+                for edit in &edits {
+                    if self.config.offer_edit(edit).is_err() {
+                        self.counters.refused_edits += 1;
+                    }
+                }
+            }
+            ConfigRead::Snapshot(snapshot) => {
+                self.config.adopt_snapshot(&Arc::clone(&snapshot));
+            }
+            ConfigRead::Failed => {
+                self.on_config_failure(now);
+                return;
+            }
+        }
+        self.platform.config_failures = 0;
+        self.repair.has_read = true;
+        // A read that brought nothing is not repeated at once.
+        self.repair.behind_since = None;
+        self.after_adoption(before);
+    }
+
+    fn on_config_failure(&mut self, now: MilliTime) {
+        self.platform.config_failures += 1;
+        if self.config.snapshot().is_none() {
+            self.repair.wants_whole = true;
+        }
+        let delay = self.backoff(self.platform.config_failures);
+        self.platform.config_due = Some(now + delay);
+    }
+
+    /// Takes over the end of a watch of the configuration.
+    pub fn on_watch(&mut self, now: MilliTime, outcome: WatchOutcome) {
+        self.platform.watching = false;
+        if outcome == WatchOutcome::Failed {
+            self.platform.watch_failures += 1;
+            self.platform.watch_due = now + self.backoff(self.platform.watch_failures);
+            return;
+        }
+        // The head may have changed while nobody watched it.
+        let missed = self.platform.watch_failures > 0;
+        self.platform.watch_failures = 0;
+        self.platform.watch_due = now;
+        if outcome == WatchOutcome::Changed || missed {
+            self.platform.config_due = Some(now);
+        }
+    }
+
+    /// Returns a random delay that doubles with each failure up to a limit.
+    fn backoff(&mut self, failures: u32) -> MilliDuration {
+        let doublings = failures.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS);
+        let longest = FIRST_BACKOFF.as_millis() << doublings;
+        self.jitter(MilliDuration::from_millis(longest))
+    }
+}
--- /dev/null
+++ b/crates/briarrail_peer/src/exchange_message.rs
@@ -0,0 +1,58 @@
+//! The message that routers exchange periodically and on urgent changes.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{HostPart, LoadItem, NoticeItem, PullRequest};
+
+/// What one router tells another.
+///
+/// Absent parts take no bytes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExchangeMessage {
+    /// Sequence number of the sender's configuration.
+    #[serde(rename = "s", default)]
+    pub sequence: u64,
+    /// Revision of the sender's host list.
+    #[serde(rename = "r", default)]
+    pub revision: u64,
+    /// Number of ring successors of the receiver that it passes the urgent parts on to.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    pub span: Option<u16>,
+    /// Number of the broadcast that the urgent parts belong to.
+    #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
+    pub broadcast: Option<u64>,
+    /// Encoded edits of the configuration, in ascending order.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub edits: Vec<Bytes>,
+    /// Changes of the host list.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub hosts: Option<HostPart>,
+    /// Packed [`NoticeItem`]s.
+    #[serde(rename = "n", default, skip_serializing_if = "Bytes::is_empty")]
+    pub notices: Bytes,
+    /// Packed [`LoadItem`]s.
+    #[serde(rename = "l", default, skip_serializing_if = "Bytes::is_empty")]
+    pub loads: Bytes,
+    /// What the sender misses.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub pull: Option<PullRequest>,
+    /// A whole encoded configuration.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub snapshot: Option<Bytes>,
+    /// A host that the sender could not reach and asks the receiver to probe.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub accused: Option<u32>,
+}
+
+impl ExchangeMessage {
+    /// Returns the load records, or none of them when the part is malformed.
+    pub fn load_items(&self) -> impl Iterator<Item = LoadItem> + '_ {
+        LoadItem::unpack_all(&self.loads)
+    }
+
+    /// Returns the notices, or none of them when the part is malformed.
+    pub fn notice_items(&self) -> impl Iterator<Item = NoticeItem> + '_ {
+        NoticeItem::unpack_all(&self.notices)
+    }
+}
--- a/crates/briarrail_peer/src/lib.rs
+++ b/crates/briarrail_peer/src/lib.rs
@@ -1,5 +1,30 @@
 //! The inner protocol between routers: messages, codec, authentication, byte budget.
+//!
+//! A frame is an [`Envelope`] in MessagePack behind a short header with a truncated HMAC-SHA256.
+//! Structures travel as maps, so a receiver passes over fields that it does not know.
 
+mod byte_budget;
 mod claim_message;
+mod exchange_message;
+mod frame_codec;
+mod frame_error;
+mod host_notice;
+mod host_part;
+mod key_ring;
+mod load_item;
+mod message_kind;
+mod peer_envelope;
+mod pull_request;
 
+pub use byte_budget::{ByteBudget, REPLY_HEADER_BYTES, REQUEST_HEADER_BYTES};
 pub use claim_message::{ClaimAnswer, ClaimReply, ClaimReport, ClaimRequest};
+pub use exchange_message::ExchangeMessage;
+pub use frame_codec::{FrameCodec, MAX_FRAME_BYTES, PROTOCOL_VERSION};
+pub use frame_error::{FrameError, FrameErrorKind};
+pub use host_notice::{HostNotice, NoticeItem, NoticeState};
+pub use host_part::{HostPart, HostPatch};
+pub use key_ring::{KeyRing, SharedKey};
+pub use load_item::LoadItem;
+pub use message_kind::MessageKind;
+pub use peer_envelope::Envelope;
+pub use pull_request::PullRequest;
--- /dev/null
+++ b/crates/briarrail_peer/src/load_item.rs
@@ -0,0 +1,95 @@
+//! Load records as they travel.
+
+use briarrail_model::{LoadRecord, MilliTime};
+use bytes::{Buf, BufMut, BytesMut};
+
+const TICK_MS: u64 = 100;
+const TICK_RANGE: u64 = 1 << 16;
+
+/// A load record, the hash of its target's name, and the ring distances that it still has to go.
+///
+/// The version keeps a resolution of 100 ms and a range of 109 minutes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadItem {
+    /// Low 32 bits of the stable hash of the target's name.
+    pub target: u32,
+    /// Bit `k` is set when the receiver passes the record on at distance 2^k.
+    pub distances: u16,
+    /// Version of the record in units of 100 ms, modulo 2^16.
+    pub tick: u16,
+    /// Streams that the target runs or queues.
+    pub streams: u16,
+    /// Part of its home chats that the target keeps, in 1/255.
+    pub keep_share: u8,
+}
+
+impl LoadItem {
+    /// Size of one packed item, in bytes.
+    pub const PACKED_BYTES: usize = 11;
+
+    /// Makes an item of a record.
+    #[must_use]
+    pub fn new(target: u32, distances: u16, record: &LoadRecord) -> Self {
+        Self {
+            target,
+            distances,
+            tick: (record.version.as_millis() / TICK_MS % TICK_RANGE) as u16,
+            streams: u16::try_from(record.streams).unwrap_or(u16::MAX),
+            keep_share: record.keep_share,
+        }
+    }
+
+    /// Returns the record, taking the version that is nearest to the present time.
+    #[must_use]
+    pub fn record(&self, now: MilliTime) -> LoadRecord {
+        let tick = nearest_tick(self.tick, now.as_millis() / TICK_MS);
+        LoadRecord {
+            version: MilliTime::from_millis(tick * TICK_MS),
+            streams: u32::from(self.streams),
+            keep_share: self.keep_share,
+        }
+    }
+
+    /// Returns the record with its version cut to the resolution that travels.
+    #[must_use]
+    pub fn quantize(record: &LoadRecord) -> LoadRecord {
+        let tick = record.version.as_millis() / TICK_MS;
+        LoadRecord {
+            version: MilliTime::from_millis(tick * TICK_MS),
+            streams: record.streams.min(u32::from(u16::MAX)),
+            ..*record
+        }
+    }
+
+    /// Appends the packed item.
+    pub fn pack(&self, buffer: &mut BytesMut) {
+        buffer.put_u32(self.target);
+        buffer.put_u16(self.distances);
+        buffer.put_u16(self.tick);
+        buffer.put_u16(self.streams);
+        buffer.put_u8(self.keep_share);
+    }
+
+    /// Unpacks items; nothing when the length is not a multiple of an item's size.
+    pub fn unpack_all(packed: &[u8]) -> impl Iterator<Item = Self> + '_ {
+        let whole = packed.len().is_multiple_of(Self::PACKED_BYTES);
+        let packed = if whole { packed } else { &[] };
+        packed.chunks_exact(Self::PACKED_BYTES).map(Self::unpack)
+    }
+
+    fn unpack(mut packed: &[u8]) -> Self {
+        Self {
+            target: packed.get_u32(),
+            distances: packed.get_u16(),
+            tick: packed.get_u16(),
+            streams: packed.get_u16(),
+            keep_share: packed.get_u8(),
+        }
+    }
+}
+
+fn nearest_tick(low: u16, present: u64) -> u64 {
+    let half = TICK_RANGE / 2;
+    let base = (present + half).saturating_sub(u64::from(low)) / TICK_RANGE;
+    base * TICK_RANGE + u64::from(low)
+}
--- /dev/null
+++ b/crates/briarrail_peer/src/message_kind.rs
@@ -0,0 +1,31 @@
+//! Kinds of messages.
+
+/// What a frame carries; part of the authenticated header, so a frame can't pass for another kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[non_exhaustive]
+pub enum MessageKind {
+    /// A periodic or urgent [`ExchangeMessage`](crate::ExchangeMessage).
+    Exchange,
+    /// The reply to an exchange.
+    ExchangeReply,
+    /// A [`ClaimRequest`](crate::ClaimRequest).
+    ClaimRequest,
+    /// A [`ClaimReply`](crate::ClaimReply).
+    ClaimReply,
+    /// A [`ClaimReport`](crate::ClaimReport).
+    ClaimReport,
+}
+
+impl MessageKind {
+    /// Returns the byte that stands for the kind.
+    #[must_use]
+    pub const fn code(self) -> u8 {
+        match self {
+            Self::Exchange => 1,
+            Self::ExchangeReply => 2,
+            Self::ClaimRequest => 3,
+            Self::ClaimReply => 4,
+            Self::ClaimReport => 5,
+        }
+    }
+}
--- /dev/null
+++ b/crates/briarrail_peer/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the inner protocol.
+
+mod budget;
+mod frames;
+mod items;
