feat(load): add a load tool that verifies answers whole

Cause: overhead, outcomes and at-most-once have to be measured from the caller's side, against an engine directly and through routers. Change: briarload with the commands chats, tickets and compare, as a library and a program. Chats return and grow; each event is compared with the one that has to come; a missing terminal event counts as wrong, a broken connection or an error event as cut. The first streams are spread over a ramp.

--- /dev/null
+++ b/crates/briarload/src/cpu_clock.rs
@@ -0,0 +1,36 @@
+//! Processor time of other processes.
+
+use std::time::Duration;
+
+/// Ticks of the kernel's accounting in a second.
+const TICKS_PER_S: f64 = 100.0;
+/// Positions of user and system time, counted from the field after the program's name.
+const USER_TIME_FIELD: usize = 11;
+const SYSTEM_TIME_FIELD: usize = 12;
+
+/// Processor time that a process has used, as the kernel accounts it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CpuClock {
+    used: Duration,
+}
+
+impl CpuClock {
+    /// Reads the clock of a process; none when the process is gone or not visible.
+    #[must_use]
+    pub fn read(process_id: u32) -> Option<Self> {
+        let text = std::fs::read_to_string(format!("/proc/{process_id}/stat")).ok()?;
+        let (_, fields) = text.rsplit_once(')')?;
+        let fields: Vec<&str> = fields.split_whitespace().collect();
+        let user: f64 = fields.get(USER_TIME_FIELD)?.parse().ok()?;
+        let system: f64 = fields.get(SYSTEM_TIME_FIELD)?.parse().ok()?;
+        Some(Self {
+            used: Duration::from_secs_f64((user + system) / TICKS_PER_S),
+        })
+    }
+
+    /// Returns the processor time used since an earlier reading.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        self.used.saturating_sub(earlier.used)
+    }
+}
--- a/crates/briarload/src/main.rs
+++ b/crates/briarload/src/main.rs
@@ -1,3 +1,16 @@
-//! A load tool for routers and stand-ins.
+//! The program `briarload`.
 
-fn main() {}
+mod cli;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match cli::run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("briarload: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/briarload/src/ticket_load.rs
@@ -0,0 +1,58 @@
+//! Ticket load: calls that must run at most once.
+
+use briarrail_standin::{KEY_HEADER, ServiceAnswer, body_digest};
+use futures_util::stream::{self, StreamExt};
+use reqwest::Client;
+use uuid::Uuid;
+
+use crate::{CallOutcome, TicketPlan, TicketReport};
+
+/// Posts tickets as the plan says; each attempt of a key goes to the next URL.
+///
+/// # Panics
+///
+/// Panics if the plan has no URL.
+pub async fn run_tickets(client: &Client, plan: &TicketPlan) -> TicketReport {
+    assert!(!plan.urls.is_empty(), "a plan needs a URL");
+    let posts = (0..plan.tickets).map(|number| post_ticket(client, plan, number));
+    let outcomes = stream::iter(posts).buffer_unordered(plan.calls.max(1));
+    TicketReport {
+        outcomes: outcomes.collect().await,
+    }
+}
+
+async fn post_ticket(
+    client: &Client,
+    plan: &TicketPlan,
+    number: u64,
+) -> (String, Vec<CallOutcome>) {
+    let key = Uuid::now_v7().to_string();
+    let mut outcomes = Vec::new();
+    for attempt in 0..plan.attempts {
+        let url = &plan.urls[(number as usize + attempt as usize) % plan.urls.len()];
+        outcomes.push(post_once(client, plan, url, &key).await);
+    }
+    (key, outcomes)
+}
+
+async fn post_once(client: &Client, plan: &TicketPlan, url: &str, key: &str) -> CallOutcome {
+    let body = format!("{{\"ticket\":\"{key}\",\"tonnes\":12.5}}");
+    let request = client.post(format!("{url}{}", plan.path));
+    let request = request
+        .header("content-type", "application/json")
+        .header(KEY_HEADER, key)
+        .header(&plan.headers.customer, &plan.customer);
+    let response = match request.body(body.clone()).send().await {
+        Ok(response) => response,
+        Err(error) if error.is_connect() => return CallOutcome::Unreachable,
+        Err(_) => return CallOutcome::Cut,
+    };
+    if !response.status().is_success() {
+        return CallOutcome::of_refusal(response.headers());
+    }
+    match response.json::<ServiceAnswer>().await {
+        Ok(answer) if answer.body_digest == body_digest(body.as_bytes()) => CallOutcome::Answered,
+        Ok(_) => CallOutcome::Wrong,
+        Err(_) => CallOutcome::Cut,
+    }
+}
--- /dev/null
+++ b/crates/briarload/src/ticket_plan.rs
@@ -0,0 +1,59 @@
+//! Plans and reports of ticket load.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{CallOutcome, HeaderNames};
+
+/// What ticket load to make.
+#[derive(Debug, Clone)]
+pub struct TicketPlan {
+    /// Base URLs, taken in turn.
+    pub urls: Vec<String>,
+    /// Path to post to.
+    pub path: String,
+    /// Tickets to post, each with a key of its own.
+    pub tickets: u64,
+    /// Calls in flight at once.
+    pub calls: usize,
+    /// Times that each call is sent, with the same key.
+    pub attempts: u32,
+    /// Customer that the calls name.
+    pub customer: String,
+    /// Names of the headers.
+    pub headers: HeaderNames,
+}
+
+impl Default for TicketPlan {
+    fn default() -> Self {
+        Self {
+            urls: Vec::new(),
+            path: "/tickets".to_owned(),
+            tickets: 100,
+            calls: 8,
+            attempts: 1,
+            customer: "customer-0".to_owned(),
+            headers: HeaderNames::default(),
+        }
+    }
+}
+
+/// What came of a ticket load.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct TicketReport {
+    /// Outcomes of each key, in the order of its attempts.
+    pub outcomes: BTreeMap<String, Vec<CallOutcome>>,
+}
+
+impl TicketReport {
+    /// Returns how many attempts had each outcome.
+    #[must_use]
+    pub fn totals(&self) -> BTreeMap<CallOutcome, u64> {
+        let mut totals = BTreeMap::new();
+        for outcome in self.outcomes.values().flatten() {
+            *totals.entry(*outcome).or_default() += 1;
+        }
+        totals
+    }
+}
--- /dev/null
+++ b/crates/briarload/tests/suite/tickets.rs
@@ -0,0 +1,36 @@
+//! Ticket load.
+
+use briarload::{CallOutcome, TicketPlan, run_tickets};
+use briarrail_standin::{ServiceSettings, start_service};
+
+#[tokio::test]
+async fn each_outcome_is_as_the_ledger_has_it() {
+    let service = start_service("127.0.0.1:0", ServiceSettings::default());
+    let service = service.await.expect("a free port");
+    service.faults().update(|faults| {
+        faults.refuse_next = 2;
+        faults.drop_after_run_next = 3;
+    });
+    let plan = TicketPlan {
+        urls: vec![service.base_url()],
+        tickets: 20,
+        calls: 1,
+        ..TicketPlan::default()
+    };
+    let client = reqwest::Client::builder()
+        .no_proxy()
+        .build()
+        .expect("a client");
+    let report = run_tickets(&client, &plan).await;
+    let expected = [
+        (CallOutcome::Answered, 15),
+        (CallOutcome::NotRun, 2),
+        (CallOutcome::Cut, 3),
+    ];
+    assert_eq!(report.totals(), expected.into());
+    for entry in service.ledger() {
+        let outcome = report.outcomes[&entry.key][0];
+        assert_ne!(outcome, CallOutcome::NotRun, "{entry:?}");
+    }
+    assert_eq!(service.ledger().len(), 18);
+}
