feat(outcome): make claims on idempotency keys durable by bucket owners

Claim messages carry a wait instead of a wall-clock time, and a report says answered, not run or unknown.

--- /dev/null
+++ b/crates/briarrail_outcome/src/claim_client.rs
@@ -0,0 +1,153 @@
+//! One claim on its entry router.
+
+use briarrail_model::{MilliDuration, MilliTime};
+use briarrail_peer::{ClaimOutcome, ClaimReply, ClaimReport, ClaimRequest};
+
+use crate::{ClaimEvent, ClaimStep, NotRunReason, OWNER_CANDIDATES, RequestOutcome, UnknownReason};
+
+const ASK_PAUSE: MilliDuration = MilliDuration::from_millis(20);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ClientPhase {
+    Waiting,
+    Granted,
+    Ended,
+}
+
+/// One claim on its entry router, and the only guard of its grant.
+///
+/// A request is sent to a target only on [`ClaimStep::Send`]. It is returned once at most, and
+/// never after the claim has ended: whatever reply still travels finds the claim ended and leads
+/// to a release. Whether the owner of the bucket is early, late or doubled makes no difference.
+#[derive(Debug, Clone)]
+pub struct ClaimClient {
+    request: ClaimRequest,
+    give_up_at: MilliTime,
+    phase: ClientPhase,
+    asks: usize,
+    /// Whether a request may have reached an owner.
+    may_be_delivered: bool,
+}
+
+impl ClaimClient {
+    /// Makes a claim from a request; its wait counts from now.
+    ///
+    /// The attempt id must be drawn at random for each call that a router takes.
+    #[must_use]
+    pub fn new(request: ClaimRequest, now: MilliTime) -> Self {
+        Self {
+            give_up_at: now + request.wait_ms,
+            request,
+            phase: ClientPhase::Waiting,
+            asks: 0,
+            may_be_delivered: false,
+        }
+    }
+
+    /// Returns the first step.
+    pub fn start(&mut self) -> ClaimStep {
+        self.asks = 1;
+        ClaimStep::Ask {
+            candidate: 0,
+            after: MilliDuration::ZERO,
+        }
+    }
+
+    /// Returns the request to send to a candidate.
+    #[must_use]
+    pub fn request(&self, now: MilliTime) -> ClaimRequest {
+        let mut request = self.request.clone();
+        request.wait_ms = self.give_up_at.since(now);
+        request
+    }
+
+    /// Returns when [`ClaimEvent::GaveUp`] is due.
+    #[must_use]
+    pub const fn give_up_at(&self) -> MilliTime {
+        self.give_up_at
+    }
+
+    /// Returns the report of the claim's outcome.
+    #[must_use]
+    pub fn report(&self, outcome: ClaimOutcome) -> ClaimReport {
+        ClaimReport {
+            key: self.request.key.clone(),
+            attempt_id: self.request.attempt_id,
+            outcome,
+        }
+    }
+
+    /// Takes what happened and returns what to do.
+    pub fn handle(&mut self, event: ClaimEvent, now: MilliTime) -> ClaimStep {
+        if self.phase != ClientPhase::Waiting {
+            return self.handle_late(&event);
+        }
+        if event != ClaimEvent::Undelivered {
+            self.may_be_delivered = true;
+        }
+        if event == ClaimEvent::GaveUp || now >= self.give_up_at {
+            return self.give_up();
+        }
+        match event {
+            ClaimEvent::Reply(reply) => self.handle_reply(reply),
+            ClaimEvent::Undelivered | ClaimEvent::Lost => self.ask_next(),
+            ClaimEvent::GaveUp => self.give_up(),
+        }
+    }
+
+    /// A grant that comes twice is in use; one that comes after the end must not be used.
+    fn handle_late(&self, event: &ClaimEvent) -> ClaimStep {
+        let is_grant = matches!(event, ClaimEvent::Reply(ClaimReply::Granted { .. }));
+        if is_grant && self.phase == ClientPhase::Ended {
+            return ClaimStep::Release;
+        }
+        ClaimStep::Ignore
+    }
+
+    fn handle_reply(&mut self, reply: ClaimReply) -> ClaimStep {
+        match reply {
+            ClaimReply::Granted { fencing } => {
+                self.phase = ClientPhase::Granted;
+                ClaimStep::Send { fencing }
+            }
+            ClaimReply::Answered(answer) => {
+                self.phase = ClientPhase::Ended;
+                ClaimStep::Repeat(answer)
+            }
+            ClaimReply::InDoubt => {
+                self.finish(RequestOutcome::Unknown(UnknownReason::EarlierCall), false)
+            }
+            ClaimReply::KeyReused => {
+                self.finish(RequestOutcome::NotRun(NotRunReason::KeyReused), false)
+            }
+            ClaimReply::Expired => {
+                self.finish(RequestOutcome::NotRun(NotRunReason::KeyExpired), false)
+            }
+            ClaimReply::KeyInvalid => {
+                self.finish(RequestOutcome::NotRun(NotRunReason::KeyInvalid), false)
+            }
+            ClaimReply::Unavailable { .. } => self.give_up(),
+            ClaimReply::NotOwner => self.ask_next(),
+        }
+    }
+
+    fn ask_next(&mut self) -> ClaimStep {
+        let candidate = self.asks % OWNER_CANDIDATES;
+        let rounds = (self.asks / OWNER_CANDIDATES) as u64;
+        self.asks += 1;
+        ClaimStep::Ask {
+            candidate,
+            after: MilliDuration::from_millis(ASK_PAUSE.as_millis() * rounds),
+        }
+    }
+
+    fn give_up(&mut self) -> ClaimStep {
+        let outcome = RequestOutcome::NotRun(NotRunReason::ClaimUnavailable);
+        self.finish(outcome, self.may_be_delivered)
+    }
+
+    fn finish(&mut self, outcome: RequestOutcome, release: bool) -> ClaimStep {
+        self.phase = ClientPhase::Ended;
+        ClaimStep::Finish { outcome, release }
+    }
+}
--- /dev/null
+++ b/crates/briarrail_outcome/src/claim_owner.rs
@@ -0,0 +1,177 @@
+//! The owner of buckets on one router.
+
+use std::collections::BTreeMap;
+
+use briarrail_model::MilliTime;
+use briarrail_peer::{ClaimReply, ClaimReport, ClaimRequest, ReportReply};
+
+use crate::bucket_owner::BucketOwner;
+use crate::{ClaimAction, ClaimBucket, ClaimSettings, ClaimTicket, StoreCallId, StoreReply};
+
+/// The owner of buckets on one router.
+///
+/// It answers claim requests and reports of the buckets that the router is a candidate for. All
+/// of them are driven by three kinds of input: messages, results of store calls, and
+/// [`tick`](Self::tick) at [`next_wake`](Self::next_wake). Each returns what is to be done.
+///
+/// Safety does not rest on there being one owner, nor on clocks: a claim is granted only after a
+/// conditional update of the bucket's head has made it durable.
+#[derive(Debug, Clone)]
+pub struct ClaimOwner {
+    settings: ClaimSettings,
+    writer: u64,
+    candidate_for: Vec<ClaimBucket>,
+    buckets: BTreeMap<ClaimBucket, BucketOwner>,
+    calls: BTreeMap<StoreCallId, ClaimBucket>,
+    next_call: u64,
+}
+
+impl ClaimOwner {
+    /// Makes an owner that is no candidate for any bucket yet.
+    ///
+    /// `writer` must be drawn at random for each process, since names of segments hold it.
+    #[must_use]
+    pub const fn new(settings: ClaimSettings, writer: u64) -> Self {
+        Self {
+            settings,
+            writer,
+            candidate_for: Vec::new(),
+            buckets: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+        }
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub const fn settings(&self) -> &ClaimSettings {
+        &self.settings
+    }
+
+    /// Sets the buckets that this router is a candidate for.
+    ///
+    /// Messages for other buckets are answered with `NotOwner`. What waits already is finished.
+    /// A stopping router sets none and goes on until [`is_idle`](Self::is_idle).
+    pub fn set_candidate_for(&mut self, buckets: Vec<ClaimBucket>) {
+        self.candidate_for = buckets;
+        self.drop_unused();
+    }
+
+    /// Returns whether nothing waits and no store call is in flight.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.buckets.values().all(BucketOwner::is_idle)
+    }
+
+    /// Returns the number of messages that wait for a reply.
+    #[must_use]
+    pub fn pending(&self) -> usize {
+        self.buckets.values().map(BucketOwner::pending).sum()
+    }
+
+    /// Takes a claim request.
+    pub fn handle_claim(
+        &mut self,
+        ticket: ClaimTicket,
+        request: ClaimRequest,
+        now: MilliTime,
+    ) -> Vec<ClaimAction> {
+        let bucket = ClaimBucket::of_key(&request.key, self.settings.buckets);
+        let mut actions = Vec::new();
+        let Some(owner) = self.owner(bucket) else {
+            let reply = ClaimReply::NotOwner;
+            return vec![ClaimAction::Reply { ticket, reply }];
+        };
+        let (owner, settings) = owner;
+        owner.add_claim(ticket, request, settings, now, &mut actions);
+        self.drive(bucket, now, &mut actions);
+        actions
+    }
+
+    /// Takes the outcome of a claim.
+    pub fn handle_report(
+        &mut self,
+        ticket: ClaimTicket,
+        report: ClaimReport,
+        now: MilliTime,
+    ) -> Vec<ClaimAction> {
+        let bucket = ClaimBucket::of_key(&report.key, self.settings.buckets);
+        let mut actions = Vec::new();
+        let Some((owner, _)) = self.owner(bucket) else {
+            let reply = ReportReply::NotOwner;
+            return vec![ClaimAction::Acknowledge { ticket, reply }];
+        };
+        owner.add_report(ticket, report, now, &mut actions);
+        self.drive(bucket, now, &mut actions);
+        actions
+    }
+
+    /// Takes the result of a store call.
+    pub fn handle_store(
+        &mut self,
+        id: StoreCallId,
+        reply: StoreReply,
+        now: MilliTime,
+    ) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        let Some(bucket) = self.calls.remove(&id) else {
+            return actions;
+        };
+        if let Some(owner) = self.buckets.get_mut(&bucket) {
+            owner.handle_reply(reply, &self.settings, now, &mut actions);
+        }
+        self.drive(bucket, now, &mut actions);
+        self.drop_unused();
+        actions
+    }
+
+    /// Does what is due at the present time.
+    pub fn tick(&mut self, now: MilliTime) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        let buckets: Vec<ClaimBucket> = self.buckets.keys().copied().collect();
+        for bucket in buckets {
+            self.drive(bucket, now, &mut actions);
+        }
+        actions
+    }
+
+    /// Returns the time at which [`tick`](Self::tick) is next due.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<MilliTime> {
+        let wakes = self.buckets.values();
+        wakes
+            .filter_map(|owner| owner.next_wake(&self.settings))
+            .min()
+    }
+
+    fn owner(&mut self, bucket: ClaimBucket) -> Option<(&mut BucketOwner, &ClaimSettings)> {
+        if !self.candidate_for.contains(&bucket) {
+            return None;
+        }
+        let writer = self.writer;
+        let owner = self
+            .buckets
+            .entry(bucket)
+            .or_insert_with(|| BucketOwner::new(bucket, writer));
+        Some((owner, &self.settings))
+    }
+
+    fn drive(&mut self, bucket: ClaimBucket, now: MilliTime, actions: &mut Vec<ClaimAction>) {
+        let Some(owner) = self.buckets.get_mut(&bucket) else {
+            return;
+        };
+        owner.expire(&self.settings, now, actions);
+        if let Some(call) = owner.next_call(&self.settings, now, actions) {
+            let id = StoreCallId(self.next_call);
+            self.next_call += 1;
+            self.calls.insert(id, bucket);
+            actions.push(ClaimAction::Call { id, call });
+        }
+    }
+
+    fn drop_unused(&mut self) {
+        let candidate_for = &self.candidate_for;
+        self.buckets
+            .retain(|bucket, owner| candidate_for.contains(bucket) || !owner.is_idle());
+    }
+}
--- /dev/null
+++ b/crates/briarrail_outcome/src/claim_settings.rs
@@ -0,0 +1,50 @@
+//! Settings of the claims.
+
+use briarrail_model::MilliDuration;
+use serde::{Deserialize, Serialize};
+
+/// Settings of the claims; all routers of a fleet must use the same.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ClaimSettings {
+    /// Number of buckets; it must never change while claims are kept.
+    pub buckets: u32,
+    /// Least time between two writes of a bucket's head, in milliseconds.
+    pub commit_interval_ms: MilliDuration,
+    /// Longest time that an outcome waits for a claim to share a write with, in milliseconds.
+    pub report_delay_ms: MilliDuration,
+    /// Time for which claims are kept, in milliseconds.
+    pub retention_ms: MilliDuration,
+    /// Greatest lead of a caller's clock, in milliseconds.
+    pub clock_skew_ms: MilliDuration,
+    /// Largest answer body that is kept, in bytes.
+    pub answer_limit_bytes: usize,
+    /// Size of a head above which finished claims move to a segment, in bytes.
+    pub seal_bytes: usize,
+    /// Size of a head above which new claims are refused, in bytes.
+    pub head_limit_bytes: usize,
+    /// Keys without a time that one bucket takes; they are never forgotten.
+    pub timeless_key_limit: u32,
+    /// Time after which a claim without outcome counts as in doubt, in milliseconds.
+    pub open_limit_ms: MilliDuration,
+    /// Pause after the store refused a call, in milliseconds.
+    pub store_pause_ms: MilliDuration,
+}
+
+impl Default for ClaimSettings {
+    fn default() -> Self {
+        Self {
+            buckets: 64,
+            commit_interval_ms: MilliDuration::from_millis(250),
+            report_delay_ms: MilliDuration::from_millis(1_000),
+            retention_ms: MilliDuration::from_secs(24 * 3_600),
+            clock_skew_ms: MilliDuration::from_secs(60),
+            answer_limit_bytes: 2_048,
+            seal_bytes: 64 * 1_024,
+            head_limit_bytes: 768 * 1_024,
+            timeless_key_limit: 10_000,
+            open_limit_ms: MilliDuration::from_secs(120),
+            store_pause_ms: MilliDuration::from_millis(500),
+        }
+    }
+}
--- a/crates/briarrail_peer/src/claim_message.rs
+++ b/crates/briarrail_peer/src/claim_message.rs
@@ -1,13 +1,13 @@
 //! Messages between an entry router and the owner of a claim bucket.
 
-use briarrail_model::{MilliTime, StableHash};
+use briarrail_model::{MilliDuration, StableHash};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 /// Asks the owner of a bucket to make a claim on an idempotency key durable.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimRequest {
-    /// Route, customer and key, joined by the sender.
+    /// Customer and idempotency key, joined by the sender.
     pub key: String,
     /// Hash of method, path and body.
     pub body_hash: StableHash,
@@ -15,8 +15,8 @@
     pub router: String,
     /// Identifier of this attempt; only its sender may send the request to a target.
     pub attempt_id: u128,
-    /// Unix time at which the sender gives up.
-    pub give_up_at_ms: MilliTime,
+    /// Time that the sender waits for the reply, in milliseconds from the receipt.
+    pub wait_ms: MilliDuration,
 }
 
 /// Answers a [`ClaimRequest`].
@@ -36,6 +36,8 @@
     KeyReused,
     /// The key is older than the retention period.
     Expired,
+    /// The key's time lies in the future, or keys of its kind are not accepted.
+    KeyInvalid,
     /// The claim could not be made durable; nothing may be sent.
     Unavailable {
         /// Time after which a repeat makes sense, in milliseconds.
@@ -56,13 +58,37 @@
     pub body: Option<Bytes>,
 }
 
-/// Reports the outcome of a granted claim.
+/// How a granted claim ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimOutcome {
+    /// The target answered.
+    Answered(ClaimAnswer),
+    /// It is proved that the target did not run the request, or the grant was never used.
+    NotRun,
+    /// The target may have run the request.
+    Unknown,
+}
+
+/// Reports the outcome of a claim.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimReport {
     /// Key of the claim.
     pub key: String,
     /// Attempt that the claim was granted to.
     pub attempt_id: u128,
-    /// The answer; none when it is proved that the target did not run the request.
-    pub answer: Option<ClaimAnswer>,
+    /// How it ended.
+    pub outcome: ClaimOutcome,
+}
+
+/// Answers a [`ClaimReport`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReportReply {
+    /// The outcome is durable, or there is nothing to record.
+    Recorded,
+    /// The outcome could not be made durable; the report should be sent again.
+    Unavailable,
+    /// The receiver does not own the bucket.
+    NotOwner,
 }
--- a/crates/briarrail_peer/src/lib.rs
+++ b/crates/briarrail_peer/src/lib.rs
@@ -17,7 +17,9 @@
 mod pull_request;
 
 pub use byte_budget::{ByteBudget, REPLY_HEADER_BYTES, REQUEST_HEADER_BYTES};
-pub use claim_message::{ClaimAnswer, ClaimReply, ClaimReport, ClaimRequest};
+pub use claim_message::{
+    ClaimAnswer, ClaimOutcome, ClaimReply, ClaimReport, ClaimRequest, ReportReply,
+};
 pub use exchange_message::ExchangeMessage;
 pub use frame_codec::{FrameCodec, MAX_FRAME_BYTES, PROTOCOL_VERSION};
 pub use frame_error::{FrameError, FrameErrorKind};
