feat(standin): start the stand-ins of a whole site

Cause: the example and the failure tests each need an object API, a host list, engines and services that are listed with their data centres. Change: SiteStandin starts them in one process and sums the ledgers of its services.

--- a/crates/briarrail_standin/src/lib.rs
+++ b/crates/briarrail_standin/src/lib.rs
@@ -20,6 +20,7 @@
 mod objects;
 mod server;
 mod service;
+mod site;
 
 pub use engine::{
     CacheEvent, CacheEventKind, CacheEventPage, EngineCounts, EngineFaults, EngineOrder,
@@ -34,6 +35,7 @@
     LedgerEntry, ServiceAnswer, ServiceFaults, ServiceSettings, ServiceStandin, body_digest,
     start_service,
 };
+pub use site::{SiteSettings, SiteStandin};
 
 /// Header that carries the identifier of a request and of its answer.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
