feat(load): let the URLs change under load

Cause: a rolling stop is driven by a balancer that takes routers out while streams start. Change: the URLs of a chat plan are a shared ring; an empty one ends the load.

--- a/crates/briarload/src/chat_book.rs
+++ b/crates/briarload/src/chat_book.rs
@@ -48,22 +48,22 @@
         }
     }
 
-    /// Returns the next turn; none when the plan's limit is reached.
+    /// Returns the next turn; none when the plan's limit is reached or it has no URL.
     pub fn next_turn(&mut self) -> Option<ChatTurn> {
         if self.plan.limit.is_some_and(|limit| self.started >= limit) {
             return None;
         }
+        let url = self.plan.urls.next_url()?;
         let chat = self.random.random_range(0..self.turns.len());
         self.turns[chat] = self.turns[chat] % MAX_TURNS + 1;
         let body = self.body(chat);
         let number = self.started;
         self.started += 1;
-        let urls = &self.plan.urls;
         Some(ChatTurn {
             request_id: format!("load-{}-{number}", self.plan.seed),
             chat_id: format!("chat-{chat}"),
             customer: self.plan.customers.customer(chat as u64).to_owned(),
-            url: urls[number as usize % urls.len()].clone(),
+            url,
             seed: answer_seed(body.as_bytes()),
             body,
         })
--- a/crates/briarload/src/chat_plan.rs
+++ b/crates/briarload/src/chat_plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::CustomerMix;
+use crate::{CustomerMix, UrlRing};
 
 /// Names of the headers that routers read.
 #[derive(Debug, Clone)]
@@ -25,8 +25,8 @@
 /// What chat load to make.
 #[derive(Debug, Clone)]
 pub struct ChatPlan {
-    /// Base URLs, taken in turn.
-    pub urls: Vec<String>,
+    /// Base URLs, taken in turn; the load ends when there is none.
+    pub urls: UrlRing,
     /// Streams that are open at once.
     pub streams: usize,
     /// Streams started in a second; none starts a new one whenever one ends.
@@ -56,7 +56,7 @@
 impl Default for ChatPlan {
     fn default() -> Self {
         Self {
-            urls: Vec::new(),
+            urls: UrlRing::default(),
             streams: 16,
             rate_per_s: None,
             ramp: Duration::from_secs(1),
--- a/crates/briarload/src/cli/mod.rs
+++ b/crates/briarload/src/cli/mod.rs
@@ -4,7 +4,8 @@
 mod cli_options;
 
 use briarload::{
-    ChatPlan, ComparisonPlan, HeaderNames, TicketPlan, run_chats, run_comparison, run_tickets,
+    ChatPlan, ComparisonPlan, HeaderNames, TicketPlan, UrlRing, run_chats, run_comparison,
+    run_tickets,
 };
 use reqwest::Client;
 use serde::Serialize;
@@ -58,7 +59,7 @@
     };
     let default = chat_plan(&matches)?;
     let plan = ChatPlan {
-        urls: matches.required_list("url")?,
+        urls: UrlRing::new(matches.required_list("url")?),
         streams: matches.value("streams", default.streams)?,
         rate_per_s: matches.optional("rate")?,
         ..default
--- a/crates/briarload/src/comparison.rs
+++ b/crates/briarload/src/comparison.rs
@@ -3,7 +3,7 @@
 use reqwest::Client;
 use serde::{Deserialize, Serialize};
 
-use crate::{ChatPlan, CpuClock, LoadReport, run_chats};
+use crate::{ChatPlan, CpuClock, LoadReport, UrlRing, run_chats};
 
 /// What to compare.
 #[derive(Debug, Clone)]
@@ -44,7 +44,7 @@
     let mut rows = Vec::new();
     for &streams in &plan.streams {
         let load = |url: &str| ChatPlan {
-            urls: vec![url.to_owned()],
+            urls: UrlRing::new([url]),
             streams,
             ..plan.load.clone()
         };
--- a/crates/briarload/src/lib.rs
+++ b/crates/briarload/src/lib.rs
@@ -16,6 +16,7 @@
 mod load_tally;
 mod ticket_load;
 mod ticket_plan;
+mod url_ring;
 
 pub use answer_reader::{AnswerDefect, AnswerReader};
 pub use call_outcome::CallOutcome;
@@ -29,3 +30,4 @@
 pub use load_report::LoadReport;
 pub use ticket_load::run_tickets;
 pub use ticket_plan::{TicketPlan, TicketReport};
+pub use url_ring::UrlRing;
