--- a/crates/briarrail_config/src/config_state.rs
+++ b/crates/briarrail_config/src/config_state.rs
@@ -5,6 +5,8 @@
 use crate::{ConfigEdit, EditError, EditErrorKind, RowChange};
 
 /// Both tables, and the sequence number of the edit that led to them.
+///
+/// The rows of each table are kept in the order of their names.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ConfigState {
     snapshot: ConfigSnapshot,
@@ -13,7 +15,14 @@
 impl ConfigState {
     /// Takes over a snapshot.
     #[must_use]
-    pub fn new(snapshot: ConfigSnapshot) -> Self {
+    pub fn new(mut snapshot: ConfigSnapshot) -> Self {
+        let tables = &mut snapshot.tables;
+        tables
+            .routes
+            .sort_by(|left, right| left.name.cmp(&right.name));
+        tables
+            .pools
+            .sort_by(|left, right| left.name.cmp(&right.name));
         Self { snapshot }
     }
 
@@ -29,6 +38,12 @@
         &self.snapshot
     }
 
+    /// Returns both tables with their sequence number, without a copy.
+    #[must_use]
+    pub fn into_snapshot(self) -> ConfigSnapshot {
+        self.snapshot
+    }
+
     /// Applies the next edit, wholly or not at all.
     ///
     /// # Errors
@@ -36,28 +51,42 @@
     /// Refuses an edit that does not follow the sequence number, that expects another version of
     /// a row, or that would make the tables invalid.
     pub fn apply(&mut self, edit: &ConfigEdit) -> Result<(), EditError> {
-        let current = self.sequence();
-        if edit.sequence != current + 1 {
-            let kind = EditErrorKind::OutOfSequence {
-                current,
-                found: edit.sequence,
-            };
-            return Err(kind.into());
-        }
-        let mut tables = self.snapshot.tables.clone();
-        for change in &edit.changes {
-            check_version(&tables, change)?;
-            apply_change(&mut tables, change, &edit_stamp(edit));
+        self.apply_all(std::slice::from_ref(edit))
+    }
+
+    /// Applies a run of edits, wholly or not at all; the tables are validated once.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the run as [`apply`](Self::apply) does.
+    pub fn apply_all(&mut self, edits: &[ConfigEdit]) -> Result<(), EditError> {
+        let mut snapshot = self.snapshot.clone();
+        for edit in edits {
+            apply_edit(&mut snapshot, edit)?;
         }
-        tables.validate().map_err(EditErrorKind::Invalid)?;
-        self.snapshot = ConfigSnapshot {
-            sequence: edit.sequence,
-            tables,
-        };
+        snapshot.tables.validate().map_err(EditErrorKind::Invalid)?;
+        self.snapshot = snapshot;
         Ok(())
     }
 }
 
+fn apply_edit(snapshot: &mut ConfigSnapshot, edit: &ConfigEdit) -> Result<(), EditErrorKind> {
+    let current = snapshot.sequence;
+    if edit.sequence != current + 1 {
+        return Err(EditErrorKind::OutOfSequence {
+            current,
+            found: edit.sequence,
+        });
+    }
+    let stamp = edit_stamp(edit);
+    for change in &edit.changes {
+        check_version(&snapshot.tables, change)?;
+        apply_change(&mut snapshot.tables, change, &stamp);
+    }
+    snapshot.sequence = edit.sequence;
+    Ok(())
+}
+
 fn edit_stamp(edit: &ConfigEdit) -> RowStamp {
     RowStamp {
         version: edit.sequence,
@@ -66,14 +95,6 @@
     }
 }
 
-fn current_stamp(tables: &TableSet, change: &RowChange) -> RowStamp {
-    let stamp = match change.table() {
-        "routes" => tables.route(change.name()).map(|route| &route.stamp),
-        _ => tables.pool(change.name()).map(|pool| &pool.stamp),
-    };
-    stamp.cloned().unwrap_or_default()
-}
-
 fn check_version(tables: &TableSet, change: &RowChange) -> Result<(), EditErrorKind> {
     let current = current_stamp(tables, change);
     if current.version == change.expected() {
@@ -87,6 +108,18 @@
     })
 }
 
+fn current_stamp(tables: &TableSet, change: &RowChange) -> RowStamp {
+    let stamp = match change.table() {
+        "routes" => find(&tables.routes, change.name(), route_name)
+            .ok()
+            .map(|index| &tables.routes[index].stamp),
+        _ => find(&tables.pools, change.name(), pool_name)
+            .ok()
+            .map(|index| &tables.pools[index].stamp),
+    };
+    stamp.cloned().unwrap_or_default()
+}
+
 fn apply_change(tables: &mut TableSet, change: &RowChange, stamp: &RowStamp) {
     match change {
         RowChange::PutRoute { row, .. } => {
@@ -94,24 +127,42 @@
                 stamp: stamp.clone(),
                 ..row.clone()
             };
-            tables.routes.retain(|route| route.name != row.name);
-            tables.routes.push(row);
-            tables
-                .routes
-                .sort_by(|left, right| left.name.cmp(&right.name));
+            put_row(&mut tables.routes, row, route_name);
         }
         RowChange::PutPool { row, .. } => {
             let row = PoolRow {
                 stamp: stamp.clone(),
                 ..row.clone()
             };
-            tables.pools.retain(|pool| pool.name != row.name);
-            tables.pools.push(row);
-            tables
-                .pools
-                .sort_by(|left, right| left.name.cmp(&right.name));
+            put_row(&mut tables.pools, row, pool_name);
         }
-        RowChange::DeleteRoute { name, .. } => tables.routes.retain(|row| row.name != *name),
-        RowChange::DeletePool { name, .. } => tables.pools.retain(|row| row.name != *name),
+        RowChange::DeleteRoute { name, .. } => delete_row(&mut tables.routes, name, route_name),
+        RowChange::DeletePool { name, .. } => delete_row(&mut tables.pools, name, pool_name),
+    }
+}
+
+fn route_name(row: &RouteRow) -> &str {
+    &row.name
+}
+
+fn pool_name(row: &PoolRow) -> &str {
+    &row.name
+}
+
+/// Returns the index of the row with a name, or the index at which it would stand.
+fn find<R>(rows: &[R], name: &str, name_of: fn(&R) -> &str) -> Result<usize, usize> {
+    rows.binary_search_by(|row| name_of(row).cmp(name))
+}
+
+fn put_row<R>(rows: &mut Vec<R>, row: R, name_of: fn(&R) -> &str) {
+    match find(rows, name_of(&row), name_of) {
+        Ok(index) => rows[index] = row,
+        Err(index) => rows.insert(index, row),
+    }
+}
+
+fn delete_row<R>(rows: &mut Vec<R>, name: &str, name_of: fn(&R) -> &str) {
+    if let Ok(index) = find(rows, name, name_of) {
+        rows.remove(index);
     }
 }
--- a/crates/briarrail_config/src/edit_error.rs
+++ b/crates/briarrail_config/src/edit_error.rs
@@ -31,6 +31,31 @@
         /// Version that is in force, and who made it; version 0 when the row is absent.
         current: RowStamp,
     },
+    /// A row is too large.
+    #[error("{table} row {name:?} has {bytes} bytes and may have {limit}; split it")]
+    TooLarge {
+        /// Table of the row.
+        table: &'static str,
+        /// Name of the row.
+        name: String,
+        /// Size of the row, in bytes.
+        bytes: usize,
+        /// Largest size, in bytes.
+        limit: usize,
+    },
+    /// The edit changes no row.
+    #[error("the edit changes no row")]
+    Empty,
+    /// The edit changes a row more than once.
+    #[error("an edit changes each of its rows once; found {found} changes of {table} row {name:?}")]
+    NotDistinct {
+        /// Table of the row.
+        table: &'static str,
+        /// Name of the row.
+        name: String,
+        /// Changes of the row.
+        found: usize,
+    },
     /// The tables would be invalid with the edit.
     #[error("the tables would be invalid: {}", display_all(.0))]
     Invalid(Vec<TableError>),
--- /dev/null
+++ b/crates/briarrail_config/tests/suite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the stored tables.
+
+mod editing;
+mod fake_store;
+mod fuzz;
+mod layout;
+mod state;
+mod table_rows;
--- /dev/null
+++ b/crates/briarrail_config/tests/suite/state.rs
@@ -0,0 +1,40 @@
+//! Applying edits.
+
+use briarrail_config::{ConfigState, EditErrorKind, RowChange};
+
+use crate::table_rows::{put_pool, put_route, request};
+
+#[test]
+fn run_of_edits_applies_wholly_or_not_at_all() {
+    let mut state = ConfigState::default();
+    let create = request(
+        1,
+        "ann",
+        vec![put_pool("p", 2.0, 0), put_route("r", "p", 0)],
+    );
+    state.apply(&create.into_edit(1)).unwrap();
+    let before = state.clone();
+    let good = request(2, "ann", vec![put_pool("p", 3.0, 1)]).into_edit(2);
+    let delete = RowChange::DeletePool {
+        expected: 2,
+        name: "p".into(),
+    };
+    let bad = request(3, "bob", vec![delete]).into_edit(3);
+    let error = state.apply_all(&[good.clone(), bad]).unwrap_err();
+    assert!(matches!(error.kind, EditErrorKind::Invalid(_)), "{error}");
+    assert_eq!(state, before);
+    state.apply(&good).unwrap();
+    assert_eq!(state.snapshot().tables.pools[0].stamp.version, 2);
+}
+
+#[test]
+fn edit_out_of_sequence_is_refused() {
+    let mut state = ConfigState::default();
+    let edit = request(1, "ann", vec![put_pool("p", 2.0, 0)]).into_edit(2);
+    let error = state.apply(&edit).unwrap_err();
+    let expected = EditErrorKind::OutOfSequence {
+        current: 0,
+        found: 2,
+    };
+    assert_eq!(error.kind, expected);
+}
