feat(load): post given keys, and keep where each chat landed

Cause: the failure tests send the same keys again through other routers, and the example prints where each chat landed. Change: a ticket plan names its keys and takes URLs from a ring; the report of a chat load holds each chat's targets, outside its JSON form. Conclusion: a key can be followed over several loads.

--- a/crates/briarload/src/chat_load.rs
+++ b/crates/briarload/src/chat_load.rs
@@ -99,7 +99,8 @@
 
     async fn run_turn(&self, turn: &ChatTurn) {
         let record = self.send_turn(turn).await;
-        self.tally.lock().expect("no holder panics").add(record);
+        let mut tally = self.tally.lock().expect("no holder panics");
+        tally.add(&turn.chat_id, record);
     }
 
     async fn send_turn(&self, turn: &ChatTurn) -> CallRecord {
--- a/crates/briarload/src/cli/mod.rs
+++ b/crates/briarload/src/cli/mod.rs
@@ -13,6 +13,8 @@
 use cli_error::CliError;
 use cli_options::{CliMatches, CliOptions};
 
+const DEFAULT_TICKETS: u64 = 100;
+
 const USAGE: &str = "\
 Usage: briarload COMMAND [OPTIONS]
 
@@ -89,9 +91,9 @@
         return Ok(());
     };
     let plan = TicketPlan {
-        urls: matches.required_list("url")?,
+        urls: UrlRing::new(matches.required_list("url")?),
         path: matches.value("path", default.path)?,
-        tickets: matches.value("tickets", default.tickets)?,
+        keys: TicketPlan::fresh_keys(matches.value("tickets", DEFAULT_TICKETS)?),
         calls: matches.value("calls", default.calls)?,
         attempts: matches.value("attempts", default.attempts)?,
         customer: matches.value("customer", default.customer)?,
--- a/crates/briarload/src/load_report.rs
+++ b/crates/briarload/src/load_report.rs
@@ -29,6 +29,9 @@
     pub targets: BTreeMap<String, u64>,
     /// Answers of the busiest target over the mean of all that answered.
     pub skew: f64,
+    /// Answers of each chat by the target that gave them; left out of the JSON form.
+    #[serde(skip)]
+    pub placements: BTreeMap<String, BTreeMap<String, u64>>,
     /// First defects of answers, for the reader.
     pub defects: Vec<String>,
 }
--- a/crates/briarload/src/load_tally.rs
+++ b/crates/briarload/src/load_tally.rs
@@ -25,6 +25,7 @@
     cached_tokens: u64,
     prompt_tokens: u64,
     targets: BTreeMap<String, u64>,
+    placements: BTreeMap<String, BTreeMap<String, u64>>,
     defects: Vec<String>,
 }
 
@@ -70,11 +71,12 @@
             cached_tokens: 0,
             prompt_tokens: 0,
             targets: BTreeMap::new(),
+            placements: BTreeMap::new(),
             defects: Vec::new(),
         }
     }
 
-    pub(crate) fn add(&mut self, record: CallRecord) {
+    pub(crate) fn add(&mut self, chat_id: &str, record: CallRecord) {
         self.end = Instant::now();
         *self.outcomes.entry(record.outcome).or_default() += 1;
         self.events += record.events;
@@ -87,6 +89,8 @@
             self.gap.saturating_record(micros(gap));
         }
         if let Some(target) = record.target {
+            let chat = self.placements.entry(chat_id.to_owned()).or_default();
+            *chat.entry(target.clone()).or_default() += 1;
             *self.targets.entry(target).or_default() += 1;
         }
         if self.defects.len() < MAX_DEFECTS {
@@ -112,6 +116,7 @@
             skew: ratio(busiest as f64, mean),
             outcomes: self.outcomes,
             targets: self.targets,
+            placements: self.placements,
             defects: self.defects,
         }
     }
--- a/crates/briarload/src/ticket_load.rs
+++ b/crates/briarload/src/ticket_load.rs
@@ -3,18 +3,13 @@
 use briarrail_standin::{KEY_HEADER, ServiceAnswer, body_digest};
 use futures_util::stream::{self, StreamExt};
 use reqwest::Client;
-use uuid::Uuid;
 
 use crate::{CallOutcome, TicketPlan, TicketReport};
 
 /// Posts tickets as the plan says; each attempt of a key goes to the next URL.
-///
-/// # Panics
-///
-/// Panics if the plan has no URL.
 pub async fn run_tickets(client: &Client, plan: &TicketPlan) -> TicketReport {
-    assert!(!plan.urls.is_empty(), "a plan needs a URL");
-    let posts = (0..plan.tickets).map(|number| post_ticket(client, plan, number));
+    let keys = plan.keys.clone().into_iter();
+    let posts = keys.map(|key| post_ticket(client, plan, key));
     let outcomes = stream::iter(posts).buffer_unordered(plan.calls.max(1));
     TicketReport {
         outcomes: outcomes.collect().await,
@@ -24,13 +19,15 @@
 async fn post_ticket(
     client: &Client,
     plan: &TicketPlan,
-    number: u64,
+    key: String,
 ) -> (String, Vec<CallOutcome>) {
-    let key = Uuid::now_v7().to_string();
     let mut outcomes = Vec::new();
-    for attempt in 0..plan.attempts {
-        let url = &plan.urls[(number as usize + attempt as usize) % plan.urls.len()];
-        outcomes.push(post_once(client, plan, url, &key).await);
+    for _ in 0..plan.attempts {
+        let outcome = match plan.urls.next_url() {
+            Some(url) => post_once(client, plan, &url, &key).await,
+            None => CallOutcome::Unreachable,
+        };
+        outcomes.push(outcome);
     }
     (key, outcomes)
 }
--- a/crates/briarload/src/ticket_plan.rs
+++ b/crates/briarload/src/ticket_plan.rs
@@ -3,18 +3,19 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use uuid::Uuid;
 
-use crate::{CallOutcome, HeaderNames};
+use crate::{CallOutcome, HeaderNames, UrlRing};
 
 /// What ticket load to make.
 #[derive(Debug, Clone)]
 pub struct TicketPlan {
-    /// Base URLs, taken in turn.
-    pub urls: Vec<String>,
+    /// Base URLs, taken in turn; calls end as unreachable when there is none.
+    pub urls: UrlRing,
     /// Path to post to.
     pub path: String,
-    /// Tickets to post, each with a key of its own.
-    pub tickets: u64,
+    /// Idempotency keys of the tickets to post.
+    pub keys: Vec<String>,
     /// Calls in flight at once.
     pub calls: usize,
     /// Times that each call is sent, with the same key.
@@ -25,12 +26,20 @@
     pub headers: HeaderNames,
 }
 
+impl TicketPlan {
+    /// Returns new keys that carry the time at which they were made.
+    #[must_use]
+    pub fn fresh_keys(count: u64) -> Vec<String> {
+        (0..count).map(|_| Uuid::now_v7().to_string()).collect()
+    }
+}
+
 impl Default for TicketPlan {
     fn default() -> Self {
         Self {
-            urls: Vec::new(),
+            urls: UrlRing::default(),
             path: "/tickets".to_owned(),
-            tickets: 100,
+            keys: Vec::new(),
             calls: 8,
             attempts: 1,
             customer: "customer-0".to_owned(),
--- a/crates/briarload/tests/suite/chats.rs
+++ b/crates/briarload/tests/suite/chats.rs
@@ -44,6 +44,11 @@
     let report = run_chats(&client(), &plan(&engine.base_url())).await;
     assert_eq!(report.outcomes, [(CallOutcome::Answered, 40)].into());
     assert_eq!(report.targets, [("pan-1".to_owned(), 40)].into());
+    let placed = report
+        .placements
+        .values()
+        .flat_map(|targets| targets.values());
+    assert_eq!((report.placements.len(), placed.sum()), (3, 40));
     assert_eq!(report.defects, Vec::<String>::new());
     assert!(report.cache_reuse > 0.5, "{report:?}");
     assert_eq!(engine.counts().finished, 40);
