--- /dev/null
+++ b/crates/briarrail_status/src/pool_status.rs
@@ -0,0 +1,69 @@
+//! State of a pool, as one router sees it.
+
+use briarrail_model::{HostName, HostPhase};
+use serde::{Deserialize, Serialize};
+
+/// One target of a pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetStatus {
+    /// Host of the target.
+    pub host: HostName,
+    /// Phase of the host, as the router takes it.
+    pub phase: HostPhase,
+    /// Streams that the target runs or queues over all routers; nothing when it doesn't report.
+    pub load: Option<u32>,
+    /// Requests in flight from this router.
+    pub in_flight: u32,
+}
+
+/// Returning chats since the router started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CacheTotals {
+    /// Requests of chats that had been seen before.
+    pub returning: u64,
+    /// Those among them whose target had their context cached.
+    pub reused: u64,
+}
+
+/// One pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolStatus {
+    /// Name of the pool.
+    pub pool: String,
+    /// Targets of the pool.
+    pub targets: Vec<TargetStatus>,
+    /// Reuse of cached context.
+    #[serde(default)]
+    pub cache: CacheTotals,
+}
+
+impl PoolStatus {
+    /// Returns the number of targets in a phase.
+    #[must_use]
+    pub fn count(&self, phase: HostPhase) -> usize {
+        let targets = self.targets.iter();
+        targets.filter(|target| target.phase == phase).count()
+    }
+
+    /// Returns how far the busiest live target is above the mean; nothing without load.
+    #[must_use]
+    pub fn skew(&self) -> Option<f64> {
+        let live = self
+            .targets
+            .iter()
+            .filter(|target| target.phase == HostPhase::Live);
+        let loads: Vec<_> = live.filter_map(|target| target.load).collect();
+        let sum: u64 = loads.iter().map(|&load| u64::from(load)).sum();
+        let max = loads.iter().max().copied()?;
+        (sum > 0).then(|| f64::from(max) * loads.len() as f64 / sum as f64)
+    }
+}
+
+impl CacheTotals {
+    /// Returns the part of the returning requests that reused cached context.
+    #[must_use]
+    pub fn reuse(&self) -> Option<f64> {
+        (self.returning > 0).then(|| self.reused as f64 / self.returning as f64)
+    }
+}
