feat(burn): report multi-window burn rates per pool and customer

Cause: operators need a report on service-level burn over all routers. The pools table gains objective.known_goal for at-most-once requests whose outcome is known.

--- a/crates/briarrail_burn/src/lib.rs
+++ b/crates/briarrail_burn/src/lib.rs
@@ -1,1 +1,30 @@
 //! Service-level objectives, multi-window burn rates and their report.
+//!
+//! A router records each request in a [`BurnRecorder`]. Its [`BurnSnapshot`] travels to the
+//! operator's tool, which merges the snapshots of all routers into a [`BurnReport`].
+
+mod alert_level;
+mod burn_chart;
+mod burn_line;
+mod burn_recorder;
+mod burn_report;
+mod burn_snapshot;
+mod burn_window;
+mod count_ring;
+mod objective_counts;
+mod objective_kind;
+mod request_record;
+mod series_recorder;
+mod stream_timer;
+
+pub use alert_level::AlertLevel;
+pub use burn_chart::ChartError;
+pub use burn_line::{BurnLine, WindowRate};
+pub use burn_recorder::BurnRecorder;
+pub use burn_report::BurnReport;
+pub use burn_snapshot::{BurnSnapshot, PoolBurn, SeriesBurn, TimelinePoint, WindowCounts};
+pub use burn_window::BurnWindow;
+pub use objective_counts::{EventCount, ObjectiveCounts};
+pub use objective_kind::ObjectiveKind;
+pub use request_record::{OutcomeClass, RequestRecord};
+pub use stream_timer::{StreamCounts, StreamTimer};
--- /dev/null
+++ b/crates/briarrail_burn/src/series_recorder.rs
@@ -0,0 +1,76 @@
+//! Counts of one customer or of a whole pool.
+
+use briarrail_model::{MilliDuration, MilliTime};
+
+use crate::count_ring::CountRing;
+use crate::{BurnWindow, ObjectiveCounts, TimelinePoint, WindowCounts};
+
+const MINUTE: MilliDuration = MilliDuration::from_secs(60);
+const TEN_MINUTES: MilliDuration = MilliDuration::from_secs(600);
+const HOUR: MilliDuration = MilliDuration::from_secs(3_600);
+/// The last slot of a ring is still filling, so that each ring has one more than its window needs.
+const MINUTE_SLOTS: usize = 61;
+const TEN_MINUTE_SLOTS: usize = 37;
+const HOUR_SLOTS: usize = 73;
+
+/// Counts in three resolutions, which together cover all windows.
+#[derive(Debug, Clone)]
+pub(crate) struct SeriesRecorder {
+    last_event: MilliTime,
+    minutes: CountRing,
+    ten_minutes: CountRing,
+    hours: CountRing,
+}
+
+impl SeriesRecorder {
+    pub(crate) fn new(now: MilliTime) -> Self {
+        Self {
+            last_event: now,
+            minutes: CountRing::new(MINUTE, MINUTE_SLOTS),
+            ten_minutes: CountRing::new(TEN_MINUTES, TEN_MINUTE_SLOTS),
+            hours: CountRing::new(HOUR, HOUR_SLOTS),
+        }
+    }
+
+    pub(crate) fn add(&mut self, counts: ObjectiveCounts, now: MilliTime) {
+        self.last_event = now;
+        self.minutes.add(counts, now);
+        self.ten_minutes.add(counts, now);
+        self.hours.add(counts, now);
+    }
+
+    pub(crate) fn merge(&mut self, other: &Self) {
+        self.last_event = self.last_event.max(other.last_event);
+        self.minutes.merge(&other.minutes);
+        self.ten_minutes.merge(&other.ten_minutes);
+        self.hours.merge(&other.hours);
+    }
+
+    pub(crate) fn last_event(&self) -> MilliTime {
+        self.last_event
+    }
+
+    pub(crate) fn windows(&self, now: MilliTime) -> Vec<WindowCounts> {
+        let count = |window: BurnWindow| WindowCounts {
+            window,
+            counts: self.ring(window).sum(window.length(), now),
+        };
+        BurnWindow::ALL.into_iter().map(count).collect()
+    }
+
+    pub(crate) fn timeline(&self, now: MilliTime) -> Vec<TimelinePoint> {
+        let slots = self
+            .ten_minutes
+            .slots_within(BurnWindow::SixHours.length(), now);
+        let point = |(start_ms, counts)| TimelinePoint { start_ms, counts };
+        slots.into_iter().map(point).collect()
+    }
+
+    fn ring(&self, window: BurnWindow) -> &CountRing {
+        match window {
+            BurnWindow::FiveMinutes | BurnWindow::HalfHour | BurnWindow::Hour => &self.minutes,
+            BurnWindow::SixHours => &self.ten_minutes,
+            BurnWindow::ThreeDays => &self.hours,
+        }
+    }
+}
--- /dev/null
+++ b/crates/briarrail_burn/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the burn report.
+
+mod recorder;
+mod report;
+mod traffic;
--- /dev/null
+++ b/crates/briarrail_burn/tests/suite/recorder.rs
@@ -0,0 +1,150 @@
+//! Counts against a list of all requests.
+
+use briarrail_burn::{BurnRecorder, BurnSnapshot, BurnWindow, OutcomeClass};
+use briarrail_model::{MilliDuration, MilliTime, ServiceObjective};
+
+use crate::traffic::{TimedRequest, draw_requests};
+
+const MINUTE_MS: u64 = 60_000;
+
+fn recorded(requests: &[TimedRequest], max_customers: usize, now: MilliTime) -> BurnSnapshot {
+    let mut recorder = BurnRecorder::new(max_customers);
+    for request in requests {
+        recorder.record(&request.record(), request.at);
+    }
+    recorder.snapshot(now)
+}
+
+/// Returns the length of the slots that a window is made of.
+fn slot_ms(window: BurnWindow) -> u64 {
+    match window {
+        BurnWindow::SixHours => 10 * MINUTE_MS,
+        BurnWindow::ThreeDays => 60 * MINUTE_MS,
+        _ => MINUTE_MS,
+    }
+}
+
+fn is_within(request: &TimedRequest, window: BurnWindow, now: MilliTime) -> bool {
+    let slot = slot_ms(window);
+    let first = now.as_millis() / slot + 1 - window.length().as_millis() / slot;
+    request.at.as_millis() / slot >= first
+}
+
+#[test]
+fn counts_equal_those_of_a_list_for_fixed_seeds() {
+    for seed in 0..6 {
+        let requests = draw_requests(seed, 80, 5);
+        let now = requests.last().unwrap().at;
+        let snapshot = recorded(&requests, 64, now);
+        for pool in &snapshot.pools {
+            for count in &pool.windows {
+                let counted = requests.iter().filter(|request| {
+                    request.pool == pool.pool
+                        && request.class != OutcomeClass::CallerMistake
+                        && is_within(request, count.window, now)
+                });
+                let counted: Vec<_> = counted.collect();
+                let failed = counted
+                    .iter()
+                    .filter(|request| request.class != OutcomeClass::Answered);
+                let late = counted.iter().filter(|request| request.late);
+                assert_eq!(
+                    count.counts.answered.total,
+                    counted.len() as u64,
+                    "seed {seed}"
+                );
+                assert_eq!(
+                    count.counts.answered.bad,
+                    failed.count() as u64,
+                    "seed {seed}"
+                );
+                assert_eq!(
+                    count.counts.first_token.bad,
+                    late.count() as u64,
+                    "seed {seed}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn merged_snapshots_equal_one_recorder() {
+    let requests = draw_requests(9, 8, 5);
+    let now = requests.last().unwrap().at;
+    let whole = recorded(&requests, 64, now);
+    let mut merged = BurnSnapshot::default();
+    for router in 0..3 {
+        let share = requests.iter().skip(router).step_by(3).cloned();
+        let snapshot = recorded(&share.collect::<Vec<_>>(), 64, now);
+        let text = serde_json::to_string(&snapshot).unwrap();
+        merged.merge(serde_json::from_str(&text).unwrap());
+    }
+    assert_eq!(merged.routers, 3);
+    merged.routers = 1;
+    assert_eq!(merged, whole);
+}
+
+#[test]
+fn customers_beyond_the_bound_share_a_series() {
+    let requests = draw_requests(4, 6, 500);
+    let now = requests.last().unwrap().at;
+    let snapshot = recorded(&requests, 8, now);
+    for pool in &snapshot.pools {
+        assert_eq!(pool.customers.len(), 9);
+        assert_eq!(pool.customers[0].customer, None);
+        // Five windows, of which the longest holds all requests.
+        let sum: u64 = pool
+            .customers
+            .iter()
+            .map(|series| series.windows[4].counts.answered.total)
+            .sum();
+        assert_eq!(sum, pool.windows[4].counts.answered.total);
+    }
+}
+
+#[test]
+fn idle_customer_gives_way_without_losing_counts() {
+    let mut requests = draw_requests(4, 1, 8);
+    let mut late = requests.pop().unwrap();
+    late.customer = "newcomer".into();
+    late.at = late.at + MilliDuration::from_secs(2 * 3_600);
+    let pool = late.pool;
+    let now = late.at;
+    requests.push(late);
+    let snapshot = recorded(&requests, 8, now);
+    let pool = snapshot
+        .pools
+        .iter()
+        .find(|burn| burn.pool == pool)
+        .unwrap();
+    let named = |series: &&briarrail_burn::SeriesBurn| {
+        series
+            .customer
+            .as_ref()
+            .is_some_and(|id| id.as_str() == "newcomer")
+    };
+    assert!(pool.customers.iter().any(|series| named(&series)));
+    let sum: u64 = pool
+        .customers
+        .iter()
+        .map(|series| series.windows[4].counts.answered.total)
+        .sum();
+    assert_eq!(sum, pool.windows[4].counts.answered.total);
+}
+
+#[test]
+fn later_objective_holds_after_merging() {
+    let now = MilliTime::from_millis(60_000);
+    let objective = |latency_goal| ServiceObjective {
+        latency_goal,
+        ..ServiceObjective::default()
+    };
+    let mut merged = BurnSnapshot::default();
+    for (at, goal) in [(1_000, 0.9), (3_000, 0.99), (2_000, 0.95)] {
+        let mut recorder = BurnRecorder::new(1);
+        recorder.set_objective("p", &objective(goal), now);
+        merged.merge(recorder.snapshot(MilliTime::from_millis(at)));
+    }
+    assert_eq!(merged.pools[0].objective, objective(0.99));
+}
--- a/crates/briarrail_model/src/service_objective.rs
+++ b/crates/briarrail_model/src/service_objective.rs
@@ -16,6 +16,8 @@
     pub latency_goal: f64,
     /// Part of the requests that are answered, such as 0.999.
     pub answered_goal: f64,
+    /// Part of the at-most-once requests whose outcome is known, such as 0.9999.
+    pub known_goal: f64,
 }
 
 impl Default for ServiceObjective {
@@ -25,6 +27,7 @@
             token_gap_ms: MilliDuration::from_millis(44),
             latency_goal: 0.95,
             answered_goal: 0.999,
+            known_goal: 0.9999,
         }
     }
 }
--- a/crates/briarrail_model/src/table_set.rs
+++ b/crates/briarrail_model/src/table_set.rs
@@ -166,6 +166,7 @@
     let goals = [
         ("objective.latency_goal", pool.objective.latency_goal),
         ("objective.answered_goal", pool.objective.answered_goal),
+        ("objective.known_goal", pool.objective.known_goal),
     ];
     for (field, goal) in goals {
         if !(goal > 0.0 && goal < 1.0) {
