feat(daemon): serve callers end to end through routes and pools

Cause: the whole path has to stand before its parts are deepened. Planned stops drain. Conclusion: callers, routers, targets and platform talk over loopback.

--- a/crates/briarrail_outcome/src/outcome_reply.rs
+++ b/crates/briarrail_outcome/src/outcome_reply.rs
@@ -65,6 +65,16 @@
         self
     }
 
+    /// Adds what exactly was wrong to the body.
+    #[must_use]
+    pub fn with_detail(mut self, detail: &str) -> Self {
+        let body: Result<serde_json::Map<_, _>, _> = serde_json::from_slice(&self.body);
+        let mut body = body.unwrap_or_default();
+        body.insert("detail".to_owned(), detail.into());
+        self.body = serde_json::to_vec(&body).unwrap_or_default().into();
+        self
+    }
+
     /// Returns the event that ends a stream which can't be made whole.
     ///
     /// The transfer has to be aborted after it, so that the end is never a clean one.
--- /dev/null
+++ b/crates/briarraild/src/control/fleet_setup.rs
@@ -0,0 +1,40 @@
+//! Settings of the pure parts, taken from the daemon's settings.
+
+use briarrail_fleet::FleetSettings;
+use briarrail_outcome::ClaimSettings;
+use briarrail_peer::{KeyRing, SharedKey};
+use briarrail_settings::{DaemonSettings, ExchangeSettings};
+
+/// Part of the control budget that the exchange may plan with; the rest covers load reads.
+const EXCHANGE_PERCENT: u64 = 84;
+const BURST_SECONDS: u32 = 3;
+
+/// Returns the keys that authenticate frames; the first one signs.
+pub(crate) fn key_ring(settings: &ExchangeSettings) -> KeyRing {
+    let mut keys = settings
+        .keys
+        .iter()
+        .map(|key| SharedKey::new(key.secret.reveal().as_bytes()));
+    let ring = KeyRing::new(keys.next().unwrap_or_else(|| SharedKey::new(b"")));
+    keys.fold(ring, KeyRing::with_accepted)
+}
+
+/// Returns the settings of the fleet part.
+pub(crate) fn fleet_settings(settings: &DaemonSettings) -> FleetSettings {
+    let exchange = &settings.exchange;
+    let rate = (exchange.budget_bytes_per_s * EXCHANGE_PERCENT / 100) as u32;
+    FleetSettings::new(key_ring(exchange))
+        .with_round_interval(exchange.interval_ms)
+        .with_host_interval(settings.platform.host_poll_ms)
+        .with_budget(rate, rate.saturating_mul(BURST_SECONDS))
+}
+
+/// Returns the settings of the claims.
+pub(crate) fn claim_settings(settings: &DaemonSettings) -> ClaimSettings {
+    ClaimSettings {
+        buckets: settings.claims.buckets as u32,
+        commit_interval_ms: settings.claims.batch_ms,
+        retention_ms: settings.claims.retention_ms,
+        ..ClaimSettings::default()
+    }
+}
--- /dev/null
+++ b/crates/briarraild/src/control/snapshot_builder.rs
@@ -0,0 +1,154 @@
+//! Snapshots for the traffic threads.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use briarrail_fleet::{FleetView, ViewPhase};
+use briarrail_model::{
+    ConfigSnapshot, DataCentre, HostEntry, HostName, HostPhase, LoadRecord, MilliTime, PoolRow,
+    RegionName,
+};
+use briarrail_policy::{LoadLedger, PlacementSettings, RouterSite, TargetInput};
+
+use crate::state::{PoolEntry, PoolRuntime, RoutingSnapshot, TargetCounters, TargetEntry};
+
+/// What a snapshot is built from.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SnapshotInputs<'a> {
+    /// Tables in force.
+    pub(crate) config: &'a Arc<ConfigSnapshot>,
+    /// Routers and targets with their phases.
+    pub(crate) view: &'a FleetView,
+    /// Latest load records.
+    pub(crate) loads: &'a BTreeMap<HostName, LoadRecord>,
+}
+
+/// State of a pool between two snapshots.
+#[derive(Debug)]
+struct PoolMemory {
+    ledger: LoadLedger,
+    runtime: Arc<PoolRuntime>,
+}
+
+/// Builds snapshots, and keeps what outlives them.
+#[derive(Debug)]
+pub(crate) struct SnapshotBuilder {
+    data_centre: DataCentre,
+    region: RegionName,
+    counters: HashMap<HostName, Arc<TargetCounters>>,
+    pools: HashMap<String, PoolMemory>,
+}
+
+impl SnapshotBuilder {
+    /// Makes a builder for a router of a data centre.
+    pub(crate) fn new(data_centre: DataCentre, region: RegionName) -> Self {
+        Self {
+            data_centre,
+            region,
+            counters: HashMap::new(),
+            pools: HashMap::new(),
+        }
+    }
+
+    /// Builds a snapshot from what is known at `now`.
+    pub(crate) fn build(
+        &mut self,
+        inputs: SnapshotInputs<'_>,
+        is_ready: bool,
+        now: MilliTime,
+    ) -> RoutingSnapshot {
+        self.forget_absent(inputs);
+        let live = inputs
+            .view
+            .routers
+            .iter()
+            .filter(|router| router.phase == ViewPhase::Live);
+        let routers: Arc<[HostEntry]> = live.map(|router| (*router.entry).clone()).collect();
+        let site = self.site(&routers);
+        let rows = inputs.config.tables.pools.iter();
+        let pools = rows.map(|row| {
+            let entry = self.pool_entry(row, inputs, site, now);
+            (row.name.clone(), Arc::new(entry))
+        });
+        let pools = pools.collect();
+        RoutingSnapshot {
+            config: Arc::clone(inputs.config),
+            is_ready,
+            pools,
+            routers,
+        }
+    }
+
+    fn site(&self, routers: &[HostEntry]) -> RouterSite {
+        let near = routers.iter().filter(|router| router.region == self.region);
+        RouterSite {
+            data_centre: self.data_centre.stable_hash(),
+            region: self.region.stable_hash(),
+            routers: near.count().max(1) as u32,
+        }
+    }
+
+    fn pool_entry(
+        &mut self,
+        row: &PoolRow,
+        inputs: SnapshotInputs<'_>,
+        site: RouterSite,
+        now: MilliTime,
+    ) -> PoolEntry {
+        let mut targets = Vec::new();
+        let mut states = Vec::new();
+        for target in &inputs.view.targets {
+            let host = &*target.entry;
+            if !row.targets.accepts(host) {
+                continue;
+            }
+            let counters = self.counters.entry(host.name.clone()).or_default();
+            let load = inputs.loads.get(&host.name).copied();
+            let mut state = TargetInput::from_host(host).load(load);
+            state.phase = placement_phase(target.phase);
+            states.push(state.in_flight(counters.in_flight()));
+            targets.push(TargetEntry::new(host, Arc::clone(counters)));
+        }
+        let memory = self
+            .pools
+            .entry(row.name.clone())
+            .or_insert_with(|| PoolMemory {
+                ledger: LoadLedger::new(now),
+                runtime: Arc::new(PoolRuntime::new(row.limits.max_wait_ms)),
+            });
+        let settings = PlacementSettings::from_pool(row);
+        let view = memory.ledger.refresh(&states, settings, site, now);
+        let capacity = row.limits.max_streams_per_target;
+        let pressure = (capacity > 0).then(|| view.mean_load() / capacity as f32);
+        memory.runtime.refresh(pressure);
+        let runtime = Arc::clone(&memory.runtime);
+        PoolEntry {
+            row: row.clone(),
+            targets,
+            view,
+            runtime,
+        }
+    }
+
+    /// Drops the state of pools and hosts that are gone and have no request in flight.
+    fn forget_absent(&mut self, inputs: SnapshotInputs<'_>) {
+        let present: BTreeSet<_> = inputs
+            .view
+            .targets
+            .iter()
+            .map(|target| &target.entry.name)
+            .collect();
+        self.counters
+            .retain(|name, counters| present.contains(name) || counters.in_flight() > 0);
+        self.pools
+            .retain(|name, _| inputs.config.tables.pool(name).is_some());
+    }
+}
+
+/// Targets that can't be reached take no new work, like leaving ones.
+const fn placement_phase(phase: ViewPhase) -> HostPhase {
+    match phase {
+        ViewPhase::Live => HostPhase::Live,
+        ViewPhase::Leaving | ViewPhase::Down => HostPhase::Leaving,
+    }
+}
--- /dev/null
+++ b/crates/briarraild/src/state/pool_runtime.rs
@@ -0,0 +1,63 @@
+//! Limits of a pool that change with each request.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use briarrail_model::{CallSemantics, MilliDuration, StableHash};
+use briarrail_policy::{AdmissionChoice, AdmissionGate, AdmissionRequest, RetryBudget};
+
+const RETRY_PERCENT: u32 = 20;
+const RETRY_BURST: u32 = 20;
+const STREAM_TIME: MilliDuration = MilliDuration::from_secs(12);
+
+/// Admission and retry budget of a pool; it outlives the snapshots that refer to it.
+#[derive(Debug)]
+pub(crate) struct PoolRuntime {
+    parts: Mutex<RuntimeParts>,
+}
+
+#[derive(Debug)]
+struct RuntimeParts {
+    gate: AdmissionGate,
+    budget: RetryBudget,
+}
+
+impl PoolRuntime {
+    /// Makes the runtime of a pool with the longest wait of a request.
+    pub(crate) fn new(max_wait: MilliDuration) -> Self {
+        let gate = AdmissionGate::new(STREAM_TIME, max_wait);
+        let budget = RetryBudget::new(RETRY_PERCENT, RETRY_BURST);
+        Self {
+            parts: Mutex::new(RuntimeParts { gate, budget }),
+        }
+    }
+
+    /// Takes over the pool's load as a part of its capacity, if that is known.
+    pub(crate) fn refresh(&self, pressure: Option<f32>) {
+        self.lock().gate.refresh(pressure);
+    }
+
+    /// Decides on a request, and counts it when it is admitted.
+    pub(crate) fn admit(&self, request: &AdmissionRequest) -> AdmissionChoice {
+        let mut parts = self.lock();
+        let choice = parts.gate.decide(request);
+        if matches!(choice, AdmissionChoice::Admit { .. }) {
+            parts.gate.start(request.customer);
+            parts.budget.record_call();
+        }
+        choice
+    }
+
+    /// Counts the end of an admitted request.
+    pub(crate) fn release(&self, customer: StableHash) {
+        self.lock().gate.finish(customer);
+    }
+
+    /// Takes a retry out of the budget.
+    pub(crate) fn try_retry(&self, semantics: CallSemantics) -> bool {
+        self.lock().budget.try_retry(semantics)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RuntimeParts> {
+        self.parts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/briarraild/src/state/routing_snapshot.rs
@@ -0,0 +1,42 @@
+//! What traffic threads route by.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use briarrail_model::{ConfigSnapshot, HostEntry, RequestFacts, RouteRow};
+
+use super::PoolEntry;
+
+/// Immutable state that traffic threads route by.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RoutingSnapshot {
+    /// The tables in force; sequence number 0 before the first.
+    pub(crate) config: Arc<ConfigSnapshot>,
+    /// Whether the fleet part has confirmed the tables since the start.
+    pub(crate) is_ready: bool,
+    /// Pools by name.
+    pub(crate) pools: HashMap<String, Arc<PoolEntry>>,
+    /// Live routers, this one included, in the order of their names.
+    pub(crate) routers: Arc<[HostEntry]>,
+}
+
+/// The route and pool of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct RoutingSource {
+    /// Route that takes the request.
+    pub(crate) route: Arc<RouteRow>,
+    /// Pool that serves it.
+    pub(crate) pool: Arc<PoolEntry>,
+}
+
+impl RoutingSnapshot {
+    /// Finds route and pool of a request.
+    pub(crate) fn find(&self, facts: &RequestFacts<'_>) -> Option<RoutingSource> {
+        let route = self.config.tables.route_for(facts)?;
+        let pool = self.pools.get(&route.pool)?;
+        Some(RoutingSource {
+            route: Arc::new(route.clone()),
+            pool: Arc::clone(pool),
+        })
+    }
+}
--- /dev/null
+++ b/crates/briarraild/src/traffic/caller_server.rs
@@ -0,0 +1,97 @@
+//! The HTTP server for callers.
+
+use std::sync::Arc;
+
+use salvo::async_trait;
+use salvo::catcher::Catcher;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FuseConfig;
+use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, Service};
+use salvo::server::ServerHandle;
+
+use briarrail_outcome::{OutcomeReply, RequestOutcome};
+use uuid::Uuid;
+
+use super::call_service::serve_call;
+use super::request_reader::{ReadError, read_request};
+use super::{CallerReply, TrafficEngine};
+
+/// Makes the server for callers.
+///
+/// Returns the future that serves until the handle stops it.
+pub(crate) fn serve_callers(
+    acceptor: TcpAcceptor,
+    engine: Arc<TrafficEngine>,
+) -> (
+    ServerHandle,
+    impl Future<Output = std::io::Result<()>> + Send,
+) {
+    let limits = &engine.settings.limits;
+    let read_timeout = std::time::Duration::from(limits.caller_read_timeout_ms);
+    let fuse = FuseConfig::default()
+        .with_http1_header_timeout(read_timeout)
+        .with_write_stall_timeout(read_timeout);
+    let mut server = Server::new(acceptor)
+        .fuse_config(fuse)
+        .max_connections(limits.max_streams as usize);
+    server
+        .http1_mut()
+        .max_buf_size(limits.max_head_bytes as usize);
+    let handle = server.handle();
+    let router = Router::with_path("{**path}").goal(CallerHandler { engine });
+    let service = Service::new(router).catcher(Catcher::new(KeepReply));
+    (handle, server.try_serve(service))
+}
+
+/// Serves requests of callers.
+struct CallerHandler {
+    engine: Arc<TrafficEngine>,
+}
+
+#[async_trait]
+impl Handler for CallerHandler {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let settings = &self.engine.settings;
+        let now = self.engine.clock.now();
+        let read = read_request(request, &settings.identity, &settings.limits, now).await;
+        match read {
+            Ok(call) => {
+                let request_id = call.id.clone();
+                let reply = serve_call(&self.engine, call).await;
+                reply.write_to(&request_id, response);
+            }
+            Err(error) => refuse_unread(&error).write_to(&Uuid::now_v7().to_string(), response),
+        }
+    }
+}
+
+fn refuse_unread(error: &ReadError) -> CallerReply {
+    let outcome = RequestOutcome::NotRun(error.reason());
+    let reply = OutcomeReply::from(outcome).with_detail(&error.to_string());
+    let reply = OutcomeReply {
+        status: error.status(),
+        ..reply
+    };
+    CallerReply::from_outcome(reply)
+}
+
+/// Leaves replies as they are, where the library would write an error page.
+struct KeepReply;
+
+#[async_trait]
+impl Handler for KeepReply {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        _response: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+    }
+}
--- /dev/null
+++ b/crates/briarraild/src/traffic/report_backlog.rs
@@ -0,0 +1,59 @@
+//! Outcomes of claims that no owner has recorded yet.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use briarrail_model::MilliTime;
+use briarrail_outcome::{DueReport, ReportId, ReportQueue};
+use briarrail_peer::{ClaimReport, ReportReply};
+use tokio::sync::Notify;
+
+use crate::system_clock::SystemClock;
+
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+
+/// A queue of reports that tasks share.
+#[derive(Debug, Default)]
+pub(crate) struct ReportBacklog {
+    queue: Mutex<ReportQueue>,
+    added: Notify,
+}
+
+impl ReportBacklog {
+    /// Adds a report.
+    pub(crate) fn add(&self, report: ClaimReport, now: MilliTime) {
+        self.lock().add(report, now);
+        self.added.notify_one();
+    }
+
+    /// Waits until a report is due, or for a second.
+    pub(crate) async fn wait_until_due(&self, clock: SystemClock) {
+        let wake = self.lock().next_wake();
+        let sleep = wake.map_or(LONGEST_SLEEP, |wake| {
+            Duration::from(wake.since(clock.now()))
+        });
+        tokio::select! {
+            () = tokio::time::sleep(sleep.min(LONGEST_SLEEP)) => {}
+            () = self.added.notified() => {}
+        }
+    }
+
+    /// Returns the reports to send now.
+    pub(crate) fn take_due(&self, now: MilliTime) -> Vec<DueReport> {
+        self.lock().take_due(now)
+    }
+
+    /// Takes the reply to a report.
+    pub(crate) fn handle(&self, id: ReportId, reply: Option<ReportReply>, now: MilliTime) {
+        self.lock().handle(id, reply, now);
+    }
+
+    /// Returns the number of reports that are not recorded.
+    pub(crate) fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ReportQueue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/briarraild/tests/suite/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the daemon against stand-ins, by feature.
+
+mod answers;
+mod claims;
+mod refusals;
+mod site;
--- /dev/null
+++ b/crates/briarraild/tests/suite/site.rs
@@ -0,0 +1,232 @@
+//! A small site on loopback: stand-ins and routers in one process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarrail_config::{ConfigEditor, EditId, EditRequest, RowChange};
+use briarrail_model::{HostEntry, HostPhase, MilliDuration, MilliTime, TableSet};
+use briarrail_platform::HttpStore;
+use briarrail_settings::{DaemonSettings, SettingsBuilder};
+use briarrail_standin::{
+    EngineSettings, EngineStandin, HostSettings, HostStandin, ObjectSettings, ObjectStandin,
+    ServiceSettings, ServiceStandin, StandinHandle, start_engine, start_hosts, start_objects,
+    start_service,
+};
+use briarraild::{RouterDaemon, RunningRouter};
+
+const LOOPBACK: &str = "127.0.0.1:0";
+const READY_LIMIT: Duration = Duration::from_secs(60);
+
+/// Tables with a model pool `pan` and an at-most-once service pool `weighbridge`.
+pub(crate) const TABLES: &str = r#"{
+    "routes": [
+        { "name": "chat", "match": { "path_prefix": "/v1/chat" }, "pool": "pan" },
+        { "name": "lookup", "match": { "methods": ["GET"], "path_prefix": "/tickets" },
+          "pool": "weighbridge" },
+        { "name": "post", "match": { "methods": ["POST"], "path_prefix": "/tickets" },
+          "pool": "weighbridge", "semantics": "at_most_once" }
+    ],
+    "pools": [
+        { "name": "pan", "kind": "model", "targets": { "service": "pan-model" },
+          "reports_load": true, "skew_bound": 1.4 },
+        { "name": "weighbridge", "kind": "service", "targets": { "service": "weighbridge" } }
+    ]
+}"#;
+
+/// Stand-ins and routers of one test.
+pub(crate) struct TestSite {
+    pub(crate) objects: StandinHandle<ObjectStandin>,
+    pub(crate) hosts: StandinHandle<HostStandin>,
+    pub(crate) engines: Vec<StandinHandle<EngineStandin>>,
+    pub(crate) services: Vec<StandinHandle<ServiceStandin>>,
+    pub(crate) routers: Vec<RunningRouter>,
+    pub(crate) client: reqwest::Client,
+}
+
+impl TestSite {
+    /// Starts a site with the test tables in force on all routers.
+    pub(crate) async fn start(engines: usize, services: usize, routers: usize) -> Self {
+        let mut site = Self {
+            objects: start_objects(LOOPBACK, ObjectSettings::default())
+                .await
+                .expect("objects"),
+            hosts: start_hosts(LOOPBACK, HostSettings::default())
+                .await
+                .expect("hosts"),
+            engines: Vec::new(),
+            services: Vec::new(),
+            routers: Vec::new(),
+            client: reqwest::Client::builder()
+                .no_proxy()
+                .build()
+                .expect("client"),
+        };
+        for index in 0..engines {
+            let engine = start_engine(LOOPBACK, engine_settings())
+                .await
+                .expect("engine");
+            site.list(&format!("engine-{index}"), "pan-model", engine.address());
+            site.engines.push(engine);
+        }
+        for index in 0..services {
+            let service = start_service(LOOPBACK, ServiceSettings::default()).await;
+            let service = service.expect("service");
+            site.list(
+                &format!("service-{index}"),
+                "weighbridge",
+                service.address(),
+            );
+            site.services.push(service);
+        }
+        site.apply(TABLES).await;
+        for index in 0..routers {
+            site.add_router(&format!("router-{index}"), |builder| builder)
+                .await;
+        }
+        site.wait_until_ready().await;
+        site
+    }
+
+    /// Puts a live host into the host list.
+    pub(crate) fn list(&self, name: &str, service: &str, address: SocketAddr) {
+        self.hosts.put(HostEntry {
+            name: name.into(),
+            service: service.to_owned(),
+            data_centre: "dc-a".into(),
+            region: "coast".into(),
+            address,
+            phase: HostPhase::Live,
+            incarnation: 1,
+            labels: Default::default(),
+        });
+    }
+
+    /// Writes tables through the editor.
+    pub(crate) async fn apply(&self, text: &str) {
+        let tables: TableSet = serde_json::from_str(text).expect("tables");
+        let pools = tables
+            .pools
+            .into_iter()
+            .map(|row| RowChange::PutPool { expected: 0, row });
+        let routes = tables
+            .routes
+            .into_iter()
+            .map(|row| RowChange::PutRoute { expected: 0, row });
+        let request = EditRequest {
+            id: EditId(uuid::Uuid::now_v7()),
+            editor: "test".to_owned(),
+            at_ms: MilliTime::from_millis(1),
+            changes: pools.chain(routes).collect(),
+        };
+        let store = HttpStore::new(
+            self.client.clone(),
+            &self.objects.base_url(),
+            Duration::from_secs(10),
+        );
+        ConfigEditor::new(Arc::new(store))
+            .submit(&request)
+            .await
+            .expect("accepted edit");
+    }
+
+    /// Starts one more router and lists it.
+    pub(crate) async fn add_router<F>(&mut self, name: &str, change: F)
+    where
+        F: FnOnce(SettingsBuilder) -> SettingsBuilder,
+    {
+        let builder = DaemonSettings::builder()
+            .host(name, "dc-a", "coast")
+            .platform(&self.objects.base_url(), &self.hosts.base_url());
+        let builder = builder.adjust(|settings| settings.stop.list_lag_ms = MilliDuration::ZERO);
+        let settings = change(builder).build();
+        let router = tokio::task::spawn_blocking(|| RouterDaemon::start(settings)).await;
+        let router = router.expect("thread").expect("router");
+        self.list(name, "briarraild", router.peers_address());
+        self.routers.push(router);
+    }
+
+    /// Waits until every router is ready and knows the site.
+    pub(crate) async fn wait_until_ready(&self) {
+        let all = async {
+            while !self.routers.iter().all(RunningRouter::is_ready) {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(READY_LIMIT, all)
+            .await
+            .expect("routers are ready");
+    }
+
+    /// Returns a URL at a router.
+    pub(crate) fn url(&self, router: usize, path: &str) -> String {
+        format!("http://{}{path}", self.routers[router].callers_address())
+    }
+
+    /// Starts a chat request with a number of tokens.
+    pub(crate) fn chat(&self, router: usize, chat: &str, body: &str) -> reqwest::RequestBuilder {
+        self.client
+            .post(self.url(router, "/v1/chat/completions"))
+            .header("x-customer", "magadi")
+            .header("x-chat-id", chat)
+            .header("content-type", "application/json")
+            .body(body.to_owned())
+    }
+
+    /// Starts a ticket post with an idempotency key.
+    pub(crate) fn post_ticket(
+        &self,
+        router: usize,
+        key: &str,
+        body: &str,
+    ) -> reqwest::RequestBuilder {
+        self.client
+            .post(self.url(router, "/tickets"))
+            .header("x-customer", "magadi")
+            .header("idempotency-key", key)
+            .body(body.to_owned())
+    }
+
+    /// Stops all routers without cutting a request.
+    pub(crate) async fn stop(self) {
+        for router in self.routers {
+            tokio::task::spawn_blocking(|| router.stop())
+                .await
+                .expect("stopped");
+        }
+    }
+}
+
+/// Returns a chat body that asks for a stream of tokens.
+pub(crate) fn chat_body(text: &str, tokens: u64) -> String {
+    format!(
+        r#"{{"model":"pan","stream":true,"max_tokens":{tokens},"messages":[{{"role":"user","content":"{text}"}}]}}"#
+    )
+}
+
+/// Joins the token texts of a stream of events, without the terminal event.
+pub(crate) fn joined_tokens(events: &str) -> String {
+    let data = events
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    let chunks = data.filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok());
+    let texts = chunks.filter_map(|chunk| {
+        chunk["choices"][0]["delta"]["content"]
+            .as_str()
+            .map(str::to_owned)
+    });
+    texts.collect()
+}
+
+fn engine_settings() -> EngineSettings {
+    EngineSettings {
+        first_token: Duration::from_millis(2),
+        token_interval: Duration::from_millis(1),
+        ..EngineSettings::default()
+    }
+}
+
+/// Returns a new idempotency key.
+pub(crate) fn new_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
