--- a/crates/briarrail_outcome/src/bucket_owner.rs
+++ b/crates/briarrail_outcome/src/bucket_owner.rs
@@ -216,6 +216,9 @@
             return Some(earliest);
         }
         let oldest = self.reports.oldest()?;
+        if self.claims.need_outcome() {
+            return Some(earliest);
+        }
         Some(earliest.max(oldest + settings.report_delay_ms))
     }
 
--- a/crates/briarrail_outcome/src/pending_claims.rs
+++ b/crates/briarrail_outcome/src/pending_claims.rs
@@ -74,6 +74,11 @@
         claims.any(|claim| claim.need == ClaimNeed::Commit)
     }
 
+    pub(crate) fn need_outcome(&self) -> bool {
+        let mut claims = self.claims.iter();
+        claims.any(|claim| claim.need == ClaimNeed::Outcome)
+    }
+
     pub(crate) fn need_confirmation(&self) -> bool {
         let mut claims = self.claims.iter();
         claims.any(|claim| claim.need == ClaimNeed::Confirmation)
--- a/crates/briarrail_outcome/tests/suite/claims/fake_store.rs
+++ b/crates/briarrail_outcome/tests/suite/claims/fake_store.rs
@@ -27,7 +27,7 @@
     revision: u64,
     late: Vec<StoreCall>,
     pub(crate) is_down: bool,
-    pub(crate) writes: u64,
+    pub(crate) segments: u64,
 }
 
 impl FakeStore {
@@ -69,24 +69,21 @@
                 value,
                 expected,
             } => self.put(key, value, expected),
-            StoreCall::Delete { key } => {
-                self.writes += 1;
-                match self.objects.remove(&key) {
-                    Some(_) => StoreReply::Deleted,
-                    None => StoreReply::Missing,
-                }
-            }
+            StoreCall::Delete { key } => match self.objects.remove(&key) {
+                Some(_) => StoreReply::Deleted,
+                None => StoreReply::Missing,
+            },
         }
     }
 
     fn put(&mut self, key: String, value: Bytes, expected: Option<StoreVersion>) -> StoreReply {
         assert!(value.len() <= MAX_VALUE_BYTES, "{key} is too large");
-        self.writes += 1;
         let version = self.objects.get(&key).map(|object| StoreVersion(object.0));
         if version != expected {
             return StoreReply::Conflict;
         }
         self.revision += 1;
+        self.segments += u64::from(key.contains("/seg/"));
         self.objects.insert(key, (self.revision, value));
         StoreReply::Written {
             version: StoreVersion(self.revision),
--- a/crates/briarrail_outcome/tests/suite/claims/mod.rs
+++ b/crates/briarrail_outcome/tests/suite/claims/mod.rs
@@ -5,6 +5,7 @@
 //! Open-ended and not repeatable, by bolero's random engine:
 //! `cargo test --release -p briarrail_outcome -- --ignored random_tapes`.
 
+mod cases;
 mod fake_router;
 mod fake_store;
 mod oracle;
@@ -40,15 +41,17 @@
 
 fn play_seeds(seeds: std::ops::Range<u64>) {
     let mut steps = 0;
+    let mut segments = 0;
     let mut told = std::collections::BTreeMap::new();
     for seed in seeds.clone() {
         let world = play_seed(seed);
         steps += world.steps;
-        for (&outcome, count) in &world.oracle.told {
-            *told.entry(outcome).or_insert(0) += count;
+        for (outcome, count) in &world.oracle.told {
+            *told.entry(outcome.clone()).or_insert(0) += count;
         }
+        segments += world.segments_written();
     }
-    println!("claims: seeds {seeds:?}, {steps} steps, callers told {told:?}");
+    println!("claims: seeds {seeds:?}, {steps} steps, {segments} segments, callers told {told:?}");
 }
 
 #[test]
--- a/crates/briarrail_outcome/tests/suite/claims/oracle.rs
+++ b/crates/briarrail_outcome/tests/suite/claims/oracle.rs
@@ -34,7 +34,7 @@
 pub(crate) struct ClaimOracle {
     calls: BTreeMap<CallId, CallFacts>,
     keys: BTreeMap<String, KeyFacts>,
-    pub(crate) told: BTreeMap<&'static str, u64>,
+    pub(crate) told: BTreeMap<String, u64>,
 }
 
 impl ClaimOracle {
@@ -79,7 +79,7 @@
 
     /// A caller is told the outcome of its call.
     pub(crate) fn note_outcome(&mut self, call: CallId, outcome: RequestOutcome) {
-        *self.told.entry(outcome.as_header()).or_default() += 1;
+        *self.told.entry(format!("{outcome:?}")).or_default() += 1;
         let facts = self.calls.get_mut(&call).unwrap();
         assert_eq!(facts.outcome, None, "told twice");
         facts.outcome = Some(outcome);
@@ -91,9 +91,10 @@
     /// A caller gets an answer, of its own call or repeated.
     pub(crate) fn note_answer(&mut self, call: CallId, answer: &Bytes) {
         self.note_outcome(call, RequestOutcome::Answered);
-        let key = self.keys.get(&self.calls[&call].key);
-        let right = key.and_then(|key| key.answer.as_ref());
-        assert_eq!(Some(answer), right, "a wrong answer");
+        let facts = &self.calls[&call];
+        let key = &self.keys[&facts.key];
+        assert_eq!(Some(answer), key.answer.as_ref(), "a wrong answer");
+        assert_eq!(facts.body, key.body, "an answer to another request");
     }
 
     /// An owner says that the answer of a call is durable.
--- a/crates/briarrail_outcome/tests/suite/claims/world.rs
+++ b/crates/briarrail_outcome/tests/suite/claims/world.rs
@@ -77,6 +77,8 @@
 pub(crate) struct ClaimWorld {
     now: MilliTime,
     routers: Vec<FakeRouter>,
+    /// How often things fail, in percent.
+    trouble: usize,
     store: FakeStore,
     pub(crate) oracle: ClaimOracle,
     letters: Vec<Envelope>,
@@ -99,6 +101,7 @@
         Self {
             now: EPOCH,
             routers: routers.collect(),
+            trouble: [0, 10, 30, 60, 90][tape.pick(5)],
             store: FakeStore::default(),
             oracle: ClaimOracle::default(),
             letters: Vec::new(),
@@ -117,19 +120,22 @@
     pub(crate) fn step(&mut self, tape: &mut ChoiceTape<'_>) {
         self.steps += 1;
         match tape.pick(100) {
-            0..12 => self.start_call(tape),
-            12..44 => self.deliver(tape),
-            44..48 => self.lose_letter(tape),
-            48..66 => self.run_store_call(tape),
-            66..78 => self.pass_time(tape),
-            78..90 => self.answer_target(tape),
-            90..92 => self.run_late(tape),
-            92..94 => self.store.land_late(tape.pick(256)),
-            94..96 => self.toggle_pause(tape),
-            96 => self.replace_router(tape),
-            97 => self.store.is_down = !self.store.is_down && tape.chance(60),
-            98 => self.change_candidates(tape),
-            _ => self.leave(tape),
+            0..10 => self.start_call(tape),
+            10..45 => self.deliver(tape),
+            45..47 => self.lose_letter(tape),
+            47..70 => self.run_store_call(tape),
+            70..78 => self.pass_time(tape),
+            78..91 => self.answer_target(tape),
+            91..93 => self.run_late(tape),
+            93 => self.store.land_late(tape.pick(256)),
+            94 if tape.chance(self.trouble) => self.toggle_pause(tape),
+            95 if tape.chance(self.trouble) => self.replace_router(tape),
+            96 if tape.chance(self.trouble) => {
+                self.store.is_down = !self.store.is_down && tape.chance(60)
+            }
+            97 if tape.chance(self.trouble) => self.change_candidates(tape),
+            98 => self.leave(tape),
+            _ => {}
         }
     }
 
@@ -382,13 +388,13 @@
             return;
         }
         let index = tape.pick(self.store_calls.len());
-        let fate = match tape.pick(20) {
+        let fate = match tape.pick(4) {
+            _ if self.store.is_down => CallFate::Refused,
+            _ if !tape.chance(self.trouble / 3) => CallFate::Good,
             0 => CallFate::Refused,
             1 => CallFate::ReplyLost,
             2 => CallFate::Late,
-            3 => CallFate::Lost,
-            _ if self.store.is_down => CallFate::Refused,
-            _ => CallFate::Good,
+            _ => CallFate::Lost,
         };
         self.finish_store_call(index, fate);
     }
@@ -401,10 +407,10 @@
     }
 
     fn pass_time(&mut self, tape: &mut ChoiceTape<'_>) {
-        let millis = match tape.pick(40) {
+        let millis = match tape.pick(80) {
             0 => 12_000,
             1..4 => 700,
-            _ => tape.pick(120) as u64,
+            _ => tape.pick(40) as u64,
         };
         self.advance(MilliDuration::from_millis(millis));
     }
@@ -585,6 +591,10 @@
         }
     }
 
+    pub(crate) const fn segments_written(&self) -> u64 {
+        self.store.segments
+    }
+
     /// Ends all faults, lets everything finish, and retries every key.
     pub(crate) fn heal_and_check(&mut self) {
         self.store.is_down = false;
