--- a/crates/briarrail_outcome/tests/suite/claims/world.rs
+++ b/crates/briarrail_outcome/tests/suite/claims/world.rs
@@ -131,7 +131,7 @@
             94 if tape.chance(self.trouble) => self.toggle_pause(tape),
             95 if tape.chance(self.trouble) => self.replace_router(tape),
             96 if tape.chance(self.trouble) => {
-                self.store.is_down = !self.store.is_down && tape.chance(60)
+                self.store.is_down = !self.store.is_down && tape.chance(60);
             }
             97 if tape.chance(self.trouble) => self.change_candidates(tape),
             98 => self.leave(tape),
