feat(ctl): edit and watch the tables from the command line

Cause: operators drive the system by editing two tables, and need to see what is in force and how it serves. Change: briarctl with list, get, apply, diff, edit, delete, edits find, check, status and burn, as text or JSON, with documented exit codes. Rows from get carry their version, so that a lost race is refused with both versions and the winner. Examples of settings and tables for both sites.

--- /dev/null
+++ b/crates/briarctl/src/arguments.rs
@@ -0,0 +1,184 @@
+//! Arguments of the commands.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarrail_platform::HttpStore;
+use getopts::{Matches, Options};
+
+use crate::{CtlError, CtlErrorKind, RunContext};
+
+const STORE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// One command: its words, what it takes, and its options.
+pub(crate) struct CommandSpec {
+    pub(crate) words: &'static str,
+    pub(crate) operands: &'static str,
+    pub(crate) summary: &'static str,
+    pub(crate) options: fn(&mut Options),
+}
+
+/// The arguments of one command.
+pub(crate) struct CommandArguments<'a> {
+    pub(crate) context: &'a RunContext,
+    spec: &'a CommandSpec,
+    matches: Matches,
+}
+
+impl CommandSpec {
+    /// Parses the arguments after the command's words; gives nothing when help is asked for.
+    pub(crate) fn parse<'a>(
+        &'a self,
+        arguments: &[String],
+        context: &'a RunContext,
+    ) -> Result<Option<CommandArguments<'a>>, CtlError> {
+        let matches = self.all_options().parse(arguments);
+        let matches = matches.map_err(|fail| CtlError::usage(fail.to_string(), self.words))?;
+        if matches.opt_present("help") {
+            return Ok(None);
+        }
+        Ok(Some(CommandArguments {
+            context,
+            spec: self,
+            matches,
+        }))
+    }
+
+    pub(crate) fn help(&self) -> String {
+        let brief = format!(
+            "Usage: briarctl {} {} [options]\n\n{}",
+            self.words, self.operands, self.summary
+        );
+        self.all_options().usage(&brief.replace("  ", " "))
+    }
+
+    fn all_options(&self) -> Options {
+        let mut options = Options::new();
+        options.optflag("h", "help", "print this help");
+        options.optflag("", "json", "print JSON, errors too");
+        (self.options)(&mut options);
+        options
+    }
+}
+
+/// Adds the option that names the object API.
+pub(crate) fn store_option(options: &mut Options) {
+    options.optopt(
+        "",
+        "store",
+        "base URL of the object API ($BRIARCTL_STORE)",
+        "URL",
+    );
+}
+
+/// Adds the options that name routers.
+pub(crate) fn router_options(options: &mut Options) {
+    options.optmulti(
+        "",
+        "router",
+        "operators' address of a router; repeatable",
+        "IP:PORT",
+    );
+    options.optopt(
+        "",
+        "hosts",
+        "base URL of the host list ($BRIARCTL_HOSTS)",
+        "URL",
+    );
+    options.optopt(
+        "",
+        "service",
+        "service of the routers in the host list",
+        "NAME",
+    );
+    options.optopt(
+        "",
+        "timeout-ms",
+        "time for one router to answer (2000)",
+        "N",
+    );
+}
+
+impl CommandArguments<'_> {
+    pub(crate) fn is_json(&self) -> bool {
+        self.flag("json")
+    }
+
+    pub(crate) fn flag(&self, name: &str) -> bool {
+        self.matches.opt_present(name)
+    }
+
+    pub(crate) fn text(&self, name: &str) -> Option<String> {
+        self.matches.opt_str(name)
+    }
+
+    pub(crate) fn texts(&self, name: &str) -> Vec<String> {
+        self.matches.opt_strs(name)
+    }
+
+    pub(crate) fn number(&self, name: &str) -> Result<Option<u64>, CtlError> {
+        let text = self.text(name);
+        let parse = |text: String| {
+            let wrong = || self.usage(format!("--{name} takes a whole number, not {text:?}"));
+            text.parse().map_err(|_| wrong())
+        };
+        text.map(parse).transpose()
+    }
+
+    /// Returns the operands, which must be as many as the command takes.
+    pub(crate) fn operands<const N: usize>(&self) -> Result<[&str; N], CtlError> {
+        let operands: Vec<_> = self.matches.free.iter().map(String::as_str).collect();
+        let found = operands.len();
+        operands.try_into().map_err(|_| {
+            let takes = match self.spec.operands {
+                "" => "no operands".to_owned(),
+                operands => operands.to_owned(),
+            };
+            self.usage(format!(
+                "{} takes {takes}, and {found} were given",
+                self.spec.words
+            ))
+        })
+    }
+
+    /// Returns the operands, of which there must be one at least.
+    pub(crate) fn some_operands(&self) -> Result<&[String], CtlError> {
+        if self.matches.free.is_empty() {
+            let context = format!("{} takes {}", self.spec.words, self.spec.operands);
+            return Err(self.usage(context));
+        }
+        Ok(&self.matches.free)
+    }
+
+    pub(crate) fn usage<C>(&self, context: C) -> CtlError
+    where
+        C: Into<String>,
+    {
+        CtlError::usage(context, self.spec.words)
+    }
+
+    /// Returns a client of the object API.
+    pub(crate) fn store(&self) -> Result<Arc<HttpStore>, CtlError> {
+        let url = self
+            .text("store")
+            .or_else(|| self.context.store_url.clone());
+        let url = url.ok_or_else(|| self.usage("name the object API by --store URL"))?;
+        Ok(Arc::new(HttpStore::new(
+            http_client()?,
+            &url,
+            STORE_TIMEOUT,
+        )))
+    }
+}
+
+/// Makes an HTTP client.
+pub(crate) fn http_client() -> Result<reqwest::Client, CtlError> {
+    reqwest::Client::builder().build().map_err(|error| {
+        let context = format!("no HTTP client could be made: {error}");
+        CtlError::new(
+            CtlErrorKind::Unreachable,
+            context,
+            "check the host's set-up",
+        )
+    })
+}
--- /dev/null
+++ b/crates/briarctl/src/commands/edit_submission.rs
@@ -0,0 +1,155 @@
+//! Submits edits and waits until they are in force.
+
+use std::time::Duration;
+
+use briarrail_config::{
+    ConfigEditor, ConfigReader, EditId, EditLookup, EditReceipt, EditRequest, RowChange,
+};
+use briarrail_status::{RouterStatus, STATUS_PATH};
+use getopts::Options;
+use serde_json::json;
+use uuid::Uuid;
+
+use crate::arguments::{CommandArguments, router_options, store_option};
+use crate::router_finder::RouterFinder;
+use crate::{CommandOutput, CtlError, ExitStatus};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Adds the options of commands that make an edit.
+pub(crate) fn edit_options(options: &mut Options) {
+    store_option(options);
+    router_options(options);
+    options.optopt(
+        "",
+        "editor",
+        "name of the operator ($BRIARCTL_EDITOR, $USER)",
+        "NAME",
+    );
+    options.optopt(
+        "",
+        "edit-id",
+        "identifier of an edit whose fate is unknown",
+        "UUID",
+    );
+    options.optopt(
+        "",
+        "wait-s",
+        "wait until all routers have the edit in force",
+        "SECONDS",
+    );
+}
+
+/// Returns the output of a repeated command whose edit had been accepted before.
+pub(crate) async fn accepted_before(
+    arguments: &CommandArguments<'_>,
+) -> Result<Option<CommandOutput>, CtlError> {
+    let Some(text) = arguments.text("edit-id") else {
+        return Ok(None);
+    };
+    let id = parse_edit_id(arguments, &text)?;
+    let lookup = ConfigReader::new(arguments.store()?).find_edit(id).await?;
+    Ok(match lookup {
+        EditLookup::Accepted(receipt) => Some(accepted(arguments.is_json(), receipt, None)),
+        EditLookup::NotFound { .. } => None,
+    })
+}
+
+/// Submits changes as one edit.
+pub(crate) async fn submit(
+    arguments: &CommandArguments<'_>,
+    changes: Vec<RowChange>,
+) -> Result<CommandOutput, CtlError> {
+    if changes.is_empty() {
+        return Ok(if arguments.is_json() {
+            CommandOutput::json(&json!({ "accepted": null }))
+        } else {
+            CommandOutput::text("nothing to change")
+        });
+    }
+    let request = EditRequest {
+        id: edit_id(arguments)?,
+        editor: editor_name(arguments)?,
+        at_ms: arguments.context.now,
+        changes,
+    };
+    let wait_s = arguments.number("wait-s")?;
+    let finder = match wait_s {
+        Some(_) => Some(RouterFinder::new(arguments).await?),
+        None => None,
+    };
+    let editor = ConfigEditor::new(arguments.store()?);
+    let receipt = editor.submit(&request).await?;
+    let behind = match (finder, wait_s) {
+        (Some(finder), Some(wait_s)) => {
+            Some(wait_until_in_force(&finder, receipt.sequence, wait_s).await)
+        }
+        _ => None,
+    };
+    Ok(accepted(arguments.is_json(), receipt, behind.as_deref()))
+}
+
+fn accepted(as_json: bool, receipt: EditReceipt, behind: Option<&[String]>) -> CommandOutput {
+    let output = if as_json {
+        CommandOutput::json(&json!({ "accepted": receipt, "behind": behind }))
+    } else {
+        let mut text = format!(
+            "accepted as sequence {} (edit {})",
+            receipt.sequence, receipt.id.0
+        );
+        match behind {
+            Some([]) => text.push_str("\nin force on all routers"),
+            Some(behind) => {
+                let names = behind.join(", ");
+                text.push_str(&format!("\nnot yet seen in force on: {names}"));
+            }
+            None => {}
+        }
+        CommandOutput::text(text)
+    };
+    let has_findings = behind.is_some_and(|behind| !behind.is_empty());
+    output.with_exit(if has_findings {
+        ExitStatus::Findings
+    } else {
+        ExitStatus::Done
+    })
+}
+
+/// Waits for all routers, and returns the names of those that are behind or silent at the end.
+async fn wait_until_in_force(finder: &RouterFinder, sequence: u64, wait_s: u64) -> Vec<String> {
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(wait_s);
+    loop {
+        let replies = finder.ask_all::<RouterStatus>(STATUS_PATH).await;
+        let behind = replies.into_iter().filter(|reply| match &reply.result {
+            Ok(status) => status.config_sequence < sequence,
+            Err(_) => true,
+        });
+        let behind: Vec<_> = behind.map(|reply| reply.router.name).collect();
+        if behind.is_empty() || tokio::time::Instant::now() >= deadline {
+            return behind;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+fn edit_id(arguments: &CommandArguments<'_>) -> Result<EditId, CtlError> {
+    match arguments.text("edit-id") {
+        Some(text) => parse_edit_id(arguments, &text),
+        None => Ok(arguments.context.edit_id),
+    }
+}
+
+/// Reads an edit's identifier.
+pub(crate) fn parse_edit_id(
+    arguments: &CommandArguments<'_>,
+    text: &str,
+) -> Result<EditId, CtlError> {
+    let wrong = |_| arguments.usage(format!("an edit's identifier is a UUID, not {text:?}"));
+    Uuid::parse_str(text).map(EditId).map_err(wrong)
+}
+
+fn editor_name(arguments: &CommandArguments<'_>) -> Result<String, CtlError> {
+    let name = arguments.text("editor");
+    let name = name.or_else(|| arguments.context.editor.clone());
+    name.ok_or_else(|| arguments.usage("say who you are by --editor NAME"))
+}
--- /dev/null
+++ b/crates/briarctl/src/commands/edits_command.rs
@@ -0,0 +1,46 @@
+//! Looks edits up.
+
+use briarrail_config::{ConfigReader, EditLookup};
+use serde_json::json;
+
+use super::edit_submission::parse_edit_id;
+use super::parse;
+use crate::arguments::{CommandSpec, store_option};
+use crate::{CommandOutput, CtlError, ExitStatus, RunContext};
+
+const FIND: CommandSpec = CommandSpec {
+    words: "edits find",
+    operands: "ID",
+    summary: "Tells whether an edit was accepted, as after a lost reply.",
+    options: store_option,
+};
+
+/// Tells whether an edit was accepted.
+pub(crate) async fn run(
+    arguments: &[String],
+    context: &RunContext,
+) -> Result<CommandOutput, CtlError> {
+    let arguments = match parse(&FIND, arguments, context)? {
+        Ok(arguments) => arguments,
+        Err(help) => return Ok(help),
+    };
+    let [text] = arguments.operands()?;
+    let id = parse_edit_id(&arguments, text)?;
+    let lookup = ConfigReader::new(arguments.store()?).find_edit(id).await?;
+    Ok(match lookup {
+        EditLookup::Accepted(receipt) if arguments.is_json() => {
+            CommandOutput::json(&json!({ "accepted": receipt }))
+        }
+        EditLookup::Accepted(receipt) => {
+            CommandOutput::text(format!("accepted as sequence {}", receipt.sequence))
+        }
+        EditLookup::NotFound { oldest } if arguments.is_json() => {
+            let value = json!({ "accepted": null, "searched_from": oldest });
+            CommandOutput::json(&value).with_exit(ExitStatus::NotFound)
+        }
+        EditLookup::NotFound { oldest } => {
+            let text = format!("not among the accepted edits from sequence {oldest} on");
+            CommandOutput::text(text).with_exit(ExitStatus::NotFound)
+        }
+    })
+}
--- /dev/null
+++ b/crates/briarctl/src/commands/mod.rs
@@ -0,0 +1,106 @@
+//! The commands.
+
+mod burn_command;
+mod check_command;
+mod edit_submission;
+mod edits_command;
+mod status_command;
+mod status_report;
+mod table_commands;
+mod table_edits;
+
+use crate::arguments::{CommandArguments, CommandSpec};
+use crate::table_row::TableName;
+use crate::{CommandOutput, CtlError, RunContext};
+
+const OVERVIEW: &str = "\
+Usage: briarctl COMMAND [options]
+
+Edits and watches the routes and pools of briarrail.
+
+Tables (TABLE is routes, pools, or tables for both):
+  TABLE list               list rows
+  TABLE apply -f FILE      write the rows of a file, as one edit
+  TABLE diff -f FILE       show what apply would change
+  routes|pools get NAME    print a row with its version
+  routes|pools edit NAME   change fields of a row
+  routes|pools delete NAME delete a row
+  edits find ID            tell whether an edit was accepted
+
+Without contacting anything:
+  check tables FILE...     check tables
+  check settings FILE...   check settings of the daemon
+
+Routers:
+  status                   configuration, targets, load, reuse, control traffic
+  burn                     report on service-level burn
+
+`briarctl COMMAND --help` explains a command and its options.
+
+Exit codes: 0 done, 1 findings (differences, routers behind, a page), 2 wrong arguments,
+3 invalid tables or settings, 4 outdated edit, 5 platform or router unreachable and nothing
+changed, 6 unknown whether an edit was accepted, 7 no such row or edit.
+";
+
+/// Runs the tool with the arguments after its name.
+///
+/// ```
+/// # async fn example() {
+/// use briarctl::{ExitStatus, RunContext, run};
+///
+/// let arguments = ["check", "tables", "examples/saltworks/tables.jsonc"].map(str::to_owned);
+/// let output = run(&arguments, &RunContext::from_environment()).await;
+/// assert_eq!(output.exit, ExitStatus::Done);
+/// # }
+/// ```
+pub async fn run(arguments: &[String], context: &RunContext) -> CommandOutput {
+    let as_json = arguments.iter().any(|argument| argument == "--json");
+    match dispatch(arguments, context).await {
+        Ok(output) => output,
+        Err(error) => CommandOutput::error(&error, as_json),
+    }
+}
+
+async fn dispatch(arguments: &[String], context: &RunContext) -> Result<CommandOutput, CtlError> {
+    let words: Vec<_> = arguments.iter().take(2).map(String::as_str).collect();
+    match words[..] {
+        [] | ["--help" | "-h" | "help", ..] => Ok(CommandOutput::text(OVERVIEW)),
+        ["status", ..] => status_command::run(&arguments[1..], context).await,
+        ["burn", ..] => burn_command::run(&arguments[1..], context).await,
+        ["edits", "find"] => edits_command::run(&arguments[2..], context).await,
+        ["check", "tables"] => check_command::run_tables(&arguments[2..], context),
+        ["check", "settings"] => check_command::run_settings(&arguments[2..], context),
+        [table, verb] => {
+            let scope = table_scope(table).ok_or_else(|| unknown_command(&words))?;
+            match table_commands::run(scope, verb, &arguments[2..], context).await {
+                Some(result) => result,
+                None => Err(unknown_command(&words)),
+            }
+        }
+        _ => Err(unknown_command(&words)),
+    }
+}
+
+/// Returns the tables that a command's first word means; nothing inside stands for both.
+fn table_scope(word: &str) -> Option<Option<TableName>> {
+    match word {
+        "routes" => Some(Some(TableName::Routes)),
+        "pools" => Some(Some(TableName::Pools)),
+        "tables" => Some(None),
+        _ => None,
+    }
+}
+
+fn unknown_command(words: &[&str]) -> CtlError {
+    CtlError::usage(format!("there is no command {:?}", words.join(" ")), "")
+}
+
+/// Parses the arguments of a command, or returns its help.
+fn parse<'a>(
+    spec: &'a CommandSpec,
+    arguments: &[String],
+    context: &'a RunContext,
+) -> Result<Result<CommandArguments<'a>, CommandOutput>, CtlError> {
+    let parsed = spec.parse(arguments, context)?;
+    Ok(parsed.ok_or_else(|| CommandOutput::text(spec.help())))
+}
--- /dev/null
+++ b/crates/briarctl/src/commands/table_commands.rs
@@ -0,0 +1,216 @@
+//! Commands that read the tables.
+
+use std::fmt::Write;
+use std::path::Path;
+
+use briarrail_config::ConfigReader;
+use briarrail_model::ConfigSnapshot;
+use getopts::Options;
+use serde_json::{Value, json};
+
+use super::{parse, table_edits};
+use crate::arguments::{CommandArguments, CommandSpec, store_option};
+use crate::field_path::flatten;
+use crate::table_diff::TableDiff;
+use crate::table_row::{TableName, TableRow};
+use crate::{CommandOutput, CtlError, CtlErrorKind, ExitStatus, RunContext, TableFile};
+
+const LIST: CommandSpec = CommandSpec {
+    words: "routes|pools|tables list",
+    operands: "",
+    summary: "Lists the rows in force, with their versions and editors.",
+    options: store_option,
+};
+
+const GET: CommandSpec = CommandSpec {
+    words: "routes|pools get",
+    operands: "NAME",
+    summary: "Prints a row with its version, in a form that apply takes.",
+    options: store_option,
+};
+
+const DIFF: CommandSpec = CommandSpec {
+    words: "routes|pools|tables diff",
+    operands: "",
+    summary: "Shows what apply would change; exits with 1 when there are differences.",
+    options: diff_options,
+};
+
+fn diff_options(options: &mut Options) {
+    store_option(options);
+    file_options(options);
+}
+
+/// Adds the options of commands that compare a file with the tables.
+pub(crate) fn file_options(options: &mut Options) {
+    options.optopt(
+        "f",
+        "file",
+        "file with routes and pools, JSON with comments",
+        "FILE",
+    );
+    options.optflag("", "prune", "delete rows that the file lacks");
+}
+
+/// Runs a command on one table, or on both; returns nothing for an unknown verb.
+pub(crate) async fn run(
+    scope: Option<TableName>,
+    verb: &str,
+    arguments: &[String],
+    context: &RunContext,
+) -> Option<Result<CommandOutput, CtlError>> {
+    Some(match (verb, scope) {
+        ("list", _) => list(scope, arguments, context).await,
+        ("diff", _) => diff(scope, arguments, context).await,
+        ("apply", _) => table_edits::apply(scope, arguments, context).await,
+        ("get", Some(table)) => get(table, arguments, context).await,
+        ("edit", Some(table)) => table_edits::edit(table, arguments, context).await,
+        ("delete", Some(table)) => table_edits::delete(table, arguments, context).await,
+        _ => return None,
+    })
+}
+
+/// Reads the tables in force.
+pub(crate) async fn read_tables(
+    arguments: &CommandArguments<'_>,
+) -> Result<ConfigSnapshot, CtlError> {
+    Ok(ConfigReader::new(arguments.store()?).snapshot().await?)
+}
+
+/// Compares the file that the arguments name with the tables in force.
+pub(crate) async fn diff_with_file(
+    scope: Option<TableName>,
+    arguments: &CommandArguments<'_>,
+) -> Result<TableDiff, CtlError> {
+    let path = arguments.text("file");
+    let path = path.ok_or_else(|| arguments.usage("name the file by -f FILE"))?;
+    let file = TableFile::read(Path::new(&path))?;
+    let snapshot = read_tables(arguments).await?;
+    let mut current = TableRow::all(&snapshot.tables);
+    current.retain(|row| scope.is_none_or(|table| row.table == table));
+    let wanted = file.rows(scope);
+    Ok(TableDiff::new(&current, &wanted, arguments.flag("prune")))
+}
+
+/// Returns the row with a name.
+pub(crate) fn find_row(
+    snapshot: &ConfigSnapshot,
+    table: TableName,
+    name: &str,
+) -> Result<TableRow, CtlError> {
+    let rows = TableRow::all(&snapshot.tables).into_iter();
+    let mut rows = rows.filter(|row| row.table == table);
+    rows.find(|row| row.name == name).ok_or_else(|| {
+        let context = format!("the {table} table has no row {name:?}");
+        let hint = format!("`briarctl {table} list` names the rows");
+        CtlError::new(CtlErrorKind::NotFound, context, hint)
+    })
+}
+
+async fn list(
+    scope: Option<TableName>,
+    arguments: &[String],
+    context: &RunContext,
+) -> Result<CommandOutput, CtlError> {
+    let arguments = match parse(&LIST, arguments, context)? {
+        Ok(arguments) => arguments,
+        Err(help) => return Ok(help),
+    };
+    let [] = arguments.operands()?;
+    let snapshot = read_tables(&arguments).await?;
+    let mut rows = TableRow::all(&snapshot.tables);
+    rows.retain(|row| scope.is_none_or(|table| row.table == table));
+    if !arguments.is_json() {
+        return Ok(CommandOutput::text(list_text(snapshot.sequence, &rows)));
+    }
+    let values = |table| -> Vec<&Value> {
+        let rows = rows.iter().filter(|row| row.table == table);
+        rows.map(|row| &row.value).collect()
+    };
+    Ok(CommandOutput::json(&json!({
+        "sequence": snapshot.sequence,
+        "pools": values(TableName::Pools),
+        "routes": values(TableName::Routes),
+    })))
+}
+
+fn list_text(sequence: u64, rows: &[TableRow]) -> String {
+    let mut text = format!("sequence {sequence}\n");
+    let heads = ["table", "name", "version", "edited by"];
+    let [table, name, version, editor] = heads;
+    // Writing to text never fails.
+    let _ = writeln!(
+        text,
+        "{table:<8}{name:<24}{version:>8}  {editor:<16}summary"
+    );
+    for row in rows {
+        let editor = row.value["stamp"]["edited_by"].as_str().unwrap_or_default();
+        let summary = summary(row);
+        let line = format!(
+            "{:<8}{:<24}{:>8}  {editor:<16}{summary}",
+            row.table, row.name, row.version
+        );
+        let _ = writeln!(text, "{}", line.trim_end());
+    }
+    text
+}
+
+/// Says what a row is about: the fields that decide most, as they stand in it.
+fn summary(row: &TableRow) -> String {
+    let shown: &[&str] = match row.table {
+        TableName::Pools => &["kind", "targets", "skew_bound", "preference"],
+        TableName::Routes => &["match", "pool", "semantics", "priority"],
+    };
+    let is_shown = |path: &str| {
+        let first = path.split('.').next().unwrap_or(path);
+        shown.contains(&first)
+    };
+    let fields = flatten(&row.fields).into_iter();
+    let fields = fields.filter(|(path, value)| is_shown(path) && *value != json!({}));
+    let texts: Vec<_> = fields
+        .map(|(path, value)| match value {
+            Value::String(text) => format!("{path}={text}"),
+            other => format!("{path}={other}"),
+        })
+        .collect();
+    texts.join(" ")
+}
+
+async fn get(
+    table: TableName,
+    arguments: &[String],
+    context: &RunContext,
+) -> Result<CommandOutput, CtlError> {
+    let arguments = match parse(&GET, arguments, context)? {
+        Ok(arguments) => arguments,
+        Err(help) => return Ok(help),
+    };
+    let [name] = arguments.operands()?;
+    let snapshot = read_tables(&arguments).await?;
+    let row = find_row(&snapshot, table, name)?;
+    Ok(CommandOutput::json(&json!({ table.as_str(): [row.value] })))
+}
+
+async fn diff(
+    scope: Option<TableName>,
+    arguments: &[String],
+    context: &RunContext,
+) -> Result<CommandOutput, CtlError> {
+    let arguments = match parse(&DIFF, arguments, context)? {
+        Ok(arguments) => arguments,
+        Err(help) => return Ok(help),
+    };
+    let [] = arguments.operands()?;
+    let diff = diff_with_file(scope, &arguments).await?;
+    let output = if arguments.is_json() {
+        CommandOutput::json(&diff)
+    } else {
+        CommandOutput::text(diff.to_text())
+    };
+    let exit = if diff.rows.is_empty() {
+        ExitStatus::Done
+    } else {
+        ExitStatus::Findings
+    };
+    Ok(output.with_exit(exit))
+}
--- /dev/null
+++ b/crates/briarctl/src/table_file.rs
@@ -0,0 +1,271 @@
+//! Tables in files, as JSON with comments.
+
+use std::fmt;
+use std::path::Path;
+
+use briarrail_model::{PoolRow, RouteRow, TableError, TableSet};
+use jsonc_parser::ast::{Array, Object, Value};
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{ParseOptions, parse_to_ast, parse_to_serde_value};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::table_row::{TableName, TableRow};
+
+/// One mistake in a file.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct FileError {
+    /// Line of the file, counted from 1; 0 when the file can't be read.
+    pub line: usize,
+    /// What is wrong, with the offending value and a hint.
+    pub message: String,
+}
+
+/// Every mistake in a file, in the order of their lines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct FileErrors {
+    /// Name of the file.
+    pub file: String,
+    /// The mistakes.
+    pub errors: Vec<FileError>,
+}
+
+impl fmt::Display for FileErrors {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, error) in self.errors.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "\n" };
+            let FileError { line, message } = error;
+            write!(formatter, "{separator}{}:{line}: {message}", self.file)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for FileErrors {}
+
+/// Rows of one or both tables, as a file has them.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct TableFile {
+    tables: TableSet,
+}
+
+impl TableFile {
+    /// Reads a file: an object with `routes` and `pools`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be read, and as [`from_text`](Self::from_text) does.
+    pub fn read(path: &Path) -> Result<Self, FileErrors> {
+        let name = path.display().to_string();
+        Self::from_text(&read_text(path, &name)?, &name)
+    }
+
+    /// Reads a file and checks both tables and their joins.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be read, and as
+    /// [`checked_from_text`](Self::checked_from_text) does.
+    pub fn read_checked(path: &Path) -> Result<Self, FileErrors> {
+        let name = path.display().to_string();
+        Self::checked_from_text(&read_text(path, &name)?, &name)
+    }
+
+    /// Reads the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the mistakes in the form of the text, one for each row.
+    pub fn from_text(text: &str, name: &str) -> Result<Self, FileErrors> {
+        let mut reader = FileReader::new(text);
+        let file = reader.read();
+        reader.finish(name, file)
+    }
+
+    /// Reads the text of a file and checks both tables and their joins.
+    ///
+    /// # Errors
+    ///
+    /// Returns the mistakes in the form of the text, or else those in the tables.
+    pub fn checked_from_text(text: &str, name: &str) -> Result<Self, FileErrors> {
+        let file = Self::from_text(text, name)?;
+        let Err(errors) = file.tables.validate() else {
+            return Ok(file);
+        };
+        let mut reader = FileReader::new(text);
+        for error in errors {
+            reader.add_table_error(&error);
+        }
+        reader.finish(name, file)
+    }
+
+    /// Returns the tables.
+    #[must_use]
+    pub fn tables(&self) -> &TableSet {
+        &self.tables
+    }
+
+    /// Returns the rows of one table, or of both.
+    pub(crate) fn rows(&self, table: Option<TableName>) -> Vec<TableRow> {
+        let mut rows = TableRow::all(&self.tables);
+        rows.retain(|row| table.is_none_or(|table| row.table == table));
+        rows
+    }
+}
+
+fn read_text(path: &Path, name: &str) -> Result<String, FileErrors> {
+    std::fs::read_to_string(path).map_err(|error| FileErrors {
+        file: name.to_owned(),
+        errors: vec![FileError {
+            line: 0,
+            message: format!("the file can't be read: {error}"),
+        }],
+    })
+}
+
+struct FileReader<'t> {
+    text: &'t str,
+    errors: Vec<FileError>,
+}
+
+impl<'t> FileReader<'t> {
+    fn new(text: &'t str) -> Self {
+        Self {
+            text,
+            errors: Vec::new(),
+        }
+    }
+
+    fn read(&mut self) -> TableFile {
+        let Some(root) = self.root() else {
+            return TableFile::default();
+        };
+        let mut tables = TableSet::default();
+        for property in &root.properties {
+            match property.name.as_str() {
+                "routes" => tables.routes = self.rows::<RouteRow>(&property.value),
+                "pools" => tables.pools = self.rows::<PoolRow>(&property.value),
+                other => {
+                    let message = format!("unknown key {other:?} (hint: use routes and pools)");
+                    self.add(property.range.start, message);
+                }
+            }
+        }
+        TableFile { tables }
+    }
+
+    fn root(&mut self) -> Option<Object<'t>> {
+        let parsed = parse_to_ast(self.text, &Default::default(), &parse_options());
+        match parsed {
+            Ok(result) => {
+                let object = match result.value {
+                    Some(Value::Object(object)) => Some(object),
+                    _ => None,
+                };
+                if object.is_none() {
+                    let message = "the file must hold an object with routes and pools";
+                    self.add(0, message.to_owned());
+                }
+                object
+            }
+            Err(error) => {
+                let message = format!("not JSON with comments: {}", error.kind());
+                self.add(error.range().start, message);
+                None
+            }
+        }
+    }
+
+    fn rows<R>(&mut self, value: &Value<'t>) -> Vec<R>
+    where
+        R: DeserializeOwned,
+    {
+        let Some(array) = value.as_array() else {
+            let message = "a table must be a list of rows (hint: write brackets)";
+            self.add(value.start(), message.to_owned());
+            return Vec::new();
+        };
+        let mut rows = Vec::new();
+        for element in &array.elements {
+            let range = element.range();
+            let text = &self.text[range.start..range.end];
+            match parse_to_serde_value(text, &parse_options()) {
+                Ok(row) => rows.push(row),
+                Err(error) => {
+                    let message = format!("the row has the wrong form: {}", error.kind());
+                    self.add(range.start + error.range().start, message);
+                }
+            }
+        }
+        rows
+    }
+
+    fn add_table_error(&mut self, error: &TableError) {
+        let place = self.place_of(error);
+        self.add(place, error.to_string());
+    }
+
+    /// Returns the offset of the field that a table error speaks of, or of its row.
+    fn place_of(&mut self, error: &TableError) -> usize {
+        let root = self.root();
+        let table = root.as_ref().and_then(|root| root.get_array(error.table));
+        let row = table.and_then(|table| find_row(table, &error.row));
+        row.map_or(0, |row| field_start(row, error.field))
+    }
+
+    fn add(&mut self, start: usize, message: String) {
+        let line = self.text[..start].matches('\n').count() + 1;
+        self.errors.push(FileError { line, message });
+    }
+
+    fn finish(mut self, name: &str, file: TableFile) -> Result<TableFile, FileErrors> {
+        if self.errors.is_empty() {
+            return Ok(file);
+        }
+        self.errors.sort_by_key(|error| error.line);
+        Err(FileErrors {
+            file: name.to_owned(),
+            errors: self.errors,
+        })
+    }
+}
+
+/// Returns the last row with a name, since the last of two is the one to rename.
+fn find_row<'a, 't>(table: &'a Array<'t>, name: &str) -> Option<&'a Object<'t>> {
+    let rows = table.elements.iter().rev().filter_map(Value::as_object);
+    let is_named = |row: &&Object<'_>| {
+        row.get_string("name")
+            .is_some_and(|found| found.value == name)
+    };
+    rows.into_iter().find(is_named)
+}
+
+fn field_start(row: &Object<'_>, field: &str) -> usize {
+    let mut object = Some(row);
+    let mut start = row.range.start;
+    for key in field.split('.') {
+        let property = object.and_then(|object| object.get(key));
+        let Some(property) = property else {
+            break;
+        };
+        start = property.range.start;
+        object = property.value.as_object();
+    }
+    start
+}
+
+/// Allows comments and trailing commas, and nothing else beyond JSON.
+fn parse_options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
--- /dev/null
+++ b/crates/briarctl/tests/suite/check.rs
@@ -0,0 +1,85 @@
+//! Checking files without contacting anything.
+
+use briarctl::{ExitStatus, TableFile, run};
+
+use crate::site::{offline, temporary_file, words};
+
+#[test]
+fn every_row_with_a_wrong_form_is_reported() {
+    let text = r#"{
+    "pools": [
+        { "name": "a", "kind": "modle", "targets": { "service": "a" } },
+        { "name": "b", "kind": "model", "targets": { "service": "b" },
+          "skew_bond": 2 },
+        { "name": "c", "kind": "model" }, // no targets
+        7,
+    ],
+    "routes": {},
+    "hosts": [],
+}"#;
+    let errors = TableFile::from_text(text, "tables.jsonc").unwrap_err();
+    insta::assert_snapshot!(errors);
+}
+
+#[test]
+fn every_mistake_in_the_tables_is_reported_with_its_line() {
+    let text = r#"{
+    "pools": [
+        {
+            "name": "a b",
+            "kind": "model",
+            "targets": { "service": "" },
+            "skew_bound": 0.9,
+            "limits": {
+                "max_attempts": 0,
+            },
+            "objective": { "known_goal": 1 },
+        },
+        { "name": "twin", "kind": "service", "targets": { "service": "x" } },
+        { "name": "twin", "kind": "service", "targets": { "service": "y" } },
+    ],
+    "routes": [
+        {
+            "name": "r",
+            "match": { "path_prefix": "tickets" },
+            "pool": "weighbridge",
+            "keyless": "send_once",
+            "deadline_ms": 0,
+        },
+    ],
+}"#;
+    let errors = TableFile::checked_from_text(text, "tables.jsonc").unwrap_err();
+    insta::assert_snapshot!(errors);
+}
+
+#[test]
+fn text_that_is_not_json_gives_its_line() {
+    let errors = TableFile::from_text("{\n  \"pools\": [\n", "tables.jsonc").unwrap_err();
+    insta::assert_snapshot!(errors);
+}
+
+#[tokio::test]
+async fn examples_of_both_sites_are_good() {
+    for site in ["saltworks", "smilsu"] {
+        let directory = format!("{}/../../examples/{site}", env!("CARGO_MANIFEST_DIR"));
+        for (kind, file) in [("tables", "tables.jsonc"), ("settings", "settings.jsonc")] {
+            let line = format!("check {kind} '{directory}/{file}'");
+            let output = run(&words(&line), &offline()).await;
+            assert_eq!(output.exit, ExitStatus::Done, "{}", output.stdout);
+        }
+    }
+}
+
+#[tokio::test]
+async fn bad_settings_exit_with_invalid() {
+    let file = temporary_file("bad-settings.jsonc", "{\n  \"host\": 1\n}");
+    let output = run(
+        &words(&format!("check settings '{file}' --json")),
+        &offline(),
+    )
+    .await;
+    assert_eq!(output.exit, ExitStatus::Invalid);
+    let reports: serde_json::Value = serde_json::from_str(&output.stdout).unwrap();
+    let first = &reports[0]["errors"][0];
+    insta::assert_json_snapshot!(first);
+}
--- /dev/null
+++ b/crates/briarctl/tests/suite/fake_router.rs
@@ -0,0 +1,62 @@
+//! A router that answers operators, and nothing else.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use briarrail_burn::BurnSnapshot;
+use briarrail_status::RouterStatus;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+/// The router; it ends with its handle.
+pub(crate) struct FakeRouter {
+    pub(crate) address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+struct Pages {
+    status: String,
+    burn: String,
+}
+
+impl FakeRouter {
+    pub(crate) async fn start(status: &RouterStatus, burn: &BurnSnapshot) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let pages = Arc::new(Pages {
+            status: serde_json::to_string(status).unwrap(),
+            burn: serde_json::to_string(burn).unwrap(),
+        });
+        let task = tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                tokio::spawn(answer(stream, Arc::clone(&pages)));
+            }
+        });
+        Self { address, task }
+    }
+}
+
+impl Drop for FakeRouter {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn answer(mut stream: TcpStream, pages: Arc<Pages>) {
+    let mut head = vec![0; 4_096];
+    let length = stream.read(&mut head).await.unwrap();
+    let head = String::from_utf8_lossy(&head[..length]);
+    let (state, body) = match head.split_whitespace().nth(1) {
+        Some("/status") => ("200 OK", pages.status.as_str()),
+        Some("/burn") => ("200 OK", pages.burn.as_str()),
+        _ => ("404 Not Found", ""),
+    };
+    let length = body.len();
+    let reply = format!(
+        "HTTP/1.1 {state}\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\
+         connection: close\r\n\r\n{body}"
+    );
+    stream.write_all(reply.as_bytes()).await.unwrap();
+}
--- /dev/null
+++ b/crates/briarctl/tests/suite/help.rs
@@ -0,0 +1,54 @@
+//! Help and wrong arguments.
+
+use briarctl::{ExitStatus, run};
+
+use crate::site::{offline, words};
+
+const COMMANDS: [&str; 11] = [
+    "routes list",
+    "pools get",
+    "tables apply",
+    "tables diff",
+    "routes edit",
+    "pools delete",
+    "edits find",
+    "check tables",
+    "check settings",
+    "status",
+    "burn",
+];
+
+#[tokio::test]
+async fn every_command_has_help() {
+    let mut texts = Vec::new();
+    for command in COMMANDS {
+        let output = run(&words(&format!("{command} --help")), &offline()).await;
+        assert_eq!(output.exit, ExitStatus::Done, "{command}");
+        texts.push(output.stdout);
+    }
+    insta::assert_snapshot!(texts.join("\n----\n"));
+}
+
+#[tokio::test]
+async fn wrong_arguments_say_what_to_do() {
+    let lines = [
+        "pools",
+        "tables get x",
+        "pools list",
+        "pools get",
+        "pools list --colour",
+        "pools edit p",
+        "status",
+        "status --router here",
+        "status --router 127.0.0.1:1 --timeout-ms soon",
+        "edits find 12 --store http://127.0.0.1:1",
+        "check tables",
+    ];
+    let mut texts = Vec::new();
+    for line in lines {
+        let output = run(&words(line), &offline()).await;
+        assert_eq!(output.exit, ExitStatus::Usage, "{line}");
+        texts.push(format!("$ briarctl {line}\n{}", output.stderr));
+    }
+    insta::assert_snapshot!(texts.join("\n"));
+}
--- /dev/null
+++ b/crates/briarctl/tests/suite/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the operators' tool.
+
+mod check;
+mod fake_router;
+mod help;
+mod outages;
+mod routers;
+mod site;
+mod tables;
--- a/crates/briarrail_config/src/config_editor.rs
+++ b/crates/briarrail_config/src/config_editor.rs
@@ -92,6 +92,10 @@
         trail: &mut WriteTrail,
     ) -> Result<EditReceipt, AttemptError> {
         let current = self.reader.head().await?;
+        if let Some(sequence) = current.head.find_edit(request.id) {
+            let id = request.id;
+            return Ok(EditReceipt { id, sequence });
+        }
         if attempt == 0 || !trail.is_settled() {
             match self.reader.find_in(&current.head, request.id).await? {
                 EditLookup::Accepted(receipt) => return Ok(receipt),
--- a/crates/briarrail_config/src/config_reader.rs
+++ b/crates/briarrail_config/src/config_reader.rs
@@ -149,11 +149,8 @@
         id: EditId,
     ) -> Result<EditLookup, ReadError> {
         let receipt = |sequence| EditLookup::Accepted(EditReceipt { id, sequence });
-        if head.last_edit == Some(id) {
-            return Ok(receipt(head.sequence));
-        }
-        if let Some(edit) = head.edits.iter().find(|edit| edit.id == id) {
-            return Ok(receipt(edit.sequence));
+        if let Some(sequence) = head.find_edit(id) {
+            return Ok(receipt(sequence));
         }
         for segment in head.segments.iter().rev() {
             let edits = self.segment(segment).await?;
--- a/crates/briarrail_config/src/head_object.rs
+++ b/crates/briarrail_config/src/head_object.rs
@@ -67,6 +67,16 @@
         segment.or(edit).unwrap_or(self.sequence + 1)
     }
 
+    /// Returns the sequence number of an edit, when the head itself carries it.
+    #[must_use]
+    pub fn find_edit(&self, id: EditId) -> Option<u64> {
+        if self.last_edit == Some(id) {
+            return Some(self.sequence);
+        }
+        let edit = self.edits.iter().find(|edit| edit.id == id);
+        edit.map(|edit| edit.sequence)
+    }
+
     /// Returns the segments that hold edits after a sequence number.
     pub(crate) fn segments_after(&self, sequence: u64) -> impl Iterator<Item = &SegmentRef> {
         let newer = move |segment: &&SegmentRef| segment.last > sequence;
