fix(daemon): place waiting calls by the present view of their pool

Ruled out: the admission gate (no capacity is set in that pool). Change: the pool is looked up anew before each attempt; views are renewed every 250 ms, loads are still read once a second.

--- a/crates/briarraild/src/control/control_loop.rs
+++ b/crates/briarraild/src/control/control_loop.rs
@@ -21,7 +21,8 @@
 use crate::system_clock::SystemClock;
 
 const TICK: Duration = Duration::from_millis(50);
-const REFRESH_INTERVAL: MilliDuration = MilliDuration::from_millis(1_000);
+const REFRESH_INTERVAL: MilliDuration = MilliDuration::from_millis(250);
+const LOAD_INTERVAL: MilliDuration = MilliDuration::from_millis(1_000);
 /// Request and reply of a load read on the wire, headers included.
 const LOAD_READ_BYTES: usize = 420;
 
@@ -53,6 +54,7 @@
     own_loads: HashMap<HostName, LoadRecord>,
     published_generation: Option<u64>,
     refresh_due: MilliTime,
+    load_due: MilliTime,
     hand_over: Option<oneshot::Sender<()>>,
 }
 
@@ -74,6 +76,7 @@
             own_loads: HashMap::new(),
             published_generation: None,
             refresh_due: MilliTime::default(),
+            load_due: MilliTime::default(),
             hand_over: None,
         }
     }
@@ -104,9 +107,12 @@
         }
         if now >= self.refresh_due {
             self.refresh_due = now + REFRESH_INTERVAL;
-            self.read_loads();
             self.publish(now);
         }
+        if now >= self.load_due {
+            self.load_due = now + LOAD_INTERVAL;
+            self.read_loads();
+        }
         self.finish_hand_over();
     }
 
--- a/crates/briarraild/src/traffic/call_driver.rs
+++ b/crates/briarraild/src/traffic/call_driver.rs
@@ -200,6 +200,7 @@
         resume_at: Option<u64>,
     ) -> Result<Result<TargetAnswer, AttemptEvent>, Box<CallerReply>> {
         loop {
+            self.refresh_pool();
             match self.pick() {
                 TargetPick::Send(target) => {
                     self.tried.push(target.name.clone());
@@ -216,6 +217,14 @@
         }
     }
 
+    /// Takes over what became known of the pool since the last attempt.
+    fn refresh_pool(&mut self) {
+        let snapshot = self.engine.state.snapshot();
+        if let Some(pool) = snapshot.pools.get(&self.source.pool.row.name) {
+            self.source.pool = Arc::clone(pool);
+        }
+    }
+
     fn pick(&self) -> TargetPick {
         let seed = hash_bytes(self.request.id.as_bytes()).0;
         self.source
--- /dev/null
+++ b/crates/briarraild/tests/suite/load.rs
@@ -0,0 +1,21 @@
+//! Load over targets.
+
+use super::site::{TestSite, chat_body};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_burst_that_raises_the_mean_itself_is_not_refused() {
+    let site = TestSite::start(1, 1, 1).await;
+    let body = chat_body("burst", 400);
+    let calls = (0..100).map(|index| site.chat(0, &format!("chat-{index}"), &body).send());
+    let responses = futures_util::future::join_all(calls).await;
+    let refused = responses
+        .iter()
+        .filter(|response| {
+            response
+                .as_ref()
+                .is_ok_and(|response| response.status() != 200)
+        })
+        .count();
+    assert_eq!(refused, 0);
+    site.stop().await;
+}
--- a/crates/briarraild/tests/suite/main.rs
+++ b/crates/briarraild/tests/suite/main.rs
@@ -2,5 +2,6 @@
 
 mod answers;
 mod claims;
+mod load;
 mod refusals;
 mod site;
