feat(daemon): report status, burn and refused calls to operators

Cause: briarctl status and burn need pages to read, and calls that were refused before their first attempt were counted nowhere. Conclusion: every routed call counts once, whatever ends it.

--- a/crates/briarraild/src/control/control_loop.rs
+++ b/crates/briarraild/src/control/control_loop.rs
@@ -17,7 +17,7 @@
 use super::claim_desk::{ClaimDesk, PendingCall};
 use super::snapshot_builder::{SnapshotBuilder, SnapshotInputs};
 use super::{ControlEvent, PeerPath, PlatformTasks};
-use crate::state::SharedState;
+use crate::state::{ControlBytes, SharedState};
 use crate::system_clock::SystemClock;
 
 const TICK: Duration = Duration::from_millis(50);
@@ -112,6 +112,7 @@
         if now >= self.load_due {
             self.load_due = now + LOAD_INTERVAL;
             self.read_loads();
+            self.sample_rate(now);
         }
         self.finish_hand_over();
     }
@@ -264,6 +265,7 @@
                 FleetOutput::ConfigChanged { sequence } => {
                     tracing::info!(sequence, "control: configuration in force");
                     self.published_generation = None;
+                    self.set_objectives();
                 }
                 _ => {}
             }
@@ -274,6 +276,29 @@
         }
     }
 
+    /// Tells the burn record the objectives of the pools in force.
+    fn set_objectives(&self) {
+        let Some(config) = self.parts.fleet.config() else {
+            return;
+        };
+        let now = self.now();
+        let mut burn = self.parts.state.burn();
+        burn.retain_pools(|pool| config.tables.pool(pool).is_some());
+        for pool in &config.tables.pools {
+            burn.set_objective(&pool.name, &pool.objective, now);
+        }
+    }
+
+    fn sample_rate(&self, now: MilliTime) {
+        let counters = self.parts.fleet.counters();
+        let bytes = ControlBytes {
+            sent: counters.bytes_sent,
+            received: counters.bytes_received,
+        };
+        self.parts.state.metrics.set_control_bytes(bytes);
+        self.parts.state.rate().sample(bytes, now);
+    }
+
     fn call_store(&self, calls: Vec<PendingCall>) {
         for call in calls {
             self.parts.state.metrics.count_platform_call("claims");
@@ -322,7 +347,6 @@
         metrics.set_config_sequence(config.sequence);
         metrics.set_live_hosts("router", snapshot.routers.len() as u64);
         metrics.set_live_hosts("target", view.targets.len() as u64);
-        metrics.set_control_bytes(fleet.counters().bytes_sent, fleet.counters().bytes_received);
         self.parts.state.publish(snapshot);
     }
 
--- a/crates/briarraild/src/control/snapshot_builder.rs
+++ b/crates/briarraild/src/control/snapshot_builder.rs
@@ -106,8 +106,9 @@
             let load = inputs.loads.get(&host.name).copied();
             let mut state = TargetInput::from_host(host).load(load);
             state.phase = placement_phase(target.phase);
-            states.push(state.in_flight(counters.in_flight()));
-            targets.push(TargetEntry::new(host, Arc::clone(counters)));
+            state.in_flight = counters.in_flight();
+            targets.push(TargetEntry::new(host, &state, Arc::clone(counters)));
+            states.push(state);
         }
         let memory = self
             .pools
--- a/crates/briarraild/src/operators/operator_server.rs
+++ b/crates/briarraild/src/operators/operator_server.rs
@@ -2,34 +2,64 @@
 
 use std::sync::Arc;
 
+use briarrail_model::{HostEntry, MilliTime};
+use briarrail_settings::DaemonSettings;
+use briarrail_status::{BURN_PATH, STATUS_PATH};
 use salvo::async_trait;
 use salvo::conn::tcp::TcpAcceptor;
-use salvo::http::{ResBody, StatusCode};
+use salvo::http::{HeaderValue, ResBody, StatusCode};
 use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, Router, Server};
 use salvo::server::ServerHandle;
+use serde::Serialize;
 
+use super::status_page::router_status;
 use crate::state::{SharedState, StopPhase};
+use crate::system_clock::SystemClock;
 
-const TEXT_TYPE: &str = "text/plain; version=0.0.4";
+const TEXT_TYPE: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
+const JSON_TYPE: HeaderValue = HeaderValue::from_static("application/json");
+
+/// What the pages are made from.
+#[derive(Debug)]
+pub(crate) struct OperatorContext {
+    /// Settings of the daemon.
+    pub(crate) settings: Arc<DaemonSettings>,
+    /// State shared with the other threads.
+    pub(crate) state: Arc<SharedState>,
+    /// This router, as the host list shows it.
+    pub(crate) own: HostEntry,
+    /// Clock of the process.
+    pub(crate) clock: SystemClock,
+    /// Unix time at which the router started.
+    pub(crate) started_at: MilliTime,
+}
 
 /// Makes the server for operators.
 ///
 /// Returns the future that serves until the handle stops it.
 pub(crate) fn serve_operators(
     acceptor: TcpAcceptor,
-    state: &Arc<SharedState>,
+    context: &Arc<OperatorContext>,
 ) -> (
     ServerHandle,
     impl Future<Output = std::io::Result<()>> + Send + use<>,
 ) {
-    let page = |page| OperatorPage {
-        page,
-        state: Arc::clone(state),
-    };
-    let router = Router::new()
-        .push(Router::with_path("health").get(page(PageKind::Health)))
-        .push(Router::with_path("ready").get(page(PageKind::Ready)))
-        .push(Router::with_path("metrics").get(page(PageKind::Metrics)));
+    let pages = [
+        ("health", PageKind::Health),
+        ("ready", PageKind::Ready),
+        ("metrics", PageKind::Metrics),
+        (STATUS_PATH.trim_start_matches('/'), PageKind::Status),
+        (BURN_PATH.trim_start_matches('/'), PageKind::Burn),
+    ];
+    let router = pages
+        .into_iter()
+        .fold(Router::new(), |router, (path, page)| {
+            let handler = OperatorPage {
+                page,
+                context: Arc::clone(context),
+            };
+            router.push(Router::with_path(path).get(handler))
+        });
     let server = Server::new(acceptor);
     (server.handle(), server.try_serve(router))
 }
@@ -39,23 +69,31 @@
     Health,
     Ready,
     Metrics,
+    Status,
+    Burn,
 }
 
 struct OperatorPage {
     page: PageKind,
-    state: Arc<SharedState>,
+    context: Arc<OperatorContext>,
 }
 
 impl OperatorPage {
     fn readiness(&self) -> (StatusCode, &'static str) {
-        if self.state.phase() != StopPhase::Serving {
+        let state = &self.context.state;
+        if state.phase() != StopPhase::Serving {
             return (StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
         }
-        if !self.state.snapshot().is_ready {
+        if !state.snapshot().is_ready {
             return (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n");
         }
         (StatusCode::OK, "ready\n")
     }
+
+    fn burn(&self) -> String {
+        let now = self.context.clock.now();
+        to_json(&self.context.state.burn().snapshot(now))
+    }
 }
 
 #[async_trait]
@@ -67,18 +105,33 @@
         response: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        let (status, text) = match self.page {
-            PageKind::Health => (StatusCode::OK, "alive\n".to_owned()),
+        let (status, content_type, text) = match self.page {
+            PageKind::Health => (StatusCode::OK, TEXT_TYPE, "alive\n".to_owned()),
             PageKind::Ready => {
                 let (status, text) = self.readiness();
-                (status, text.to_owned())
+                (status, TEXT_TYPE, text.to_owned())
             }
-            PageKind::Metrics => (StatusCode::OK, self.state.metrics.encode()),
+            PageKind::Metrics => (
+                StatusCode::OK,
+                TEXT_TYPE,
+                self.context.state.metrics.encode(),
+            ),
+            PageKind::Status => (
+                StatusCode::OK,
+                JSON_TYPE,
+                to_json(&router_status(&self.context)),
+            ),
+            PageKind::Burn => (StatusCode::OK, JSON_TYPE, self.burn()),
         };
         response.status_code(status);
-        response
-            .headers_mut()
-            .insert("content-type", TEXT_TYPE.parse().expect("valid header"));
+        response.headers_mut().insert("content-type", content_type);
         response.body(ResBody::Once(text.into()));
     }
 }
+
+fn to_json<T>(value: &T) -> String
+where
+    T: Serialize,
+{
+    serde_json::to_string(value).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/briarraild/src/operators/status_page.rs
@@ -0,0 +1,55 @@
+//! What the router reports of itself.
+
+use std::sync::Arc;
+
+use briarrail_status::{ControlTraffic, PoolStatus, RouterPhase, RouterStatus, TargetStatus};
+
+use super::OperatorContext;
+use crate::state::{PoolEntry, StopPhase};
+
+/// Returns the router's status.
+pub(crate) fn router_status(context: &OperatorContext) -> RouterStatus {
+    let state = &context.state;
+    let snapshot = state.snapshot();
+    let mut pools: Vec<_> = snapshot.pools.values().map(pool_status).collect();
+    pools.sort_by(|left, right| left.pool.cmp(&right.pool));
+    let rates = state.rate().rates();
+    RouterStatus {
+        host: context.own.name.clone(),
+        data_centre: context.own.data_centre.clone(),
+        region: context.own.region.clone(),
+        incarnation: context.own.incarnation,
+        phase: phase(state.phase(), snapshot.is_ready),
+        started_at_ms: context.started_at,
+        config_sequence: snapshot.config.sequence,
+        pools,
+        control: ControlTraffic {
+            sent_bytes_per_s: rates.sent,
+            received_bytes_per_s: rates.received,
+            budget_bytes_per_s: context.settings.exchange.budget_bytes_per_s,
+        },
+        outcomes: state.outcomes.totals(),
+    }
+}
+
+const fn phase(stop: StopPhase, is_ready: bool) -> RouterPhase {
+    match (stop, is_ready) {
+        (StopPhase::Serving, true) => RouterPhase::Ready,
+        (StopPhase::Serving, false) => RouterPhase::Starting,
+        _ => RouterPhase::Stopping,
+    }
+}
+
+fn pool_status(pool: &Arc<PoolEntry>) -> PoolStatus {
+    let targets = pool.targets.iter().map(|target| TargetStatus {
+        host: target.name.clone(),
+        phase: target.phase,
+        load: target.load,
+        in_flight: target.counters.in_flight(),
+    });
+    PoolStatus {
+        pool: pool.row.name.clone(),
+        targets: targets.collect(),
+        cache: pool.runtime.cache_totals(),
+    }
+}
--- a/crates/briarraild/src/router_daemon.rs
+++ b/crates/briarraild/src/router_daemon.rs
@@ -16,7 +16,7 @@
 use crate::control::{
     ControlContext, ControlEvent, ControlStart, ControlThread, key_ring, own_entry,
 };
-use crate::operators::serve_operators;
+use crate::operators::{OperatorContext, serve_operators};
 use crate::state::{SharedState, StopPhase};
 use crate::system_clock::SystemClock;
 use crate::telemetry::MetricSet;
@@ -85,7 +85,7 @@
         };
         let context = ControlContext {
             settings: Arc::clone(&settings),
-            own,
+            own: own.clone(),
             state: Arc::clone(&state),
             clock,
             client,
@@ -109,7 +109,14 @@
         });
         let (callers_handle, serving) = serve_callers(callers, engine);
         traffic.spawn(serving);
-        let (operators_handle, serving) = serve_operators(operators, &state);
+        let pages = Arc::new(OperatorContext {
+            settings: Arc::clone(&settings),
+            state: Arc::clone(&state),
+            own,
+            clock,
+            started_at: clock.now(),
+        });
+        let (operators_handle, serving) = serve_operators(operators, &pages);
         traffic.spawn(serving);
         tracing::info!(%callers_address, %operators_address, %peers_address, "daemon: started");
         Ok(RunningRouter {
--- a/crates/briarraild/src/state/mod.rs
+++ b/crates/briarraild/src/state/mod.rs
@@ -1,5 +1,7 @@
 //! What control and traffic threads share.
 
+mod control_rate;
+mod outcome_counts;
 mod pool_entry;
 mod pool_runtime;
 mod routing_snapshot;
@@ -8,6 +10,8 @@
 mod target_counters;
 mod target_entry;
 
+pub(crate) use control_rate::{ControlBytes, ControlRate};
+pub(crate) use outcome_counts::OutcomeCounts;
 pub(crate) use pool_entry::{PoolEntry, TargetPick};
 pub(crate) use pool_runtime::PoolRuntime;
 pub(crate) use routing_snapshot::{RoutingSnapshot, RoutingSource};
--- a/crates/briarraild/src/state/pool_runtime.rs
+++ b/crates/briarraild/src/state/pool_runtime.rs
@@ -1,9 +1,11 @@
 //! Limits of a pool that change with each request.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use briarrail_model::{CallSemantics, MilliDuration, StableHash};
 use briarrail_policy::{AdmissionChoice, AdmissionGate, AdmissionRequest, RetryBudget};
+use briarrail_status::CacheTotals;
 
 const RETRY_PERCENT: u32 = 20;
 const RETRY_BURST: u32 = 20;
@@ -13,6 +15,8 @@
 #[derive(Debug)]
 pub(crate) struct PoolRuntime {
     parts: Mutex<RuntimeParts>,
+    returning: AtomicU64,
+    reused: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -28,6 +32,8 @@
         let budget = RetryBudget::new(RETRY_PERCENT, RETRY_BURST);
         Self {
             parts: Mutex::new(RuntimeParts { gate, budget }),
+            returning: AtomicU64::new(0),
+            reused: AtomicU64::new(0),
         }
     }
 
@@ -57,6 +63,21 @@
         self.lock().budget.try_retry(semantics)
     }
 
+    /// Counts a returning chat, and whether its target had the context cached.
+    pub(crate) fn count_returning(&self, is_reused: bool) {
+        self.returning.fetch_add(1, Ordering::Relaxed);
+        self.reused
+            .fetch_add(u64::from(is_reused), Ordering::Relaxed);
+    }
+
+    /// Returns the reuse of cached contexts since the start.
+    pub(crate) fn cache_totals(&self) -> CacheTotals {
+        CacheTotals {
+            returning: self.returning.load(Ordering::Relaxed),
+            reused: self.reused.load(Ordering::Relaxed),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, RuntimeParts> {
         self.parts.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/briarraild/src/state/shared_state.rs
+++ b/crates/briarraild/src/state/shared_state.rs
@@ -1,13 +1,21 @@
 //! State that control and traffic threads share.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
 use arc_swap::{ArcSwap, Guard};
+use briarrail_burn::BurnRecorder;
+use briarrail_outcome::RequestOutcome;
 
-use super::{RoutingSnapshot, StopPhase};
+use super::{ControlRate, OutcomeCounts, RoutingSnapshot, StopPhase};
 use crate::telemetry::MetricSet;
 
+/// Pool label of requests that no route takes.
+const NO_POOL: &str = "none";
+/// Customers of a pool that get a burn rate of their own.
+const MAX_BURN_CUSTOMERS: usize = 64;
+
 /// State that control and traffic threads share.
 ///
 /// The control thread replaces the snapshot; traffic threads read it without a lock.
@@ -16,6 +24,10 @@
     snapshot: ArcSwap<RoutingSnapshot>,
     phase: AtomicU8,
     requests: AtomicU64,
+    rate: Mutex<ControlRate>,
+    burn: Mutex<BurnRecorder>,
+    /// Outcomes since the start.
+    pub(crate) outcomes: OutcomeCounts,
     /// Metrics of the daemon.
     pub(crate) metrics: MetricSet,
 }
@@ -27,6 +39,9 @@
             snapshot: ArcSwap::from_pointee(RoutingSnapshot::default()),
             phase: AtomicU8::new(StopPhase::Serving as u8),
             requests: AtomicU64::new(0),
+            rate: Mutex::default(),
+            burn: Mutex::new(BurnRecorder::new(MAX_BURN_CUSTOMERS)),
+            outcomes: OutcomeCounts::default(),
             metrics,
         }
     }
@@ -55,6 +70,22 @@
         self.phase.fetch_max(phase as u8, Ordering::AcqRel);
     }
 
+    /// Returns the control bytes over the last seconds.
+    pub(crate) fn rate(&self) -> MutexGuard<'_, ControlRate> {
+        self.rate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the record of requests against their objectives.
+    pub(crate) fn burn(&self) -> MutexGuard<'_, BurnRecorder> {
+        self.burn.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a request that reached no pool.
+    pub(crate) fn count_unrouted(&self, outcome: RequestOutcome) {
+        self.metrics.count_request(NO_POOL, outcome);
+        self.outcomes.add(outcome);
+    }
+
     /// Returns the requests under way.
     pub(crate) fn requests(&self) -> u64 {
         self.requests.load(Ordering::Acquire)
--- a/crates/briarraild/src/state/target_entry.rs
+++ b/crates/briarraild/src/state/target_entry.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use briarrail_model::{HostEntry, HostName};
+use briarrail_model::{HostEntry, HostName, HostPhase};
+use briarrail_policy::TargetInput;
 
 use super::TargetCounters;
 
@@ -12,6 +13,10 @@
 pub(crate) struct TargetEntry {
     /// Name of the host.
     pub(crate) name: HostName,
+    /// Phase of the host, by the list and the routers' evidence together.
+    pub(crate) phase: HostPhase,
+    /// Streams that the target reported last.
+    pub(crate) load: Option<u32>,
     /// Address of the service.
     pub(crate) address: SocketAddr,
     /// This router's own counts.
@@ -19,9 +24,15 @@
 }
 
 impl TargetEntry {
-    /// Makes an entry from the host list.
-    pub(crate) fn new(host: &HostEntry, counters: Arc<TargetCounters>) -> Self {
+    /// Makes an entry from a host and what placement knows of it.
+    pub(crate) fn new(
+        host: &HostEntry,
+        input: &TargetInput,
+        counters: Arc<TargetCounters>,
+    ) -> Self {
         Self {
+            phase: input.phase,
+            load: input.load.map(|record| record.streams),
             name: host.name.clone(),
             address: host.address,
             counters,
--- a/crates/briarraild/src/telemetry/metric_set.rs
+++ b/crates/briarraild/src/telemetry/metric_set.rs
@@ -6,6 +6,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::state::ControlBytes;
+
 const METER_NAME: &str = "briarraild";
 const SECONDS_BUCKETS: [f64; 14] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.6, 3.0, 10.0, 60.0,
@@ -113,11 +115,11 @@
     }
 
     /// Sets the control bytes since the start.
-    pub(crate) fn set_control_bytes(&self, sent: u64, received: u64) {
+    pub(crate) fn set_control_bytes(&self, bytes: ControlBytes) {
         self.control_bytes
-            .record(sent, &[KeyValue::new("direction", "sent")]);
+            .record(bytes.sent, &[KeyValue::new("direction", "sent")]);
         self.control_bytes
-            .record(received, &[KeyValue::new("direction", "received")]);
+            .record(bytes.received, &[KeyValue::new("direction", "received")]);
     }
 
     /// Counts a call to the platform.
--- a/crates/briarraild/src/traffic/call_driver.rs
+++ b/crates/briarraild/src/traffic/call_driver.rs
@@ -13,8 +13,8 @@
 use tokio::time::Instant;
 
 use super::{
-    AdmissionGuard, AttemptHeaders, CallRecord, CallerReply, CallerRequest, ClaimGrant,
-    TargetAnswer, TrafficEngine, WholeAnswer,
+    AdmissionGuard, AttemptHeaders, CallPermit, CallRecord, CallerReply, CallerRequest, ClaimGrant,
+    RoutedCall, TargetAnswer, TrafficEngine, WholeAnswer,
 };
 use crate::state::{InFlightGuard, RoutingSource, TargetEntry, TargetPick};
 
@@ -40,31 +40,29 @@
 }
 
 impl CallDriver {
-    /// Makes the driver of a routed request.
-    pub(crate) fn new(
-        engine: &Arc<TrafficEngine>,
-        request: &Arc<CallerRequest>,
-        source: RoutingSource,
-        admission: AdmissionGuard,
-        grant: Option<ClaimGrant>,
-    ) -> Self {
+    /// Makes the driver of a routed call.
+    pub(crate) fn new(engine: &Arc<TrafficEngine>, call: RoutedCall, permit: CallPermit) -> Self {
+        let RoutedCall {
+            request,
+            source,
+            record,
+        } = call;
         let deadline = request.received_at + source.route.deadline_ms;
         let plan = RetryPlan::new(source.route.semantics, deadline)
             .with_max_attempts(source.pool.row.limits.max_attempts);
-        let now = engine.clock.now();
-        let left = Duration::from(deadline.since(now));
+        let left = Duration::from(deadline.since(engine.clock.now()));
         Self {
-            record: CallRecord::start(&engine.state, &source.pool.row.name, request.received_at),
             engine: Arc::clone(engine),
-            request: Arc::clone(request),
+            request,
             source,
+            record,
             machine: RetryMachine::new(plan),
             deadline: Instant::now() + left,
-            grant,
+            grant: permit.grant,
             tried: Vec::new(),
             target: None,
             guard: None,
-            admission: Some(admission),
+            admission: Some(permit.admission),
             waited: MilliDuration::ZERO,
         }
     }
@@ -152,7 +150,8 @@
             RequestOutcome::Unknown(_) => self.report(ClaimOutcome::Unknown),
             RequestOutcome::Answered => {}
         }
-        self.record.finish(outcome);
+        let now = self.now();
+        self.record.finish(outcome, now);
         self.guard = None;
         self.admission = None;
         let request_id = &self.request.id;
@@ -271,6 +270,9 @@
         let answer = TargetAnswer::check(response?, self.source.pool.row.kind, &request_id)?;
         if let Some((prompt, cached)) = answer.prompt_tokens() {
             self.record.note_prompt(prompt, cached);
+            if self.request.is_returning() {
+                self.source.pool.runtime.count_returning(cached > 0);
+            }
         }
         Ok(answer)
     }
--- a/crates/briarraild/src/traffic/call_service.rs
+++ b/crates/briarraild/src/traffic/call_service.rs
@@ -3,59 +3,76 @@
 use std::sync::Arc;
 
 use briarrail_model::{CallSemantics, KeylessRule};
-use briarrail_outcome::{NotRunReason, OutcomeReply, RequestOutcome};
+use briarrail_outcome::NotRunReason;
 
 use http::StatusCode;
 
 use super::answer_relay::{ReadAnswer, read_answer, relay_large};
 use super::event_relay::EventRelay;
-use super::{AdmissionGuard, CallDriver, CallerReply, CallerRequest, TargetAnswer, TrafficEngine};
+use super::{
+    AdmissionGuard, CallDriver, CallPermit, CallRecord, CallRefusal, CallerReply, CallerRequest,
+    RoutedCall, TargetAnswer, TrafficEngine,
+};
 use crate::state::{RoutingSource, StopPhase};
 
 /// Serves one request and returns the reply for its caller.
 pub(crate) async fn serve_call(engine: &Arc<TrafficEngine>, request: CallerRequest) -> CallerReply {
     let source = match find_source(engine, &request) {
         Ok(source) => source,
-        Err(reply) => return *reply,
+        Err(refusal) => {
+            engine.state.count_unrouted(refusal.outcome);
+            return refusal.reply;
+        }
     };
-    let request = Arc::new(request);
-    if needs_key(&source, &request) {
-        return CallerReply::not_run(NotRunReason::KeyMissing);
-    }
-    let admission = match AdmissionGuard::obtain(&source, &request).await {
-        Ok(admission) => admission,
-        Err(retry_after) => return CallerReply::overloaded(retry_after),
+    let record = CallRecord::start(&engine.state, &source, &request);
+    let call = RoutedCall {
+        request: Arc::new(request),
+        source,
+        record,
     };
-    if source.route.semantics == CallSemantics::Idempotent {
-        return drive(CallDriver::new(engine, &request, source, admission, None)).await;
+    if call.source.route.semantics == CallSemantics::Idempotent {
+        return serve_routed(engine, call).await;
     }
     // The call goes on when its caller has gone, so that its outcome is known.
     let engine = Arc::clone(engine);
-    let call = tokio::spawn(async move { serve_once(&engine, request, source, admission).await });
-    call.await
+    let served = tokio::spawn(async move { serve_routed(&engine, call).await });
+    served
+        .await
         .unwrap_or_else(|error| std::panic::resume_unwind(error.into_panic()))
 }
 
-/// Serves an at-most-once call: claims its key first, if it has one.
-async fn serve_once(
-    engine: &Arc<TrafficEngine>,
-    request: Arc<CallerRequest>,
-    source: RoutingSource,
-    admission: AdmissionGuard,
-) -> CallerReply {
-    let record = engine.state.enter_request();
-    let Some(key) = &request.key else {
-        return drive(CallDriver::new(engine, &request, source, admission, None)).await;
-    };
-    let deadline = request.received_at + source.route.deadline_ms;
-    let grant = match engine.claims.obtain(&request, key, deadline).await {
-        Ok(grant) => grant,
-        Err(reply) => return *reply,
+async fn serve_routed(engine: &Arc<TrafficEngine>, mut call: RoutedCall) -> CallerReply {
+    match prepare(engine, &call).await {
+        Ok(permit) => drive(CallDriver::new(engine, call, permit)).await,
+        Err(refusal) => {
+            call.record.finish(refusal.outcome, engine.clock.now());
+            refusal.reply
+        }
+    }
+}
+
+/// Obtains what a call needs before anything may be sent.
+async fn prepare(
+    engine: &TrafficEngine,
+    call: &RoutedCall,
+) -> Result<CallPermit, Box<CallRefusal>> {
+    let RoutedCall {
+        request, source, ..
+    } = call;
+    if needs_key(source, request) {
+        return Err(CallRefusal::not_run(NotRunReason::KeyMissing));
+    }
+    let admission = AdmissionGuard::obtain(source, request).await;
+    let admission = admission.map_err(CallRefusal::overloaded)?;
+    let is_once = source.route.semantics == CallSemantics::AtMostOnce;
+    let grant = match request.key.as_deref().filter(|_| is_once) {
+        Some(key) => {
+            let deadline = request.received_at + source.route.deadline_ms;
+            Some(engine.claims.obtain(request, key, deadline).await?)
+        }
+        None => None,
     };
-    let driver = CallDriver::new(engine, &request, source, admission, Some(grant));
-    let reply = drive(driver).await;
-    drop(record);
-    reply
+    Ok(CallPermit { admission, grant })
 }
 
 fn needs_key(source: &RoutingSource, request: &CallerRequest) -> bool {
@@ -66,26 +83,27 @@
 fn find_source(
     engine: &TrafficEngine,
     request: &CallerRequest,
-) -> Result<RoutingSource, Box<CallerReply>> {
+) -> Result<RoutingSource, Box<CallRefusal>> {
     if engine.state.phase() >= StopPhase::Draining {
-        return Err(Box::new(CallerReply::not_run(NotRunReason::Stopping)));
+        return Err(CallRefusal::not_run(NotRunReason::Stopping));
     }
     let snapshot = engine.state.snapshot();
     if !snapshot.is_ready {
-        return Err(Box::new(CallerReply::not_run(NotRunReason::NoTarget)));
+        return Err(CallRefusal::not_run(NotRunReason::NoTarget));
     }
     let source = snapshot
         .find(&request.facts())
-        .ok_or_else(|| Box::new(refuse_unrouted(request)))?;
+        .ok_or_else(|| refuse_unrouted(request))?;
     let limit = source.pool.row.limits.max_body_bytes;
     if request.body.len() as u64 > limit {
         let detail = format!("the body is larger than the pool's limit of {limit} bytes");
-        return Err(Box::new(refuse_large(&detail)));
+        let refusal = CallRefusal::with_detail(NotRunReason::BadRequest, &detail);
+        return Err(refusal.with_status(StatusCode::PAYLOAD_TOO_LARGE));
     }
     Ok(source)
 }
 
-fn refuse_unrouted(request: &CallerRequest) -> CallerReply {
+fn refuse_unrouted(request: &CallerRequest) -> Box<CallRefusal> {
     let facts = request.facts();
     let model = facts
         .model
@@ -95,20 +113,7 @@
         "no route takes {} {} of customer {:?}{model}",
         facts.method, facts.path, facts.customer
     );
-    refuse_with(NotRunReason::NoRoute, &detail)
-}
-
-fn refuse_large(detail: &str) -> CallerReply {
-    let reply = refuse_with(NotRunReason::BadRequest, detail);
-    CallerReply {
-        status: StatusCode::PAYLOAD_TOO_LARGE,
-        ..reply
-    }
-}
-
-fn refuse_with(reason: NotRunReason, detail: &str) -> CallerReply {
-    let reply = OutcomeReply::from(RequestOutcome::NotRun(reason)).with_detail(detail);
-    CallerReply::from_outcome(reply)
+    CallRefusal::with_detail(NotRunReason::NoRoute, &detail)
 }
 
 /// Drives a call until its reply is ready; streams are relayed after that.
--- a/crates/briarraild/src/traffic/caller_reply.rs
+++ b/crates/briarraild/src/traffic/caller_reply.rs
@@ -48,11 +48,6 @@
         }
     }
 
-    /// Makes the reply for a request that was not run.
-    pub(crate) fn not_run(reason: NotRunReason) -> Self {
-        Self::from_outcome(OutcomeReply::from(RequestOutcome::NotRun(reason)))
-    }
-
     /// Makes the reply for a request that was refused because its pool is full.
     pub(crate) fn overloaded(retry_after: MilliDuration) -> Self {
         let outcome = RequestOutcome::NotRun(NotRunReason::Overloaded);
--- a/crates/briarraild/src/traffic/caller_request.rs
+++ b/crates/briarraild/src/traffic/caller_request.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 
 /// A request, read wholly and ready to be routed.
 #[derive(Debug, Clone)]
@@ -41,6 +42,11 @@
         }
     }
 
+    /// Returns whether the request continues a chat that has had an answer.
+    pub(crate) fn is_returning(&self) -> bool {
+        self.chat.is_some() && self.hints.messages.len() > 1
+    }
+
     /// Returns path and query.
     pub(crate) fn path_and_query(&self) -> &str {
         self.uri.path_and_query().map_or("/", |path| path.as_str())
@@ -59,13 +65,15 @@
 }
 
 /// The fields of a JSON body that routing looks at.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Default, Deserialize)]
 #[serde(default)]
 pub(crate) struct BodyHints {
     /// Model that the request asks for.
     pub(crate) model: Option<String>,
     /// Whether the answer comes as a stream of events.
     pub(crate) stream: Option<bool>,
+    /// Messages of the chat so far.
+    pub(crate) messages: Vec<IgnoredAny>,
 }
 
 impl BodyHints {
--- a/crates/briarraild/src/traffic/caller_server.rs
+++ b/crates/briarraild/src/traffic/caller_server.rs
@@ -66,7 +66,12 @@
                 let reply = serve_call(&self.engine, call).await;
                 reply.write_to(&request_id, response);
             }
-            Err(error) => refuse_unread(&error).write_to(&Uuid::now_v7().to_string(), response),
+            Err(error) => {
+                self.engine
+                    .state
+                    .count_unrouted(RequestOutcome::NotRun(error.reason()));
+                refuse_unread(&error).write_to(&Uuid::now_v7().to_string(), response);
+            }
         }
     }
 }
--- a/crates/briarraild/src/traffic/claim_gateway.rs
+++ b/crates/briarraild/src/traffic/claim_gateway.rs
@@ -6,7 +6,7 @@
 use briarrail_model::{HostEntry, MilliDuration, MilliTime};
 use briarrail_outcome::{
     ClaimBucket, ClaimClient, ClaimEvent, ClaimKey, ClaimStep, DueReport, NotRunReason,
-    OutcomeReply, RequestOutcome,
+    RequestOutcome,
 };
 use briarrail_peer::{
     ClaimAnswer, ClaimOutcome, ClaimRequest, Envelope, FrameCodec, MessageKind, ReportReply,
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 use uuid::Uuid;
 
-use super::{CallerReply, CallerRequest, ReplyBody, ReportBacklog};
+use super::{CallRefusal, CallerReply, CallerRequest, ReplyBody, ReportBacklog};
 use crate::control::{ControlEvent, PeerPath, post_frame};
 use crate::state::SharedState;
 use crate::system_clock::SystemClock;
@@ -68,16 +68,16 @@
     ///
     /// # Errors
     ///
-    /// Returns the reply for a caller whose request must not be sent: the recorded answer of an
-    /// earlier call, or an outcome.
+    /// Returns the refusal of a request that must not be sent: the recorded answer of an earlier
+    /// call, or an outcome.
     pub(crate) async fn obtain(
         &self,
         request: &CallerRequest,
         key: &str,
         deadline: MilliTime,
-    ) -> Result<ClaimGrant, Box<CallerReply>> {
+    ) -> Result<ClaimGrant, Box<CallRefusal>> {
         let Some(key) = ClaimKey::new(request.customer.as_str(), key) else {
-            return Err(Box::new(CallerReply::not_run(NotRunReason::KeyInvalid)));
+            return Err(CallRefusal::not_run(NotRunReason::KeyInvalid));
         };
         let bucket = ClaimBucket::of_key(key.as_str(), self.buckets);
         let now = self.clock.now();
@@ -96,14 +96,15 @@
                     self.ask(&client, bucket, candidate, after).await
                 }
                 ClaimStep::Send { fencing } => return Ok(ClaimGrant { fencing, client }),
-                ClaimStep::Repeat(answer) => return Err(Box::new(repeat_answer(answer))),
+                ClaimStep::Repeat(answer) => {
+                    return Err(CallRefusal::repeated(repeat_answer(answer)));
+                }
                 ClaimStep::Finish { outcome, release } => {
                     if release {
                         let report = client.report(ClaimOutcome::NotRun);
                         self.reports.add(report, self.clock.now());
                     }
-                    let reply = CallerReply::from_outcome(OutcomeReply::from(outcome));
-                    return Err(Box::new(reply));
+                    return Err(CallRefusal::from_outcome(outcome));
                 }
                 ClaimStep::Release | ClaimStep::Ignore => ClaimEvent::GaveUp,
             };
--- a/crates/briarraild/tests/suite/main.rs
+++ b/crates/briarraild/tests/suite/main.rs
@@ -3,5 +3,6 @@
 mod answers;
 mod claims;
 mod load;
+mod operators;
 mod refusals;
 mod site;
