--- a/crates/briarrail_model/src/table_set.rs
+++ b/crates/briarrail_model/src/table_set.rs
@@ -99,6 +99,12 @@
                 hint,
             );
         }
+        for method in &route.matches.methods {
+            if method.is_empty() || !method.bytes().all(|byte| byte.is_ascii_uppercase()) {
+                let hint = "write methods in upper case, such as POST";
+                report(TableErrorKind::OutOfRange, "match.methods", method, hint);
+            }
+        }
         let idempotent = route.semantics == CallSemantics::Idempotent;
         if idempotent && route.keyless == KeylessRule::SendOnce {
             let hint = "keyless applies to at_most_once routes only";
@@ -163,6 +169,15 @@
     if pool.limits.max_attempts == 0 {
         report("limits.max_attempts", "0".into(), "use at least 1");
     }
+    if pool.limits.max_body_bytes == 0 {
+        report("limits.max_body_bytes", "0".into(), "use at least 1");
+    }
+    if pool.objective.first_token_ms.as_millis() == 0 {
+        report("objective.first_token_ms", "0".into(), "use at least 1");
+    }
+    if pool.objective.token_gap_ms.as_millis() == 0 {
+        report("objective.token_gap_ms", "0".into(), "use at least 1");
+    }
     let goals = [
         ("objective.latency_goal", pool.objective.latency_goal),
         ("objective.answered_goal", pool.objective.answered_goal),
--- /dev/null
+++ b/crates/briarrail_model/tests/suite/main.rs
@@ -0,0 +1,7 @@
+//! Tests of keys, tables and their validation.
+
+mod hashing;
+mod load;
+mod routing;
+mod rows;
+mod validation;
