feat(model): find routes by an index over customers

Cause: at 44,000 routes, one a customer, a look-up took milliseconds a request, and applying one edit copied the tables. Change: RouteIndex looks only at the rows that name the customer or none; ConfigState applies edits in place and takes them back when refused; validation borrows names. Mutations caught: last row not taken back, sequence number not taken back, first list winning over the better rank.

--- a/crates/briarrail_config/src/config_state.rs
+++ b/crates/briarrail_config/src/config_state.rs
@@ -60,17 +60,53 @@
     ///
     /// Refuses the run as [`apply`](Self::apply) does.
     pub fn apply_all(&mut self, edits: &[ConfigEdit]) -> Result<(), EditError> {
-        let mut snapshot = self.snapshot.clone();
+        let sequence = self.snapshot.sequence;
+        let mut undo = Vec::new();
+        let result = self.apply_in_place(edits, &mut undo);
+        if result.is_err() {
+            for old in undo.into_iter().rev() {
+                old.restore(&mut self.snapshot.tables);
+            }
+            self.snapshot.sequence = sequence;
+        }
+        result.map_err(EditError::from)
+    }
+
+    fn apply_in_place(
+        &mut self,
+        edits: &[ConfigEdit],
+        undo: &mut Vec<OldRow>,
+    ) -> Result<(), EditErrorKind> {
         for edit in edits {
-            apply_edit(&mut snapshot, edit)?;
+            apply_edit(&mut self.snapshot, edit, undo)?;
         }
-        snapshot.tables.validate().map_err(EditErrorKind::Invalid)?;
-        self.snapshot = snapshot;
-        Ok(())
+        let valid = self.snapshot.tables.validate();
+        valid.map_err(EditErrorKind::Invalid)
     }
 }
 
-fn apply_edit(snapshot: &mut ConfigSnapshot, edit: &ConfigEdit) -> Result<(), EditErrorKind> {
+/// A row as it stood before a change, to take the change back.
+enum OldRow {
+    Route(String, Option<RouteRow>),
+    Pool(String, Option<PoolRow>),
+}
+
+impl OldRow {
+    fn restore(self, tables: &mut TableSet) {
+        match self {
+            Self::Route(_, Some(row)) => drop(put_row(&mut tables.routes, row, route_name)),
+            Self::Route(name, None) => drop(delete_row(&mut tables.routes, &name, route_name)),
+            Self::Pool(_, Some(row)) => drop(put_row(&mut tables.pools, row, pool_name)),
+            Self::Pool(name, None) => drop(delete_row(&mut tables.pools, &name, pool_name)),
+        }
+    }
+}
+
+fn apply_edit(
+    snapshot: &mut ConfigSnapshot,
+    edit: &ConfigEdit,
+    undo: &mut Vec<OldRow>,
+) -> Result<(), EditErrorKind> {
     let current = snapshot.sequence;
     if edit.sequence != current + 1 {
         return Err(EditErrorKind::OutOfSequence {
@@ -81,7 +117,7 @@
     let stamp = edit_stamp(edit);
     for change in &edit.changes {
         check_version(&snapshot.tables, change)?;
-        apply_change(&mut snapshot.tables, change, &stamp);
+        undo.push(apply_change(&mut snapshot.tables, change, &stamp));
     }
     snapshot.sequence = edit.sequence;
     Ok(())
@@ -120,24 +156,31 @@
     stamp.cloned().unwrap_or_default()
 }
 
-fn apply_change(tables: &mut TableSet, change: &RowChange, stamp: &RowStamp) {
+fn apply_change(tables: &mut TableSet, change: &RowChange, stamp: &RowStamp) -> OldRow {
+    let name = change.name().to_owned();
     match change {
         RowChange::PutRoute { row, .. } => {
             let row = RouteRow {
                 stamp: stamp.clone(),
                 ..row.clone()
             };
-            put_row(&mut tables.routes, row, route_name);
+            OldRow::Route(name, put_row(&mut tables.routes, row, route_name))
         }
         RowChange::PutPool { row, .. } => {
             let row = PoolRow {
                 stamp: stamp.clone(),
                 ..row.clone()
             };
-            put_row(&mut tables.pools, row, pool_name);
+            OldRow::Pool(name, put_row(&mut tables.pools, row, pool_name))
+        }
+        RowChange::DeleteRoute { .. } => {
+            let old = delete_row(&mut tables.routes, &name, route_name);
+            OldRow::Route(name, old)
+        }
+        RowChange::DeletePool { .. } => {
+            let old = delete_row(&mut tables.pools, &name, pool_name);
+            OldRow::Pool(name, old)
         }
-        RowChange::DeleteRoute { name, .. } => delete_row(&mut tables.routes, name, route_name),
-        RowChange::DeletePool { name, .. } => delete_row(&mut tables.pools, name, pool_name),
     }
 }
 
@@ -154,15 +197,19 @@
     rows.binary_search_by(|row| name_of(row).cmp(name))
 }
 
-fn put_row<R>(rows: &mut Vec<R>, row: R, name_of: fn(&R) -> &str) {
+/// Writes a row, and returns the one that it replaces.
+fn put_row<R>(rows: &mut Vec<R>, row: R, name_of: fn(&R) -> &str) -> Option<R> {
     match find(rows, name_of(&row), name_of) {
-        Ok(index) => rows[index] = row,
-        Err(index) => rows.insert(index, row),
+        Ok(index) => Some(std::mem::replace(&mut rows[index], row)),
+        Err(index) => {
+            rows.insert(index, row);
+            None
+        }
     }
 }
 
-fn delete_row<R>(rows: &mut Vec<R>, name: &str, name_of: fn(&R) -> &str) {
-    if let Ok(index) = find(rows, name, name_of) {
-        rows.remove(index);
-    }
+/// Deletes a row, and returns it.
+fn delete_row<R>(rows: &mut Vec<R>, name: &str, name_of: fn(&R) -> &str) -> Option<R> {
+    let index = find(rows, name, name_of).ok()?;
+    Some(rows.remove(index))
 }
--- a/crates/briarrail_config/tests/suite/state.rs
+++ b/crates/briarrail_config/tests/suite/state.rs
@@ -27,6 +27,35 @@
     assert_eq!(state.snapshot().tables.pools[0].stamp.version, 2);
 }
 
+#[test]
+fn refused_edit_takes_back_creations_changes_and_deletions() {
+    let mut state = ConfigState::default();
+    let create = vec![
+        put_pool("a", 2.0, 0),
+        put_pool("c", 2.0, 0),
+        put_route("r", "a", 0),
+        put_route("s", "a", 0),
+    ];
+    state
+        .apply(&request(1, "ann", create).into_edit(1))
+        .unwrap();
+    let before = state.clone();
+    let delete = RowChange::DeleteRoute {
+        expected: 1,
+        name: "r".into(),
+    };
+    let changes = vec![
+        put_pool("b", 2.0, 0),
+        put_pool("a", 3.0, 1),
+        delete,
+        put_route("t", "nowhere", 0),
+    ];
+    state
+        .apply(&request(2, "bob", changes).into_edit(2))
+        .unwrap_err();
+    assert_eq!(state, before);
+}
+
 #[test]
 fn edit_out_of_sequence_is_refused() {
     let mut state = ConfigState::default();
--- a/crates/briarrail_model/src/lib.rs
+++ b/crates/briarrail_model/src/lib.rs
@@ -6,13 +6,13 @@
 mod call_semantics;
 mod config_snapshot;
 mod host_entry;
-
 mod host_phase;
 mod load_record;
 mod milli_time;
 mod pool_kind;
 mod pool_limits;
 mod pool_row;
+mod route_index;
 mod route_match;
 mod route_row;
 mod routing_preference;
@@ -27,13 +27,13 @@
 pub use call_semantics::{CallPriority, CallSemantics, KeylessRule};
 pub use config_snapshot::ConfigSnapshot;
 pub use host_entry::HostEntry;
-
 pub use host_phase::HostPhase;
 pub use load_record::LoadRecord;
 pub use milli_time::{MilliDuration, MilliTime};
 pub use pool_kind::PoolKind;
 pub use pool_limits::PoolLimits;
 pub use pool_row::PoolRow;
+pub use route_index::RouteIndex;
 pub use route_match::{RequestFacts, RouteMatch};
 pub use route_row::RouteRow;
 pub use routing_preference::RoutingPreference;
--- a/crates/briarrail_model/src/table_set.rs
+++ b/crates/briarrail_model/src/table_set.rs
@@ -1,6 +1,6 @@
 //! The two tables and their validation.
 
-use std::collections::BTreeSet;
+use std::collections::HashSet;
 
 use serde::{Deserialize, Serialize};
 
@@ -55,12 +55,12 @@
     /// Returns every mistake that was found, in table order.
     pub fn validate(&self) -> Result<(), Vec<TableError>> {
         let mut errors = Vec::new();
-        let mut route_names = BTreeSet::new();
+        let mut route_names = HashSet::new();
         for route in &self.routes {
             check_name("routes", &route.name, &mut route_names, &mut errors);
             self.check_route(route, &mut errors);
         }
-        let mut pool_names = BTreeSet::new();
+        let mut pool_names = HashSet::new();
         for pool in &self.pools {
             check_name("pools", &pool.name, &mut pool_names, &mut errors);
             check_pool(pool, &mut errors);
@@ -113,10 +113,10 @@
     }
 }
 
-fn check_name(
+fn check_name<'t>(
     table: &'static str,
-    name: &str,
-    seen: &mut BTreeSet<String>,
+    name: &'t str,
+    seen: &mut HashSet<&'t str>,
     errors: &mut Vec<TableError>,
 ) {
     let legal = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
@@ -131,7 +131,7 @@
             hint,
         ));
     }
-    if !seen.insert(name.to_owned()) {
+    if !seen.insert(name) {
         let hint = "rename one of the rows";
         errors.push(table_error(
             TableErrorKind::DuplicateName,
--- a/crates/briarrail_model/src/text_id.rs
+++ b/crates/briarrail_model/src/text_id.rs
@@ -1,5 +1,6 @@
 //! Names of hosts, data centres and regions.
 
+use std::borrow::Borrow;
 use std::fmt;
 use std::sync::Arc;
 
@@ -35,6 +36,12 @@
             }
         }
 
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
                 formatter.write_str(&self.0)
--- a/crates/briarrail_model/tests/suite/routing.rs
+++ b/crates/briarrail_model/tests/suite/routing.rs
@@ -2,7 +2,7 @@
 
 use bolero::generator::bolero_generator::driver::{Options, Rng};
 use bolero::generator::{TypeGenerator, ValueGenerator, produce};
-use briarrail_model::{CustomerId, RequestFacts, RouteMatch, RouteRow, TableSet};
+use briarrail_model::{CustomerId, RequestFacts, RouteIndex, RouteMatch, RouteRow, TableSet};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -140,6 +140,22 @@
     }
 }
 
+#[test]
+fn index_gives_the_same_route_for_fixed_seeds() {
+    for seed in 0..200 {
+        let tables = draw_tables(seed);
+        let index = RouteIndex::new(&tables);
+        for facts in all_requests() {
+            let expected = tables.route_for(&facts);
+            assert_eq!(
+                index.route_for(&tables, &facts),
+                expected,
+                "seed {seed}, {facts:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn more_conditions_come_before_a_longer_prefix() {
     let by_path = RouteMatch {
