--- a/crates/briarrail_outcome/src/bucket_owner.rs
+++ b/crates/briarrail_outcome/src/bucket_owner.rs
@@ -1,6 +1,6 @@
 //! The owner of one bucket.
 
-use briarrail_model::MilliTime;
+use briarrail_model::{MilliDuration, MilliTime};
 use briarrail_peer::{ClaimReport, ClaimRequest, ReportReply};
 
 use crate::claim_book::{ClaimBook, SegmentPlan};
@@ -14,6 +14,10 @@
 
 /// Refused store calls in a row after which claims are refused without waiting.
 const OUTAGE_FAILURES: u32 = 3;
+/// Pause after one of the first refusals, which may be a rate limit.
+const REFUSAL_PAUSE: MilliDuration = MilliDuration::from_millis(100);
+/// Pause after a lost reply.
+const LOST_REPLY_PAUSE: MilliDuration = MilliDuration::from_millis(20);
 /// Messages that may wait in one bucket.
 const MAX_PENDING: usize = 4_096;
 
@@ -333,6 +337,7 @@
             OwnerCall::DeleteSegment(name) => self.handle_deletion(name, &reply, settings, now),
             OwnerCall::WriteSegment(plan) => match reply {
                 StoreReply::Written { .. } => self.sealed = Some(plan),
+                StoreReply::Unknown => self.pause_briefly(now),
                 _ => self.pause(settings, now),
             },
             OwnerCall::WriteHead(write) => self.handle_commit(*write, &reply, actions),
@@ -350,6 +355,10 @@
         let (version, head) = match reply {
             StoreReply::Found { version, value } => (Some(version), ClaimHead::decode(&value)),
             StoreReply::Missing => (None, Some(ClaimHead::default())),
+            StoreReply::Unknown => {
+                self.pause_briefly(now);
+                return;
+            }
             _ => {
                 self.pause(settings, now);
                 return;
@@ -450,12 +459,17 @@
         self.claims.refuse(settings, actions);
     }
 
+    /// Pauses after a lost reply, which has cost time already.
+    fn pause_briefly(&mut self, now: MilliTime) {
+        self.paused_until = now + LOST_REPLY_PAUSE;
+    }
+
     fn pause(&mut self, settings: &ClaimSettings, now: MilliTime) {
         let is_outage = self.failures >= OUTAGE_FAILURES;
         let pause = if is_outage {
             settings.store_pause_ms
         } else {
-            settings.commit_interval_ms
+            REFUSAL_PAUSE
         };
         self.paused_until = now + pause;
     }
--- a/crates/briarrail_outcome/src/claim_book.rs
+++ b/crates/briarrail_outcome/src/claim_book.rs
@@ -11,6 +11,8 @@
 use crate::claim_record::{ClaimRecord, ClaimState};
 use crate::{ClaimSettings, StoreVersion};
 
+const SEGMENT_ENTRY_BYTES: usize = 48;
+
 /// What the owner of a bucket knows of its claims, as of one version of the head.
 ///
 /// Records of the head and of all loaded segments are in memory. Segments load newest first, so
@@ -81,8 +83,11 @@
         &self.head
     }
 
-    pub(crate) const fn head_weight(&self) -> usize {
-        self.head_weight
+    /// Returns whether there is room for a draft of a weight in bytes.
+    pub(crate) fn has_room(&self, weight: usize, settings: &ClaimSettings) -> bool {
+        let entries = self.head.segments.len() * SEGMENT_ENTRY_BYTES;
+        let is_light = self.head_weight + entries + weight < settings.head_limit_bytes;
+        is_light && self.records.len() < settings.record_limit
     }
 
     pub(crate) fn record(&self, key: &str) -> Option<&ClaimRecord> {
--- a/crates/briarrail_outcome/src/claim_settings.rs
+++ b/crates/briarrail_outcome/src/claim_settings.rs
@@ -9,6 +9,8 @@
 pub struct ClaimSettings {
     /// Number of buckets; it must never change while claims are kept.
     pub buckets: u32,
+    /// Longest time that an entry router waits for a claim, in milliseconds.
+    pub claim_wait_ms: MilliDuration,
     /// Least time between two writes of a bucket's head, in milliseconds.
     pub commit_interval_ms: MilliDuration,
     /// Longest time that an outcome waits for a claim to share a write with, in milliseconds.
@@ -27,6 +29,10 @@
     pub timeless_key_limit: u32,
     /// Time after which a claim without outcome counts as in doubt, in milliseconds.
     pub open_limit_ms: MilliDuration,
+    /// Records that one bucket holds in memory; new claims are refused above it.
+    pub record_limit: usize,
+    /// Time after which the caller of the store takes a reply for lost, in milliseconds.
+    pub store_timeout_ms: MilliDuration,
     /// Pause after the store refused a call, in milliseconds.
     pub store_pause_ms: MilliDuration,
 }
@@ -35,6 +41,7 @@
     fn default() -> Self {
         Self {
             buckets: 64,
+            claim_wait_ms: MilliDuration::from_millis(450),
             commit_interval_ms: MilliDuration::from_millis(250),
             report_delay_ms: MilliDuration::from_millis(1_000),
             retention_ms: MilliDuration::from_secs(24 * 3_600),
@@ -44,6 +51,8 @@
             head_limit_bytes: 768 * 1_024,
             timeless_key_limit: 10_000,
             open_limit_ms: MilliDuration::from_secs(120),
+            record_limit: 250_000,
+            store_timeout_ms: MilliDuration::from_millis(150),
             store_pause_ms: MilliDuration::from_millis(500),
         }
     }
--- a/crates/briarrail_outcome/src/pending_claims.rs
+++ b/crates/briarrail_outcome/src/pending_claims.rs
@@ -164,7 +164,7 @@
             if verdict != ClaimVerdict::Grant {
                 return claim.take_verdict(verdict, actions);
             }
-            if book.head_weight() + draft.weight >= settings.head_limit_bytes {
+            if !book.has_room(draft.weight, settings) {
                 claim.answer(unavailable(settings), actions);
                 return false;
             }
