--- a/crates/briarraild/src/control/control_loop.rs
+++ b/crates/briarraild/src/control/control_loop.rs
@@ -53,6 +53,8 @@
     events: mpsc::Receiver<ControlEvent>,
     own_loads: HashMap<HostName, LoadRecord>,
     published_generation: Option<u64>,
+    /// Whether the router has been ready; a leaving router goes on serving.
+    has_been_ready: bool,
     refresh_due: MilliTime,
     load_due: MilliTime,
     hand_over: Option<oneshot::Sender<()>>,
@@ -75,6 +77,7 @@
             events,
             own_loads: HashMap::new(),
             published_generation: None,
+            has_been_ready: false,
             refresh_due: MilliTime::default(),
             load_due: MilliTime::default(),
             hand_over: None,
@@ -327,6 +330,7 @@
 
     fn publish(&mut self, now: MilliTime) {
         let fleet = &self.parts.fleet;
+        self.has_been_ready |= fleet.is_ready();
         self.published_generation = Some(fleet.hosts().generation());
         let view = fleet.view();
         let config = fleet
@@ -339,7 +343,7 @@
             view: &view,
             loads: &loads,
         };
-        let snapshot = self.parts.builder.build(inputs, fleet.is_ready(), now);
+        let snapshot = self.parts.builder.build(inputs, self.has_been_ready, now);
         self.parts
             .desk
             .assign(&snapshot.routers, &self.parts.own.name);
--- a/crates/briarraild/tests/suite/main.rs
+++ b/crates/briarraild/tests/suite/main.rs
@@ -6,3 +6,4 @@
 mod operators;
 mod refusals;
 mod site;
+mod stops;
--- a/crates/briarraild/tests/suite/site.rs
+++ b/crates/briarraild/tests/suite/site.rs
@@ -13,6 +13,7 @@
     ServiceSettings, ServiceStandin, StandinHandle, start_engine, start_hosts, start_objects,
     start_service,
 };
+use briarrail_status::RouterStatus;
 use briarraild::{RouterDaemon, RunningRouter};
 
 const LOOPBACK: &str = "127.0.0.1:0";
@@ -90,13 +91,18 @@
 
     /// Puts a live host into the host list.
     pub(crate) fn list(&self, name: &str, service: &str, address: SocketAddr) {
+        self.list_as(name, service, address, HostPhase::Live);
+    }
+
+    /// Puts a host of a phase into the host list.
+    pub(crate) fn list_as(&self, name: &str, service: &str, address: SocketAddr, phase: HostPhase) {
         self.hosts.put(HostEntry {
             name: name.into(),
             service: service.to_owned(),
             data_centre: "dc-a".into(),
             region: "coast".into(),
             address,
-            phase: HostPhase::Live,
+            phase,
             incarnation: 1,
             labels: Default::default(),
         });
@@ -158,6 +164,33 @@
             .expect("routers are ready");
     }
 
+    /// Reads the status of a router.
+    pub(crate) async fn status(&self, router: usize) -> RouterStatus {
+        let url = format!("http://{}/status", self.routers[router].operators_address());
+        let response = self.client.get(url).send().await.expect("response");
+        response.json().await.expect("status")
+    }
+
+    /// Waits until every router counts a number of live targets in a pool.
+    pub(crate) async fn wait_until_pools_show(&self, pool: &str, live: usize) {
+        let all = async {
+            for router in 0..self.routers.len() {
+                while self.live_targets(router, pool).await != live {
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        };
+        tokio::time::timeout(READY_LIMIT, all)
+            .await
+            .expect("routers know the targets");
+    }
+
+    async fn live_targets(&self, router: usize, pool: &str) -> usize {
+        let status = self.status(router).await;
+        let pool = status.pools.iter().find(|status| status.pool == pool);
+        pool.map_or(0, |pool| pool.count(HostPhase::Live))
+    }
+
     /// Returns a URL at a router.
     pub(crate) fn url(&self, router: usize, path: &str) -> String {
         format!("http://{}{path}", self.routers[router].callers_address())
