fix(burn): take callers' mistakes from the outcome itself

Cause: the outcome crate gained KeyInvalid, which the burn recorder's own list of reasons counted as a failure. Change: a request that may be sent again only after a change is the caller's mistake. Conclusion: one list less to keep; mutation caught: no request is a caller's mistake.

--- a/crates/briarrail_burn/src/request_record.rs
+++ b/crates/briarrail_burn/src/request_record.rs
@@ -1,6 +1,6 @@
 //! What is recorded of one request.
 
-use briarrail_outcome::{NotRunReason, RequestOutcome};
+use briarrail_outcome::{RequestOutcome, SendAgain};
 
 use crate::{ObjectiveCounts, StreamCounts};
 
@@ -22,14 +22,10 @@
         match outcome {
             RequestOutcome::Answered => Self::Answered,
             RequestOutcome::Unknown(_) => Self::Unknown,
-            RequestOutcome::NotRun(
-                NotRunReason::BadRequest
-                | NotRunReason::NoRoute
-                | NotRunReason::KeyReused
-                | NotRunReason::KeyMissing
-                | NotRunReason::KeyExpired,
-            ) => Self::CallerMistake,
-            RequestOutcome::NotRun(_) => Self::NotRun,
+            RequestOutcome::NotRun(_) => match outcome.send_again() {
+                SendAgain::AfterChange => Self::CallerMistake,
+                _ => Self::NotRun,
+            },
         }
     }
 }
--- a/crates/briarrail_burn/tests/suite/recorder.rs
+++ b/crates/briarrail_burn/tests/suite/recorder.rs
@@ -2,6 +2,7 @@
 
 use briarrail_burn::{BurnRecorder, BurnSnapshot, BurnWindow, OutcomeClass};
 use briarrail_model::{MilliDuration, MilliTime, ServiceObjective};
+use briarrail_outcome::{NotRunReason, RequestOutcome};
 
 use crate::traffic::{TimedRequest, draw_requests};
 
@@ -148,3 +149,31 @@
     }
     assert_eq!(merged.pools[0].objective, objective(0.99));
 }
+
+#[test]
+fn only_what_the_caller_must_change_is_the_callers_mistake() {
+    let class = |reason| OutcomeClass::from(&RequestOutcome::NotRun(reason));
+    let mistakes = [
+        NotRunReason::BadRequest,
+        NotRunReason::NoRoute,
+        NotRunReason::KeyReused,
+        NotRunReason::KeyMissing,
+        NotRunReason::KeyExpired,
+        NotRunReason::KeyInvalid,
+    ];
+    for reason in mistakes {
+        assert_eq!(class(reason), OutcomeClass::CallerMistake, "{reason:?}");
+    }
+    let failures = [
+        NotRunReason::NoTarget,
+        NotRunReason::Overloaded,
+        NotRunReason::TargetRefused,
+        NotRunReason::Unreachable,
+        NotRunReason::DeadlinePassed,
+        NotRunReason::ClaimUnavailable,
+        NotRunReason::Stopping,
+    ];
+    for reason in failures {
+        assert_eq!(class(reason), OutcomeClass::NotRun, "{reason:?}");
+    }
+}
