test(settings): compare the operators' page with the code

Cause: the page repeats keys, defaults and ranges, which drift. Change: tests read the page's tables and check every key, default and range of the settings, and the defaults of both tables.

--- a/crates/briarrail_model/tests/suite/main.rs
+++ b/crates/briarrail_model/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of keys, tables and their validation.
 
+mod documented;
 mod hashing;
 mod load;
 mod routing;
