--- a/crates/briarrail_fleet/src/fleet_output.rs
+++ b/crates/briarrail_fleet/src/fleet_output.rs
@@ -41,6 +41,11 @@
     },
     /// The set of targets whose load this router reads has changed.
     ObservedChanged,
+    /// This router found a host to be down, after another one had; for the log.
+    DeclaredDown {
+        /// Name of the host.
+        host: HostName,
+    },
     /// A later configuration is in force.
     ConfigChanged {
         /// Its sequence number.
--- a/crates/briarrail_fleet/src/node_sends.rs
+++ b/crates/briarrail_fleet/src/node_sends.rs
@@ -234,6 +234,8 @@
             state: NoticeState::Down,
         };
         let code = slot.hash.0 as u32;
+        let host = slot.entry.name.clone();
+        self.outputs.push_back(FleetOutput::DeclaredDown { host });
         self.counters.down_notices += 1;
         self.publish_notice(code, notice);
     }
