perf(fleet): let one relay in turn read a changed head

Cause: three relays a data centre read the whole head (3.6 KB) after every edit. Change: a watch that ends leaves the read to one relay in turn; the others read after 400 ms each when the broadcast did not come. Relays retry a failed platform after 2 s at most.

--- a/crates/briarrail_fleet/src/fleet_node.rs
+++ b/crates/briarrail_fleet/src/fleet_node.rs
@@ -26,6 +26,8 @@
     pub(crate) hosts_reading: bool,
     pub(crate) hosts_failures: u32,
     pub(crate) config_due: Option<MilliTime>,
+    /// Sequence number above which the read that is due is not needed any more.
+    pub(crate) config_unless_above: Option<u64>,
     pub(crate) config_reading: bool,
     pub(crate) config_failures: u32,
     pub(crate) watch_due: MilliTime,
--- a/crates/briarrail_fleet/src/node_platform.rs
+++ b/crates/briarrail_fleet/src/node_platform.rs
@@ -8,6 +8,12 @@
 
 const FIRST_BACKOFF: MilliDuration = MilliDuration::from_millis(1_000);
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
+/// The few relays try more often, since the others depend on them.
+const MAX_RELAY_DOUBLINGS: u32 = 1;
+/// Head start that a relay leaves to the one whose turn it is to read a changed head.
+const TURN_DELAY: MilliDuration = MilliDuration::from_millis(400);
+/// Longest random delay of the read after an outage.
+const MISSED_JITTER: MilliDuration = MilliDuration::from_millis(500);
 /// Time for which a router that is behind asks peers before it reads the platform itself.
 const PEER_REPAIR_TIME: MilliDuration = MilliDuration::from_secs(5);
 
@@ -16,7 +22,10 @@
         let is_relay = self.relay_rank().is_some();
         self.read_hosts(now, is_relay);
         self.read_config(now);
-        if is_relay && !self.platform.watching && now >= self.platform.watch_due {
+        // A watch from a sequence number that is outdated would end at once.
+        let is_reading = self.platform.config_reading || self.platform.config_due.is_some();
+        let can_watch = !self.platform.watching && !is_reading;
+        if is_relay && can_watch && now >= self.platform.watch_due {
             self.platform.watching = true;
             let after = self.sequence();
             self.outputs.push_back(FleetOutput::WatchConfig { after });
@@ -46,6 +55,11 @@
         if !due || self.platform.config_reading {
             return;
         }
+        let unless_above = self.platform.config_unless_above.take();
+        if unless_above.is_some_and(|sequence| self.sequence() > sequence) {
+            self.platform.config_due = None;
+            return;
+        }
         self.platform.config_reading = true;
         let after = if self.config.needs_whole() {
             0
@@ -124,14 +138,34 @@
         let missed = self.platform.watch_failures > 0;
         self.platform.watch_failures = 0;
         self.platform.watch_due = now;
-        if outcome == WatchOutcome::Changed || missed {
-            self.platform.config_due = Some(now);
+        if missed {
+            let delay = self.jitter(MISSED_JITTER);
+            self.platform.config_due = Some(now + delay);
+        } else if outcome == WatchOutcome::Changed {
+            self.schedule_read(now);
         }
     }
 
+    /// Leaves the read of a changed head to one relay in turn; the others read it when that one's
+    /// broadcast does not come.
+    fn schedule_read(&mut self, now: MilliTime) {
+        let rank = self.relay_rank().unwrap_or(0) as u64;
+        let relays = self.settings.relays.max(1) as u64;
+        let turn = (rank + self.sequence()) % relays;
+        let delay = MilliDuration::from_millis(turn * TURN_DELAY.as_millis());
+        self.platform.config_due = Some(now + delay);
+        self.platform.config_unless_above = Some(self.sequence());
+    }
+
     /// Returns a random delay that doubles with each failure up to a limit.
     fn backoff(&mut self, failures: u32) -> MilliDuration {
-        let doublings = failures.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS);
+        let is_relay = self.relay_rank().is_some();
+        let most = if is_relay {
+            MAX_RELAY_DOUBLINGS
+        } else {
+            MAX_BACKOFF_DOUBLINGS
+        };
+        let doublings = failures.saturating_sub(1).min(most);
         let longest = FIRST_BACKOFF.as_millis() << doublings;
         self.jitter(MilliDuration::from_millis(longest))
     }
--- a/crates/briarrail_fleet/src/node_urgent.rs
+++ b/crates/briarrail_fleet/src/node_urgent.rs
@@ -10,7 +10,7 @@
 /// Parts into which a router splits the successors that it passes a broadcast on to.
 const FAN_OUT: usize = 3;
 /// Head start that a relay leaves to those ranked before it.
-const RANK_DELAY: MilliDuration = MilliDuration::from_millis(400);
+const RANK_DELAY: MilliDuration = MilliDuration::from_millis(200);
 const MAX_SEEN_BROADCASTS: usize = 64;
 
 impl FleetNode {
