--- a/crates/briarrail_bench/src/fleet/bench_fleet.rs
+++ b/crates/briarrail_bench/src/fleet/bench_fleet.rs
@@ -22,7 +22,7 @@
 const SEND_TIMEOUT_MS: u64 = 1_000;
 const PLATFORM_DELAY_MS: u64 = 10;
 const WATCH_TIMEOUT_MS: u64 = 30_000;
-const LOAD_INTERVAL_MS: u64 = 1_000;
+const LOAD_TICK_MS: u64 = 250;
 const WINDOW_MS: u64 = 10_000;
 /// 28,000 edits a day.
 const EDIT_INTERVAL_MS: u64 = 86_400_000 / 28_000;
@@ -40,8 +40,8 @@
 const PER_MILLE: f64 = 1_000.0;
 const MEAN_STREAMS: f64 = 180.0;
 const STREAM_S: f64 = 12.6;
-/// Chance a second that a target's share moves.
-const SHARE_CHANGE: f64 = 0.005;
+/// Chance in a load tick that a target's share moves: once in 200 s.
+const SHARE_CHANGE: f64 = 0.001_25;
 /// Time after which every edit must be in force, for the check at the end.
 const SETTLE_MS: u64 = 6_000;
 
@@ -131,6 +131,7 @@
     window_start: u64,
     measured_start: u64,
     reachable_since: u64,
+    loads_due: u64,
 }
 
 impl BenchNode {
@@ -255,6 +256,7 @@
             window_start: 0,
             measured_start: 0,
             reachable_since: 0,
+            loads_due: 0,
         });
     }
 
@@ -639,13 +641,14 @@
     }
 
     fn read_loads(&mut self) {
-        self.push(LOAD_INTERVAL_MS, BenchEvent::Loads);
+        self.push(LOAD_TICK_MS, BenchEvent::Loads);
         self.end_watches(false);
         self.note_reachability();
-        let noise = Normal::new(0.0, (2.0 * MEAN_STREAMS / STREAM_S).sqrt());
+        let ticks = STREAM_S * 1_000.0 / LOAD_TICK_MS as f64;
+        let noise = Normal::new(0.0, (2.0 * MEAN_STREAMS / ticks).sqrt());
         let noise = noise.expect("the deviation is positive");
         for (streams, share) in self.streams.values_mut() {
-            *streams += (MEAN_STREAMS - *streams) / STREAM_S + noise.sample(&mut self.rng);
+            *streams += (MEAN_STREAMS - *streams) / ticks + noise.sample(&mut self.rng);
             if self.rng.random::<f64>() < SHARE_CHANGE {
                 *share = self.rng.random_range(200..=u8::MAX);
             }
@@ -655,6 +658,11 @@
             if !self.is_reachable(router) {
                 continue;
             }
+            let interval = self.nodes[router].node.load_interval().as_millis();
+            if self.now < self.nodes[router].loads_due {
+                continue;
+            }
+            self.nodes[router].loads_due = self.now + interval;
             let observed = std::sync::Arc::clone(self.nodes[router].node.observed_targets());
             for target in observed.iter() {
                 self.count_read(router, 0, 0);
@@ -674,7 +682,7 @@
     fn note_reachability(&mut self) {
         for router in 0..self.nodes.len() {
             if !self.platform_answers(router) {
-                self.nodes[router].reachable_since = self.now + LOAD_INTERVAL_MS;
+                self.nodes[router].reachable_since = self.now + LOAD_TICK_MS;
             }
         }
     }
@@ -749,6 +757,32 @@
             .iter()
             .map(|node| (node.bytes() - node.measured_start) as f64 / seconds as f64)
             .collect();
+        if std::env::var("DBG").is_ok() {
+            let mut order: Vec<_> = (0..self.nodes.len()).collect();
+            order.sort_by_key(|&i| std::cmp::Reverse((rates[i]) as u64));
+            let n = order.len();
+            for i in order.iter().take(4).chain(order[n / 2..].iter().take(3)) {
+                let b = &self.nodes[*i];
+                let c = b.node.counters();
+                let s = self.end as f64 / 1000.0;
+                eprintln!(
+                    "{i} rate {} sent {} recv {} fs {:.2} fr {:.2} read {} rank {:?} obs {} fresh {:.1} dup {:.1} def {} refused {} unl {}",
+                    rates[*i] as u64,
+                    c.bytes_sent as f64 / s,
+                    c.bytes_received as f64 / s,
+                    c.frames_sent as f64 / s,
+                    c.frames_received as f64 / s,
+                    b.read_bytes as f64 / s,
+                    b.node.relay_rank(),
+                    b.node.observed_targets().len(),
+                    c.fresh_loads as f64 / s,
+                    c.duplicate_loads as f64 / s,
+                    c.deferred_loads,
+                    c.refused_edits,
+                    c.unlisted_frames
+                );
+            }
+        }
         let routers = self.nodes.len();
         let sum = |value: fn(&BenchNode) -> u64| self.nodes.iter().map(value).sum::<u64>() as f64;
         let duplicates = sum(|node| node.node.counters().duplicate_loads);
