perf(fleet): space relay reads, widen dead bands, accuse nobody while isolated

Cause: relays' reads and load records were the largest parts; routers of a lost data centre sent 44 frames/s of accusations, since each failed one led to the next. Change: relays read the host list in turn every 1.5 s; rounds every 500 ms; load records of targets below the mean move by a third before they travel; a router without any reply for 3 s accuses nobody; suspects get one attempt, probes five.

--- a/crates/briarrail_bench/src/fleet/case_report.rs
+++ b/crates/briarrail_bench/src/fleet/case_report.rs
@@ -34,7 +34,8 @@
     pub(crate) state_bytes: u64,
     pub(crate) false_suspicions: u64,
     pub(crate) reverts: u64,
-    /// Difference between the streams that routers know and the true ones, over their mean.
+    /// Difference between the streams that routers know and the true ones, over their mean, for
+    /// targets above the mean.
     pub(crate) load_error_p50: f64,
     pub(crate) load_error_p99: f64,
     /// Load records received that were known, against those that were new.
--- a/crates/briarrail_fleet/src/fleet_settings.rs
+++ b/crates/briarrail_fleet/src/fleet_settings.rs
@@ -35,8 +35,8 @@
     pub fn new(keys: KeyRing) -> Self {
         Self {
             keys,
-            round_interval: MilliDuration::from_millis(400),
-            host_interval: MilliDuration::from_millis(1_000),
+            round_interval: MilliDuration::from_millis(500),
+            host_interval: MilliDuration::from_millis(1_500),
             start_jitter: MilliDuration::from_millis(1_000),
             repair_delay: MilliDuration::from_millis(600),
             retry_delay: MilliDuration::from_millis(300),
--- a/crates/briarrail_fleet/src/load_table.rs
+++ b/crates/briarrail_fleet/src/load_table.rs
@@ -7,9 +7,11 @@
 
 const MIN_PUBLISH_GAP: MilliDuration = MilliDuration::from_millis(1_000);
 /// Number of targets from which on the dead band has its full width.
-const WIDE_TABLE: u64 = 2_000;
-/// Full width of the dead band: a change by an eighth.
-const DEAD_BAND_PARTS: u64 = 8;
+const WIDE_TABLE: u64 = 500;
+/// Full width of the dead band of a target above the mean: a change by an eighth.
+const NARROW_BAND_PARTS: u64 = 8;
+/// Full width of the dead band of a target below the mean: a change by a third.
+const WIDE_BAND_PARTS: u64 = 3;
 
 #[derive(Debug, Clone, Copy)]
 struct LoadSlot {
@@ -22,6 +24,7 @@
 pub struct LoadTable {
     slots: BTreeMap<u32, LoadSlot>,
     published: BTreeMap<u32, LoadRecord>,
+    total_streams: u64,
 }
 
 impl LoadTable {
@@ -64,7 +67,7 @@
         let publish = self.is_worth_sending(code, &record, refresh);
         let pending = self.slots.get(&code).map_or(0, |slot| slot.distances);
         let distances = if publish { distances } else { pending };
-        self.slots.insert(code, LoadSlot { record, distances });
+        self.set(code, LoadSlot { record, distances });
         if publish {
             self.published.insert(code, record);
         }
@@ -81,7 +84,14 @@
         }
         let moved = u64::from(record.streams.abs_diff(published.streams));
         let table = (self.slots.len() as u64).min(WIDE_TABLE);
-        let band = u64::from(published.streams) * table / (DEAD_BAND_PARTS * WIDE_TABLE);
+        let highest = u64::from(record.streams.max(published.streams));
+        let is_above = highest * self.slots.len() as u64 > self.total_streams;
+        let parts = if is_above {
+            NARROW_BAND_PARTS
+        } else {
+            WIDE_BAND_PARTS
+        };
+        let band = u64::from(published.streams) * table / (parts * WIDE_TABLE);
         record.keep_share != published.keep_share || moved > band || age >= refresh
     }
 
@@ -93,11 +103,17 @@
             return false;
         }
         let distances = item.distances & distances;
-        self.slots
-            .insert(item.target, LoadSlot { record, distances });
+        self.set(item.target, LoadSlot { record, distances });
         true
     }
 
+    fn set(&mut self, code: u32, slot: LoadSlot) {
+        self.total_streams += u64::from(slot.record.streams);
+        if let Some(before) = self.slots.insert(code, slot) {
+            self.total_streams -= u64::from(before.record.streams);
+        }
+    }
+
     /// Takes at most `limit` records that still have to go the distance with bit `bit`.
     pub fn take_due(&mut self, bit: u16, limit: usize) -> Vec<LoadItem> {
         let due = self
@@ -124,6 +140,8 @@
         K: Fn(u32) -> bool,
     {
         self.slots.retain(|&code, _| keep(code));
+        let streams = |slot: &LoadSlot| u64::from(slot.record.streams);
+        self.total_streams = self.slots.values().map(streams).sum();
         self.published.retain(|&code, _| keep(code));
     }
 }
--- a/crates/briarrail_fleet/src/node_platform.rs
+++ b/crates/briarrail_fleet/src/node_platform.rs
@@ -83,12 +83,29 @@
             return;
         };
         self.platform.hosts_failures = 0;
-        self.platform.hosts_due = now + self.settings.host_interval;
+        self.platform.hosts_due = self.next_host_read(now);
         let region = self.own.region.clone();
         self.hosts
             .apply(change, |entry: &HostEntry| entry.region == region);
     }
 
+    /// Spaces the reads of the relays of a data centre evenly, by the clock and the rank.
+    fn next_host_read(&self, now: MilliTime) -> MilliTime {
+        let interval = self.settings.host_interval.as_millis().max(1);
+        let relays = self.settings.relays.clamp(1, self.ring.cell_len().max(1)) as u64;
+        let rank = self.relay_rank().unwrap_or(0) as u64;
+        let phase = interval * rank / relays;
+        let since = (now.as_millis() + interval - phase) % interval;
+        let wait = interval - since;
+        // A read that came late by a little does not bring the next one forward.
+        let wait = if wait < interval / 2 {
+            wait + interval
+        } else {
+            wait
+        };
+        now + MilliDuration::from_millis(wait)
+    }
+
     /// Takes over a read of the configuration.
     pub fn on_config_read(&mut self, now: MilliTime, read: ConfigRead) {
         self.platform.config_reading = false;
--- a/crates/briarrail_fleet/src/node_sends.rs
+++ b/crates/briarrail_fleet/src/node_sends.rs
@@ -9,10 +9,12 @@
 };
 use bytes::Bytes;
 
-use crate::pending_send::{MAX_ATTEMPTS, PendingSend, SendPurpose};
+use crate::pending_send::{PendingSend, SendPurpose};
 use crate::{FleetNode, FleetOutput, HostKey, SendId, ViewPhase};
 
 const ACCUSATION_GAP: MilliDuration = MilliDuration::from_secs(5);
+/// Time without any reply after which a router accuses nobody.
+const ISOLATION_TIME: MilliDuration = MilliDuration::from_secs(3);
 /// Time after which a frame without reply or failure counts as failed.
 const SEND_TIMEOUT: MilliDuration = MilliDuration::from_secs(5);
 
@@ -97,6 +99,7 @@
             return;
         };
         self.clear_suspicion(pending.to);
+        self.last_reply_at = now;
         if !reply.is_empty() {
             self.open_reply(now, reply);
         }
@@ -108,7 +111,8 @@
             return;
         };
         pending.attempt += 1;
-        if pending.attempt < MAX_ATTEMPTS {
+        let is_suspect = self.suspects.contains(&pending.to);
+        if pending.attempt < pending.purpose.max_attempts(is_suspect) {
             pending.retry_at = Some(now + self.settings.retry_delay);
             return;
         }
@@ -135,7 +139,9 @@
         let to = pending.to;
         match pending.purpose {
             SendPurpose::Probe => {
-                self.declare_down(to);
+                if !self.is_isolated(now) {
+                    self.declare_down(to);
+                }
                 return;
             }
             SendPurpose::Accusation { accused } => self.accuse(now, accused, Some(to)),
@@ -151,10 +157,18 @@
         self.suspect(now, to);
     }
 
+    /// Returns whether nobody answers, so that the fault is rather on this side.
+    fn is_isolated(&self, now: MilliTime) -> bool {
+        now.since(self.last_reply_at) >= ISOLATION_TIME
+    }
+
     fn suspect(&mut self, now: MilliTime, peer: HostKey) {
         if self.suspects.insert(peer) {
             self.reset_ring();
         }
+        if self.is_isolated(now) {
+            return;
+        }
         let last = self.accused_at.get(&peer);
         if last.is_some_and(|&last| now.since(last) < ACCUSATION_GAP) {
             return;
@@ -172,11 +186,8 @@
 
     /// Asks the router with the highest score for the accused host to probe it as well.
     fn accuse(&mut self, now: MilliTime, accused: HostKey, silent: Option<HostKey>) {
-        if self
-            .hosts
-            .phase(accused)
-            .is_none_or(|phase| phase == ViewPhase::Down)
-        {
+        let phase = self.hosts.phase(accused);
+        if self.is_isolated(now) || phase.is_none_or(|phase| phase == ViewPhase::Down) {
             return;
         }
         let Some(code) = self.hosts.slot(accused).map(|slot| slot.hash.0 as u32) else {
--- a/crates/briarrail_fleet/src/pending_send.rs
+++ b/crates/briarrail_fleet/src/pending_send.rs
@@ -7,7 +7,9 @@
 use crate::HostKey;
 
 /// Attempts at one frame before its receiver counts as silent.
-pub(crate) const MAX_ATTEMPTS: u8 = 3;
+const MAX_ATTEMPTS: u8 = 3;
+/// Attempts at a probe; more, since a failure is told to the whole region.
+const MAX_PROBE_ATTEMPTS: u8 = 5;
 
 /// What a frame was sent for, and what to do when its receiver is silent.
 #[derive(Debug, Clone)]
@@ -29,6 +31,17 @@
     Accusation { accused: HostKey },
 }
 
+impl SendPurpose {
+    /// Returns the number of attempts before the receiver counts as silent.
+    pub(crate) fn max_attempts(&self, is_suspect: bool) -> u8 {
+        match self {
+            Self::Probe => MAX_PROBE_ATTEMPTS,
+            _ if is_suspect => 1,
+            _ => MAX_ATTEMPTS,
+        }
+    }
+}
+
 /// One frame that has no reply yet.
 #[derive(Debug, Clone)]
 pub(crate) struct PendingSend {
