--- a/crates/briarrail_fleet/tests/suite/fake_fleet.rs
+++ b/crates/briarrail_fleet/tests/suite/fake_fleet.rs
@@ -176,7 +176,7 @@
         let end = self.now + millis;
         while self.now < end {
             for index in 0..self.routers.len() {
-                self.drive(index, |node, now| node.on_tick(now));
+                self.drive(index, FleetNode::on_tick);
             }
             let tick_end = self.now + TICK_MS;
             while let Some(next) = self.events.first_entry() {
--- a/crates/briarrail_fleet/tests/suite/loads.rs
+++ b/crates/briarrail_fleet/tests/suite/loads.rs
@@ -71,7 +71,7 @@
             keep_share: 99,
         };
         fleet.drive(reader.unwrap(), |node, now| {
-            node.on_load_report(now, &target, &report)
+            node.on_load_report(now, &target, &report);
         });
         // Four distances of 500 ms each.
         fleet.run(2_500);
--- a/crates/briarrail_fleet/tests/suite/membership.rs
+++ b/crates/briarrail_fleet/tests/suite/membership.rs
@@ -78,7 +78,7 @@
 fn a_leaving_router_is_known_everywhere() {
     let mut fleet = FakeFleet::new(9, 2);
     fleet.run(5_000);
-    fleet.drive(1, |node, now| node.leave(now));
+    fleet.drive(1, FleetNode::leave);
     fleet.run(6_000);
     let found = phases(&fleet, 1);
     assert_eq!(found, vec![Some(ViewPhase::Leaving); 9]);
