fix(settings): keep secrets out of messages about misspelt keys

Cause: garbled settings showed that a misspelt key above a secret, or a syntax error in it, printed the secret. Change: values of unknown keys are left out, objects and lists are shown by their brackets, and a syntax error shows punctuation only. A shared address is reported at its listen key. Mutations caught: any token of a syntax error shown, lists shown whole.

--- a/crates/briarctl/tests/suite/main.rs
+++ b/crates/briarctl/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod fake_router;
+mod garbled;
 mod help;
 mod outages;
 mod routers;
--- a/crates/briarrail_settings/src/daemon_settings.rs
+++ b/crates/briarrail_settings/src/daemon_settings.rs
@@ -141,13 +141,13 @@
             result.value
         }
         Err(error) => {
-            let shown = log.shown(error.range());
+            let shown = log.shown_token(error.range());
             let hint = error.kind().to_string();
             log.add(
                 SettingsErrorKind::Syntax,
                 error.range(),
                 "file",
-                &shown,
+                shown,
                 &hint,
             );
             None
@@ -177,7 +177,8 @@
         let taken = address.is_some_and(|address| address.listen.port() != 0);
         if taken && addresses[..index].contains(address) {
             let hint = "give callers, operators and peers their own address or port";
-            root.report(SettingsErrorKind::Conflict, keys[index], hint);
+            let section = root.section(keys[index]);
+            section.report(SettingsErrorKind::Conflict, "listen", hint);
         }
     }
 }
--- a/crates/briarrail_settings/src/error_log.rs
+++ b/crates/briarrail_settings/src/error_log.rs
@@ -41,15 +41,28 @@
         });
     }
 
-    /// Returns the text of a range, cut to a length that fits a message.
+    /// Returns the text of a number or a string, cut to a length that fits a message.
+    ///
+    /// Objects and lists are shown by their brackets only, since they may hold a secret.
     pub(crate) fn shown(&self, range: Range) -> String {
         let text = &self.text[range.start..range.end];
-        let line = text.lines().next().unwrap_or_default();
-        if line.len() == text.len() && line.chars().count() <= MAX_SHOWN_CHARS {
-            return line.to_owned();
+        match text.as_bytes().first() {
+            Some(b'{') => "{...}".to_owned(),
+            Some(b'[') => "[...]".to_owned(),
+            _ if text.chars().count() <= MAX_SHOWN_CHARS => text.to_owned(),
+            _ => text
+                .chars()
+                .take(MAX_SHOWN_CHARS)
+                .chain("...".chars())
+                .collect(),
         }
-        let start: String = line.chars().take(MAX_SHOWN_CHARS).collect();
-        format!("{start}...")
+    }
+
+    /// Returns the text at which the parser gave up, unless it may be part of a secret.
+    pub(crate) fn shown_token(&self, range: Range) -> &'t str {
+        let text = self.text.get(range.start..range.end).unwrap_or_default();
+        let is_mark = text.chars().all(|char| char.is_ascii_punctuation());
+        if is_mark { text } else { "" }
     }
 
     /// Returns the mistakes in the order of their lines, if there are any.
--- a/crates/briarrail_settings/src/section_reader.rs
+++ b/crates/briarrail_settings/src/section_reader.rs
@@ -185,21 +185,20 @@
             let path = self.path_of(name);
             if !known.contains(&name) {
                 let hint = format!("known keys: {}", known.join(", "));
-                self.report_key(SettingsErrorKind::UnknownKey, property, &path, &hint);
+                // The value is left out, since the key may be a misspelt one of a secret.
+                let kind = SettingsErrorKind::UnknownKey;
+                self.log.add(kind, property.range, &path, "", &hint);
             }
             let earlier = &properties[..index];
             if earlier.iter().any(|other| other.name.as_str() == name) {
                 let hint = "keep one of them";
-                self.report_key(SettingsErrorKind::DuplicateKey, property, &path, hint);
+                let shown = shown_value(self.log, &path, property.value.range());
+                let kind = SettingsErrorKind::DuplicateKey;
+                self.log.add(kind, property.range, &path, &shown, hint);
             }
         }
     }
 
-    fn report_key(&self, kind: SettingsErrorKind, at: &ObjectProp<'_>, path: &str, hint: &str) {
-        let shown = shown_value(self.log, path, at.value.range());
-        self.log.add(kind, at.range, path, &shown, hint);
-    }
-
     fn property(&self, key: &'static str) -> Option<&'t ObjectProp<'t>> {
         let mut known = self.known.borrow_mut();
         if !known.contains(&key) {
--- a/crates/briarrail_settings/tests/suite/main.rs
+++ b/crates/briarrail_settings/tests/suite/main.rs
@@ -2,4 +2,5 @@
 
 mod bad_settings;
 mod documented;
+mod garbled;
 mod good_settings;
