feat(daemon): say when a router has no configuration yet

Cause: the by-hand walk of the README showed that a router without tables refuses with 'the pool has no live target', which sends an operator to the wrong place; the walk also needs an editor's name.

--- a/crates/briarrail_outcome/src/outcome_reply.rs
+++ b/crates/briarrail_outcome/src/outcome_reply.rs
@@ -150,6 +150,7 @@
         | NotRunReason::TargetRefused
         | NotRunReason::Unreachable
         | NotRunReason::DeadlinePassed
+        | NotRunReason::NotReady
         | NotRunReason::Stopping => (503, Some(SHORT_WAIT_S)),
     }
 }
@@ -186,6 +187,7 @@
         NotRunReason::KeyMissing => "the route wants an idempotency-key header, best a UUIDv7",
         NotRunReason::KeyExpired => "the idempotency key is older than the retention period",
         NotRunReason::KeyInvalid => "the idempotency key is not accepted, send a new UUIDv7",
+        NotRunReason::NotReady => "the router has no configuration yet",
         NotRunReason::Stopping => "the router stops, another one will take the request",
     }
 }
--- a/crates/briarrail_outcome/src/request_outcome.rs
+++ b/crates/briarrail_outcome/src/request_outcome.rs
@@ -43,6 +43,8 @@
     KeyExpired,
     /// The key's time lies in the future, or its kind is not accepted.
     KeyInvalid,
+    /// The router has no configuration yet.
+    NotReady,
     /// The router stops.
     Stopping,
 }
--- a/crates/briarraild/src/traffic/call_service.rs
+++ b/crates/briarraild/src/traffic/call_service.rs
@@ -89,7 +89,7 @@
     }
     let snapshot = engine.state.snapshot();
     if !snapshot.is_ready {
-        return Err(CallRefusal::not_run(NotRunReason::NoTarget));
+        return Err(CallRefusal::not_run(NotRunReason::NotReady));
     }
     let source = snapshot
         .find(&request.facts())
