feat(load): show what a refusal says

Cause: a refused stream showed its status only, which didn't tell a stopping router from one that knows no target. Change: the defect of a refused call carries the start of its body.

--- a/crates/briarload/src/chat_load.rs
+++ b/crates/briarload/src/chat_load.rs
@@ -14,6 +14,8 @@
 use crate::{AnswerDefect, AnswerReader, CallOutcome, ChatBook, ChatPlan, ChatTurn, LoadReport};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
+/// Characters of a refusal that are kept for the report.
+const MAX_SHOWN_CHARS: usize = 200;
 const TARGET_HEADER: &str = "x-standin";
 
 /// Sends chats that return as the plan says, and verifies each answer.
@@ -116,7 +118,7 @@
             Ok(response) if response.status().is_success() => {
                 self.read_answer(turn, response, start).await
             }
-            Ok(response) => refusal_record(&response),
+            Ok(response) => refusal_record(response).await,
             Err(error) if error.is_connect() => CallRecord::new(CallOutcome::Unreachable),
             Err(error) => CallRecord {
                 defect: Some(error.to_string()),
@@ -183,10 +185,13 @@
     failed(record, outcome, &defect.to_string())
 }
 
-fn refusal_record(response: &Response) -> CallRecord {
+async fn refusal_record(response: Response) -> CallRecord {
     let outcome = CallOutcome::of_refusal(response.headers());
+    let status = response.status();
+    let body = response.text().await.unwrap_or_default();
+    let shown: String = body.chars().take(MAX_SHOWN_CHARS).collect();
     CallRecord {
-        defect: Some(format!("status {}", response.status())),
+        defect: Some(format!("status {status}: {shown}")),
         ..CallRecord::new(outcome)
     }
 }
