--- /dev/null
+++ b/examples/quickstart/ticket_section.rs
@@ -0,0 +1,76 @@
+//! Ticket posts, and the three outcomes.
+
+use briarload::{TicketPlan, UrlRing, run_tickets};
+use briarrail_standin::ServiceFaults;
+use reqwest::Response;
+
+use crate::demo_site::DemoSite;
+
+const TICKETS: u64 = 40;
+
+/// Posts tickets twice each, and then makes each outcome happen.
+pub(crate) async fn run(site: &DemoSite) {
+    let plan = TicketPlan {
+        urls: UrlRing::new(site.urls()),
+        keys: TicketPlan::fresh_keys(TICKETS),
+        attempts: 2,
+        ..TicketPlan::default()
+    };
+    println!("\nTickets: {TICKETS} posts, each sent twice with its key, through two routers");
+    let report = run_tickets(&site.client, &plan).await;
+    println!("  outcomes: {:?}", report.totals());
+    let ledger = site.standins.ledger();
+    let runs: u32 = ledger.values().map(|entry| entry.runs).sum();
+    println!("  runs in the ledgers: {runs} of {} keys", ledger.len());
+
+    println!("\nThe three outcomes, each of one key that is sent and then repeated");
+    let refuse = |faults: &mut ServiceFaults| faults.refuse_next = 1;
+    let lose = |faults: &mut ServiceFaults| faults.drop_after_run_next = 1;
+    show(site, "no fault", |_| {}).await;
+    show(site, "the target refuses before running", refuse).await;
+    show(site, "the target runs it and the answer is lost", lose).await;
+}
+
+/// Switches a fault on at all services, posts one ticket, switches it off and repeats the post.
+async fn show<F>(site: &DemoSite, title: &str, fault: F)
+where
+    F: Fn(&mut ServiceFaults),
+{
+    println!("  {title}:");
+    let key = TicketPlan::fresh_keys(1).remove(0);
+    for service in &site.standins.services {
+        service.faults().update(&fault);
+    }
+    post(site, 0, &key).await;
+    for service in &site.standins.services {
+        service.faults().set(ServiceFaults::default());
+    }
+    post(site, 1, &key).await;
+    let ledger = site.standins.ledger();
+    let runs = ledger.get(&key).map_or(0, |entry| entry.runs);
+    println!("    runs in the ledgers: {runs}");
+}
+
+/// Posts a ticket through a router and prints what the caller sees.
+async fn post(site: &DemoSite, router: usize, key: &str) {
+    let url = format!("{}/tickets", site.urls()[router]);
+    let request = site.client.post(url).header("idempotency-key", key);
+    let request = request.header("x-customer", "customer-0").body("12.5 t");
+    match request.send().await {
+        Ok(response) => println!("    {}", describe(response).await),
+        Err(error) => println!("    no answer: {error}"),
+    }
+}
+
+async fn describe(response: Response) -> String {
+    let status = response.status();
+    let header = |name| {
+        response
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    let outcome = header("x-briarrail-outcome").unwrap_or("-").to_owned();
+    let body = response.text().await.unwrap_or_default();
+    format!("{status}, outcome {outcome}: {body}")
+}
