fix(outcome): keep the bucket count and clock lead out of the settings file

Cause: two routers with another bucket count would keep a key in two heads, and a smaller clock lead would pass over segments; both could grant a key twice. Change: both are fixed and not read from settings; runnable examples on the main types. Conclusion: a settings mistake can't double a run.

--- a/crates/briarrail_outcome/src/claim_client.rs
+++ b/crates/briarrail_outcome/src/claim_client.rs
@@ -19,6 +19,27 @@
 /// A request is sent to a target only on [`ClaimStep::Send`]. It is returned once at most, and
 /// never after the claim has ended: whatever reply still travels finds the claim ended and leads
 /// to a release. Whether the owner of the bucket is early, late or doubled makes no difference.
+///
+/// ```
+/// use briarrail_model::{MilliDuration, MilliTime, StableHash};
+/// use briarrail_outcome::{ClaimClient, ClaimEvent, ClaimStep};
+/// use briarrail_peer::{ClaimReply, ClaimRequest};
+///
+/// let request = ClaimRequest {
+///     key: "saltworks\u{1f}01a3185c-ad9d-7b79-8707-070707070707".into(),
+///     body_hash: StableHash(1),
+///     router: "gongoni-1".into(),
+///     attempt_id: 1,
+///     wait_ms: MilliDuration::from_millis(450),
+/// };
+/// let now = MilliTime::from_millis(0);
+/// let mut client = ClaimClient::new(request, now);
+/// assert!(matches!(client.start(), ClaimStep::Ask { candidate: 0, .. }));
+/// let step = client.handle(ClaimEvent::GaveUp, client.give_up_at());
+/// assert!(matches!(step, ClaimStep::Finish { release: true, .. }));
+/// let late = ClaimEvent::Reply(ClaimReply::Granted { fencing: 1 });
+/// assert_eq!(client.handle(late, client.give_up_at()), ClaimStep::Release);
+/// ```
 #[derive(Debug, Clone)]
 pub struct ClaimClient {
     request: ClaimRequest,
--- a/crates/briarrail_outcome/src/claim_owner.rs
+++ b/crates/briarrail_outcome/src/claim_owner.rs
@@ -16,6 +16,35 @@
 ///
 /// Safety does not rest on there being one owner, nor on clocks: a claim is granted only after a
 /// conditional update of the bucket's head has made it durable.
+///
+/// ```
+/// use briarrail_model::{MilliDuration, MilliTime, StableHash};
+/// use briarrail_outcome::{
+///     ClaimAction, ClaimBucket, ClaimKey, ClaimOwner, ClaimSettings, ClaimTicket, StoreReply,
+///     StoreVersion,
+/// };
+/// use briarrail_peer::{ClaimReply, ClaimRequest};
+///
+/// let mut owner = ClaimOwner::new(ClaimSettings::default(), 7);
+/// owner.set_candidate_for((0..64).map(ClaimBucket).collect());
+/// let key = ClaimKey::new("saltworks", "01a3185c-ad9d-7b79-8707-070707070707").unwrap();
+/// let now = MilliTime::from_millis(0x01a3_185c_ad9d);
+/// let request = ClaimRequest {
+///     key: key.into_string(),
+///     body_hash: StableHash(1),
+///     router: "gongoni-1".into(),
+///     attempt_id: 1,
+///     wait_ms: MilliDuration::from_millis(450),
+/// };
+/// // The owner reads the bucket's head, then writes it with the claim, then grants.
+/// let mut actions = owner.handle_claim(ClaimTicket(1), request, now);
+/// for reply in [StoreReply::Missing, StoreReply::Written { version: StoreVersion(1) }] {
+///     let Some(ClaimAction::Call { id, .. }) = actions.pop() else { unreachable!() };
+///     actions = owner.handle_store(id, reply, now);
+/// }
+/// let reply = ClaimReply::Granted { fencing: 1 };
+/// assert_eq!(actions, [ClaimAction::Reply { ticket: ClaimTicket(1), reply }]);
+/// ```
 #[derive(Debug, Clone)]
 pub struct ClaimOwner {
     settings: ClaimSettings,
--- a/crates/briarrail_outcome/src/claim_settings.rs
+++ b/crates/briarrail_outcome/src/claim_settings.rs
@@ -3,11 +3,16 @@
 use briarrail_model::MilliDuration;
 use serde::{Deserialize, Serialize};
 
-/// Settings of the claims; all routers of a fleet must use the same.
+/// Settings of the claims.
+///
+/// What must be alike on all routers and for ever is not read from a settings file: the number of
+/// buckets and the greatest lead of a caller's clock. The rest may differ while a change is rolled
+/// out; the time before which keys are refused is durable and never falls.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ClaimSettings {
-    /// Number of buckets; it must never change while claims are kept.
+    /// Number of buckets.
+    #[serde(skip, default = "default_buckets")]
     pub buckets: u32,
     /// Longest time that an entry router waits for a claim, in milliseconds.
     pub claim_wait_ms: MilliDuration,
@@ -18,6 +23,7 @@
     /// Time for which claims are kept, in milliseconds.
     pub retention_ms: MilliDuration,
     /// Greatest lead of a caller's clock, in milliseconds.
+    #[serde(skip, default = "default_clock_skew")]
     pub clock_skew_ms: MilliDuration,
     /// Largest answer body that is kept, in bytes.
     pub answer_limit_bytes: usize,
@@ -40,12 +46,12 @@
 impl Default for ClaimSettings {
     fn default() -> Self {
         Self {
-            buckets: 64,
+            buckets: default_buckets(),
             claim_wait_ms: MilliDuration::from_millis(450),
             commit_interval_ms: MilliDuration::from_millis(250),
             report_delay_ms: MilliDuration::from_millis(1_000),
             retention_ms: MilliDuration::from_secs(24 * 3_600),
-            clock_skew_ms: MilliDuration::from_secs(60),
+            clock_skew_ms: default_clock_skew(),
             answer_limit_bytes: 2_048,
             seal_bytes: 64 * 1_024,
             head_limit_bytes: 768 * 1_024,
@@ -57,3 +63,11 @@
         }
     }
 }
+
+const fn default_buckets() -> u32 {
+    64
+}
+
+const fn default_clock_skew() -> MilliDuration {
+    MilliDuration::from_secs(60)
+}
