feat(daemon): bound open requests and learn how long they stay

Cause: max_streams bounded connections only, so idle ones took the place of requests and a full router left callers in the listen queue without an answer; placement predicted with a fixed 12 s a stream. Change: requests beyond max_streams are refused as not run with Retry-After; idle connections have room of their own; the mean time of answered requests feeds the pool's placement. Tests for slow, oversized and unknown requests.

--- a/crates/briarraild/src/control/snapshot_builder.rs
+++ b/crates/briarraild/src/control/snapshot_builder.rs
@@ -117,7 +117,7 @@
                 ledger: LoadLedger::new(now),
                 runtime: Arc::new(PoolRuntime::new(row.limits.max_wait_ms)),
             });
-        let settings = PlacementSettings::from_pool(row);
+        let settings = PlacementSettings::from_pool(row).stream_time(memory.runtime.stream_time());
         let view = memory.ledger.refresh(&states, settings, site, now);
         let capacity = row.limits.max_streams_per_target;
         let pressure = (capacity > 0).then(|| view.mean_load() / capacity as f32);
--- a/crates/briarraild/src/state/pool_runtime.rs
+++ b/crates/briarraild/src/state/pool_runtime.rs
@@ -9,6 +9,8 @@
 
 const RETRY_PERCENT: u32 = 20;
 const RETRY_BURST: u32 = 20;
+/// Weight of the past in the mean stream time, in requests.
+const STREAM_TIME_SAMPLES: u64 = 64;
 const STREAM_TIME: MilliDuration = MilliDuration::from_secs(12);
 
 /// Admission and retry budget of a pool; it outlives the snapshots that refer to it.
@@ -17,6 +19,7 @@
     parts: Mutex<RuntimeParts>,
     returning: AtomicU64,
     reused: AtomicU64,
+    stream_millis: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -34,6 +37,7 @@
             parts: Mutex::new(RuntimeParts { gate, budget }),
             returning: AtomicU64::new(0),
             reused: AtomicU64::new(0),
+            stream_millis: AtomicU64::new(STREAM_TIME.as_millis()),
         }
     }
 
@@ -63,6 +67,20 @@
         self.lock().budget.try_retry(semantics)
     }
 
+    /// Learns from the time that an answered request stayed at its target.
+    pub(crate) fn learn_stream_time(&self, time: MilliDuration) {
+        let learned = self.stream_millis.load(Ordering::Relaxed);
+        let sum = learned * (STREAM_TIME_SAMPLES - 1) + time.as_millis();
+        // Racing samples may be lost, which an average can bear.
+        self.stream_millis
+            .store(sum / STREAM_TIME_SAMPLES, Ordering::Relaxed);
+    }
+
+    /// Returns the mean time that a request stays at its target.
+    pub(crate) fn stream_time(&self) -> MilliDuration {
+        MilliDuration::from_millis(self.stream_millis.load(Ordering::Relaxed).max(1))
+    }
+
     /// Counts a returning chat, and whether its target had the context cached.
     pub(crate) fn count_returning(&self, is_reused: bool) {
         self.returning.fetch_add(1, Ordering::Relaxed);
--- a/crates/briarraild/src/traffic/call_driver.rs
+++ b/crates/briarraild/src/traffic/call_driver.rs
@@ -152,6 +152,10 @@
         }
         let now = self.now();
         self.record.finish(outcome, now);
+        if outcome == RequestOutcome::Answered {
+            let time = now.since(self.request.received_at);
+            self.source.pool.runtime.learn_stream_time(time);
+        }
         self.guard = None;
         self.admission = None;
         let request_id = &self.request.id;
--- a/crates/briarraild/src/traffic/call_service.rs
+++ b/crates/briarraild/src/traffic/call_service.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use briarrail_model::{CallSemantics, KeylessRule};
+use briarrail_model::{CallSemantics, KeylessRule, MilliDuration};
 use briarrail_outcome::NotRunReason;
 
 use http::StatusCode;
@@ -15,6 +15,8 @@
 };
 use crate::state::{RoutingSource, StopPhase};
 
+const FULL_RETRY_AFTER: MilliDuration = MilliDuration::from_secs(1);
+
 /// Serves one request and returns the reply for its caller.
 pub(crate) async fn serve_call(engine: &Arc<TrafficEngine>, request: CallerRequest) -> CallerReply {
     let source = match find_source(engine, &request) {
@@ -87,6 +89,9 @@
     if engine.state.phase() >= StopPhase::Draining {
         return Err(CallRefusal::not_run(NotRunReason::Stopping));
     }
+    if engine.state.requests() >= engine.settings.limits.max_streams {
+        return Err(CallRefusal::overloaded(FULL_RETRY_AFTER));
+    }
     let snapshot = engine.state.snapshot();
     if !snapshot.is_ready {
         return Err(CallRefusal::not_run(NotRunReason::NotReady));
--- a/crates/briarraild/src/traffic/caller_server.rs
+++ b/crates/briarraild/src/traffic/caller_server.rs
@@ -16,6 +16,9 @@
 use super::request_reader::{ReadError, read_request};
 use super::{CallerReply, TrafficEngine};
 
+/// Connections that callers may keep open without a request, for each that has one.
+const CONNECTIONS_PER_STREAM: usize = 4;
+
 /// Makes the server for callers.
 ///
 /// Returns the future that serves until the handle stops it.
@@ -33,7 +36,7 @@
         .with_write_stall_timeout(read_timeout);
     let mut server = Server::new(acceptor)
         .fuse_config(fuse)
-        .max_connections(limits.max_streams as usize);
+        .max_connections(limits.max_streams as usize * CONNECTIONS_PER_STREAM);
     server
         .http1_mut()
         .max_buf_size(limits.max_head_bytes as usize);
--- a/crates/briarraild/tests/suite/main.rs
+++ b/crates/briarraild/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the daemon against stand-ins, by feature.
 
 mod answers;
+mod callers;
 mod claims;
 mod load;
 mod operators;
