fix(daemon): hear claims of listed routers only, and split the control loop

Change: claim frames of hosts that are no listed routers are dropped and logged; frames, publishing and load reading have modules of their own. Figures: the new test fails without the check (an unlisted host is granted a claim) and passes with it.

--- a/crates/briarraild/src/control/control_loop.rs
+++ b/crates/briarraild/src/control/control_loop.rs
@@ -1,23 +1,20 @@
 //! The loop that owns control state.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarrail_fleet::{FleetNode, FleetOutput, FleetView};
-use briarrail_model::{ConfigSnapshot, HostEntry, HostName, LoadRecord, MilliDuration, MilliTime};
-use briarrail_peer::{Envelope, FrameCodec, FrameError, MessageKind};
+use briarrail_fleet::{FleetNode, FleetOutput};
+use briarrail_model::{HostEntry, HostName, LoadRecord, MilliDuration, MilliTime};
+use briarrail_peer::FrameCodec;
 use briarrail_platform::{HostDirectory, ObjectStore};
-use bytes::Bytes;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
 use super::claim_desk::{ClaimDesk, PendingCall};
-use super::snapshot_builder::{SnapshotBuilder, SnapshotInputs};
-use super::{ControlEvent, PeerPath, PlatformTasks};
-use crate::state::{ControlBytes, SharedState};
+use super::snapshot_builder::SnapshotBuilder;
+use super::{ControlEvent, PlatformTasks};
+use crate::state::SharedState;
 use crate::system_clock::SystemClock;
 
 const TICK: Duration = Duration::from_millis(50);
@@ -48,13 +45,13 @@
 /// Owns control state and publishes it to the traffic threads.
 #[derive(Debug)]
 pub(crate) struct ControlLoop<S, D> {
-    parts: ControlParts,
-    tasks: PlatformTasks<S, D>,
+    pub(super) parts: ControlParts,
+    pub(super) tasks: PlatformTasks<S, D>,
     events: mpsc::Receiver<ControlEvent>,
-    own_loads: HashMap<HostName, LoadRecord>,
-    published_generation: Option<u64>,
+    pub(super) own_loads: HashMap<HostName, LoadRecord>,
+    pub(super) published_generation: Option<u64>,
     /// Whether the router has been ready; a leaving router goes on serving.
-    has_been_ready: bool,
+    pub(super) has_been_ready: bool,
     refresh_due: MilliTime,
     load_due: MilliTime,
     hand_over: Option<oneshot::Sender<()>>,
@@ -164,87 +161,6 @@
         self.own_loads.insert(target, record);
     }
 
-    fn handle_frame(
-        &mut self,
-        path: PeerPath,
-        frame: &Bytes,
-        reply: oneshot::Sender<Option<Bytes>>,
-    ) {
-        let result = match path {
-            PeerPath::Exchange => {
-                let now = self.now();
-                // A peer that has gone away sends its frame again.
-                let _ = reply.send(self.parts.fleet.on_frame(now, frame));
-                return;
-            }
-            PeerPath::Claim => self.handle_claim(frame, reply),
-            PeerPath::Report => self.handle_report(frame, reply),
-        };
-        if let Err(error) = result {
-            tracing::warn!(%error, "claims: frame dropped");
-        }
-    }
-
-    fn handle_claim(
-        &mut self,
-        frame: &Bytes,
-        reply: oneshot::Sender<Option<Bytes>>,
-    ) -> Result<(), FrameError> {
-        let envelope = self.open(MessageKind::ClaimRequest, frame)?;
-        let (sender, answered) = oneshot::channel();
-        let calls = self.parts.desk.claim(envelope.body, sender, self.now());
-        self.call_store(calls);
-        self.reply_sealed(MessageKind::ClaimReply, envelope.from, answered, reply);
-        Ok(())
-    }
-
-    fn handle_report(
-        &mut self,
-        frame: &Bytes,
-        reply: oneshot::Sender<Option<Bytes>>,
-    ) -> Result<(), FrameError> {
-        let envelope = self.open(MessageKind::ClaimReport, frame)?;
-        let (sender, answered) = oneshot::channel();
-        let calls = self.parts.desk.report(envelope.body, sender, self.now());
-        self.call_store(calls);
-        self.reply_sealed(MessageKind::ClaimReply, envelope.from, answered, reply);
-        Ok(())
-    }
-
-    fn open<T>(&self, kind: MessageKind, frame: &Bytes) -> Result<Envelope<T>, FrameError>
-    where
-        T: DeserializeOwned,
-    {
-        self.parts.codec.open(kind, &self.parts.own.name, frame)
-    }
-
-    /// Seals the answer to a claim message once it is there.
-    fn reply_sealed<T>(
-        &self,
-        kind: MessageKind,
-        to: HostName,
-        answered: oneshot::Receiver<T>,
-        reply: oneshot::Sender<Option<Bytes>>,
-    ) where
-        T: Serialize + Send + 'static,
-    {
-        let codec = self.parts.codec.clone();
-        let from = self.parts.own.name.clone();
-        let incarnation = self.parts.own.incarnation;
-        tokio::spawn(async move {
-            let body = answered.await.ok();
-            let envelope = body.map(|body| Envelope {
-                from,
-                incarnation,
-                to,
-                body,
-            });
-            let frame = envelope.and_then(|envelope| codec.seal(kind, &envelope).ok());
-            // A router that has gone away asks again.
-            let _ = reply.send(frame);
-        });
-    }
-
     fn carry_out(&mut self) {
         for output in self.parts.fleet.take_outputs() {
             match output {
@@ -279,96 +195,13 @@
         }
     }
 
-    /// Tells the burn record the objectives of the pools in force.
-    fn set_objectives(&self) {
-        let Some(config) = self.parts.fleet.config() else {
-            return;
-        };
-        let now = self.now();
-        let mut burn = self.parts.state.burn();
-        burn.retain_pools(|pool| config.tables.pool(pool).is_some());
-        for pool in &config.tables.pools {
-            burn.set_objective(&pool.name, &pool.objective, now);
-        }
-    }
-
-    fn sample_rate(&self, now: MilliTime) {
-        let counters = self.parts.fleet.counters();
-        let bytes = ControlBytes {
-            sent: counters.bytes_sent,
-            received: counters.bytes_received,
-        };
-        self.parts.state.metrics.set_control_bytes(bytes);
-        self.parts.state.rate().sample(bytes, now);
-    }
-
-    fn call_store(&self, calls: Vec<PendingCall>) {
+    pub(super) fn call_store(&self, calls: Vec<PendingCall>) {
         for call in calls {
             self.parts.state.metrics.count_platform_call("claims");
             self.tasks.call_store(call);
         }
     }
 
-    fn read_loads(&self) {
-        let observed = self.parts.fleet.observed_targets();
-        let hosts = self.parts.fleet.hosts();
-        for name in observed.iter() {
-            let entry = hosts.key(name).and_then(|key| hosts.entry(key));
-            if let Some(entry) = entry.filter(|entry| self.reports_load(entry)) {
-                self.tasks.read_load(entry);
-            }
-        }
-    }
-
-    fn reports_load(&self, host: &HostEntry) -> bool {
-        let config = self.parts.fleet.config();
-        config.is_some_and(|config| {
-            let mut reporting = config.tables.pools.iter().filter(|pool| pool.reports_load);
-            reporting.any(|pool| pool.targets.accepts(host))
-        })
-    }
-
-    fn publish(&mut self, now: MilliTime) {
-        let fleet = &self.parts.fleet;
-        self.has_been_ready |= fleet.is_ready();
-        self.published_generation = Some(fleet.hosts().generation());
-        let view = fleet.view();
-        let config = fleet
-            .config()
-            .cloned()
-            .unwrap_or_else(|| Arc::new(ConfigSnapshot::default()));
-        let loads = self.latest_loads(&view);
-        let inputs = SnapshotInputs {
-            config: &config,
-            view: &view,
-            loads: &loads,
-        };
-        let snapshot = self.parts.builder.build(inputs, self.has_been_ready, now);
-        self.parts
-            .desk
-            .assign(&snapshot.routers, &self.parts.own.name);
-        let metrics = &self.parts.state.metrics;
-        metrics.set_config_sequence(config.sequence);
-        metrics.set_live_hosts("router", snapshot.routers.len() as u64);
-        metrics.set_live_hosts("target", view.targets.len() as u64);
-        self.parts.state.publish(snapshot);
-    }
-
-    /// Returns the latest record of each target, own readings included.
-    fn latest_loads(&self, view: &FleetView) -> BTreeMap<HostName, LoadRecord> {
-        let records = view.targets.iter().filter_map(|target| {
-            let name = &target.entry.name;
-            let exchanged = self.parts.fleet.load_of(name);
-            let own = self.own_loads.get(name).copied();
-            let newest = exchanged
-                .into_iter()
-                .chain(own)
-                .max_by_key(|record| record.version)?;
-            Some((name.clone(), newest))
-        });
-        records.collect()
-    }
-
     fn finish_hand_over(&mut self) {
         if self.parts.desk.is_idle()
             && let Some(done) = self.hand_over.take()
@@ -379,7 +212,7 @@
         }
     }
 
-    fn now(&self) -> MilliTime {
+    pub(super) fn now(&self) -> MilliTime {
         self.parts.clock.now()
     }
 }
--- a/crates/briarraild/src/control/mod.rs
+++ b/crates/briarraild/src/control/mod.rs
@@ -5,9 +5,12 @@
 mod control_loop;
 mod control_thread;
 mod fleet_setup;
+mod frame_handling;
+mod load_reading;
 mod peer_server;
 mod platform_tasks;
 mod snapshot_builder;
+mod view_publishing;
 
 pub(crate) use control_event::{ControlEvent, PeerPath};
 pub(crate) use control_loop::ControlLoop;
--- a/crates/briarraild/tests/suite/main.rs
+++ b/crates/briarraild/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod load;
 mod operators;
+mod peers;
 mod refusals;
 mod site;
 mod stops;
