feat(bench): measure placement in virtual time

Cause: skew and reuse of the policies have to be compared under churn, surge and lag. Change: briarrail_bench placement drives the policy crate with many router states, lagged and differing views, engines as counters with a cache, baselines in the same run.

--- /dev/null
+++ b/crates/briarrail_bench/src/placement/router_model.rs
@@ -0,0 +1,172 @@
+//! Routers with their lagged views.
+
+use briarrail_model::{HostPhase, LoadRecord, MilliDuration, MilliTime, StableHash, hash_pair};
+use briarrail_policy::{
+    AdmissionGate, LoadLedger, PlacementChoice, PlacementRequest, PlacementSettings, PlacementView,
+    RouterSite, TargetInput, place,
+};
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use super::engine_model::EngineModel;
+use super::routing_rule::{BaselineTarget, BaselineView, RoutingRule};
+use super::scenario_plan::ScenarioPlan;
+use super::site_shape::{STREAM_SECONDS, SiteShape};
+
+const MIN_LIST_DELAY_MS: u64 = 500;
+const REGION: StableHash = StableHash(0xc0a5_7a15);
+const MAX_GATE_WAIT: MilliDuration = MilliDuration::from_secs(2);
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub(crate) enum RouteAnswer {
+    /// Engines to try, best first.
+    Engines(Vec<u32>),
+    /// Ask again after some milliseconds.
+    Wait(u64),
+    Refused,
+}
+
+/// One router: its own counts and its view of the engines.
+pub(crate) struct RouterModel {
+    pub(crate) in_flight: Vec<u32>,
+    pub(crate) gate: AdmissionGate,
+    pub(crate) ledger: LoadLedger,
+    view: PlacementView,
+    baseline: BaselineView,
+    index: u64,
+    inputs: Vec<TargetInput>,
+    settings: PlacementSettings,
+    site: RouterSite,
+}
+
+/// Returns the hash of an engine's name.
+pub(crate) fn engine_name(engine: usize) -> StableHash {
+    hash_pair(StableHash(engine as u64), StableHash(0xe9))
+}
+
+impl RouterModel {
+    pub(crate) fn new(index: usize, shape: &SiteShape, plan: &ScenarioPlan) -> Self {
+        let stream_time = MilliDuration::from_millis((STREAM_SECONDS * 1_000.0) as u64);
+        let mut settings = PlacementSettings::new(shape.skew_bound, shape.preference)
+            .stream_time(stream_time)
+            .report_delay(MilliDuration::from_millis(plan.lag_ms + 1_000));
+        settings.max_streams_per_target = 0;
+        let site = RouterSite {
+            data_centre: StableHash((index % shape.data_centres) as u64),
+            region: REGION,
+            routers: shape.routers as u32,
+        };
+        let mut ledger = LoadLedger::new(MilliTime::default());
+        let view = ledger.refresh(&[], settings, site, MilliTime::default());
+        Self {
+            in_flight: vec![0; shape.engines],
+            gate: AdmissionGate::new(stream_time, MAX_GATE_WAIT),
+            ledger,
+            view,
+            baseline: BaselineView {
+                turn: index,
+                ..BaselineView::default()
+            },
+            index: index as u64,
+            inputs: Vec::new(),
+            settings,
+            site,
+        }
+    }
+
+    /// Takes over the visible records and the router's own idea of the host list.
+    pub(crate) fn refresh(
+        &mut self,
+        rule: RoutingRule,
+        shape: &SiteShape,
+        plan: &ScenarioPlan,
+        engines: &[EngineModel],
+        records: &[Option<LoadRecord>],
+        now: u64,
+    ) {
+        self.inputs.clear();
+        self.baseline.targets.clear();
+        let mut total = 0;
+        for (engine, model) in engines.iter().enumerate() {
+            let live = self.believes_up(engine, model, plan, now);
+            let phase = if live {
+                HostPhase::Live
+            } else {
+                HostPhase::Leaving
+            };
+            let load = records[engine];
+            self.inputs.push(TargetInput {
+                name: engine_name(engine),
+                data_centre: StableHash((engine % shape.data_centres) as u64),
+                region: REGION,
+                phase,
+                incarnation: model.incarnation,
+                load,
+                in_flight: self.in_flight[engine],
+            });
+            let load = load.map_or(0, |record| record.streams);
+            if live {
+                total += load;
+                let name = engine_name(engine);
+                let engine = engine as u32;
+                self.baseline
+                    .targets
+                    .push(BaselineTarget { engine, name, load });
+            }
+        }
+        self.baseline.mean = f64::from(total) / self.baseline.targets.len().max(1) as f64;
+        let mut pressure = self.baseline.mean as f32 / shape.slots() as f32;
+        if rule == RoutingRule::Briarrail {
+            let time = MilliTime::from_millis(now);
+            self.view = self
+                .ledger
+                .refresh(&self.inputs, self.settings, self.site, time);
+            pressure = self.view.pressure_for(shape.slots()).unwrap_or_default();
+        }
+        self.gate.refresh(Some(pressure));
+    }
+
+    pub(crate) fn route(
+        &mut self,
+        rule: RoutingRule,
+        request: &PlacementRequest,
+        rng: &mut SmallRng,
+    ) -> RouteAnswer {
+        if rule != RoutingRule::Briarrail {
+            return RouteAnswer::Engines(self.baseline.choose(rule, request.chat, rng));
+        }
+        match place(&self.view, request, &self.in_flight, rng.random()) {
+            PlacementChoice::Send(list) => {
+                let engine = |target: &briarrail_policy::TargetIndex| target.as_usize() as u32;
+                RouteAnswer::Engines(list.as_slice().iter().map(engine).collect())
+            }
+            PlacementChoice::Wait { retry_after } => RouteAnswer::Wait(retry_after.as_millis()),
+            PlacementChoice::Refuse { .. } => RouteAnswer::Refused,
+        }
+    }
+
+    /// Returns the bytes of ledger and view.
+    pub(crate) fn state_bytes(&self) -> usize {
+        self.ledger.state_bytes() + self.view.state_bytes()
+    }
+
+    /// Returns whether this router's host list shows the engine as live.
+    fn believes_up(
+        &self,
+        engine: usize,
+        model: &EngineModel,
+        plan: &ScenarioPlan,
+        now: u64,
+    ) -> bool {
+        let Some(changed_at) = model.changed_at else {
+            return model.up;
+        };
+        let pair = hash_pair(StableHash(self.index), engine_name(engine));
+        let change = model.incarnation * 2 + u64::from(model.up);
+        let draw = hash_pair(pair, StableHash(change)).0;
+        let spread = plan.list_delay_ms.saturating_sub(MIN_LIST_DELAY_MS).max(1);
+        let known = now - changed_at >= MIN_LIST_DELAY_MS + draw % spread;
+        model.up == known
+    }
+}
--- a/crates/briarrail_policy/src/load_ledger.rs
+++ b/crates/briarrail_policy/src/load_ledger.rs
@@ -89,6 +89,14 @@
         builder.build(&open)
     }
 
+    /// Returns the bytes of the ledger.
+    #[must_use]
+    pub fn state_bytes(&self) -> usize {
+        let states = self.targets.capacity() * size_of::<TargetState>();
+        let keys = self.keys.capacity() * size_of::<(StableHash, TargetKey)>();
+        size_of::<Self>() + states + keys
+    }
+
     fn observe(&mut self, inputs: &[TargetInput], now: MilliTime) -> Vec<TargetKey> {
         let established = now.since(self.started) >= WARM_UP;
         let mut keys = Vec::with_capacity(inputs.len());
--- a/crates/briarrail_policy/src/placement_view.rs
+++ b/crates/briarrail_policy/src/placement_view.rs
@@ -31,7 +31,8 @@
     pub(crate) settings: PlacementSettings,
     pub(crate) made_at: MilliTime,
     pub(crate) mean: f32,
-    pub(crate) pressure: Option<f32>,
+    /// Mean load with the router's own change scaled to the fleet, in streams.
+    pub(crate) fleet_load: Option<f32>,
     pub(crate) targets: Vec<ViewTarget>,
     pub(crate) near: Vec<OpenTarget>,
     pub(crate) far: Vec<OpenTarget>,
@@ -54,8 +55,23 @@
     ///
     /// Returns none when the pool's row sets no limit of streams, or nothing has been reported.
     #[must_use]
-    pub const fn pressure(&self) -> Option<f32> {
-        self.pressure
+    pub fn pressure(&self) -> Option<f32> {
+        self.pressure_for(self.settings.max_streams_per_target)
+    }
+
+    /// Returns the load of the region as a part of its capacity at `slots` streams a target.
+    #[must_use]
+    pub fn pressure_for(&self, slots: u32) -> Option<f32> {
+        let load = self.fleet_load.filter(|_| slots > 0)?;
+        Some(load / slots as f32)
+    }
+
+    /// Returns the bytes of the view.
+    #[must_use]
+    pub fn state_bytes(&self) -> usize {
+        let open = (self.near.capacity() + self.far.capacity()) * size_of::<OpenTarget>();
+        let targets = self.targets.capacity() * size_of::<ViewTarget>();
+        size_of::<Self>() + open + targets
     }
 
     /// Returns when the view was made.
--- a/crates/briarrail_policy/src/view_builder.rs
+++ b/crates/briarrail_policy/src/view_builder.rs
@@ -33,7 +33,7 @@
             settings: self.settings,
             made_at: self.now,
             mean: if near.is_empty() { far_mean } else { near_mean },
-            pressure: self.pressure(home, &targets),
+            fleet_load: self.fleet_load(home, &targets),
             targets,
             near: self.open_targets(&near),
             far: self.open_targets(&far),
@@ -75,12 +75,8 @@
         mean
     }
 
-    /// Returns the load as a part of the capacity; scales the router's own change to the fleet.
-    fn pressure(&self, members: &[usize], targets: &[ViewTarget]) -> Option<f32> {
-        let capacity = self.settings.max_streams_per_target;
-        if capacity == 0 || members.is_empty() {
-            return None;
-        }
+    /// Returns the mean load with the router's own change scaled to the fleet.
+    fn fleet_load(&self, members: &[usize], targets: &[ViewTarget]) -> Option<f32> {
         self.reported_mean(members)?;
         let mut load = LoadSum::default();
         for &position in members {
@@ -88,7 +84,7 @@
             let own_change = self.inputs[position].in_flight as f32 - target.own_at_report as f32;
             load.add(target.expected + own_change * self.site.routers as f32);
         }
-        Some(load.mean().max(0.0) / capacity as f32)
+        Some(load.mean().max(0.0))
     }
 
     fn reported_mean(&self, members: &[usize]) -> Option<f32> {
