fix(policy): forecast with what the routers themselves shed since the report

Cause: the forecast drifted to the usual load although targets shed, so the controller overshot and oscillated on old reports. Change: each target's history holds the inflow that the view led to; the forecast integrates it from the report on, and learns home loads from what reports give above their forecast.

--- a/crates/briarrail_bench/src/placement/fleet_run.rs
+++ b/crates/briarrail_bench/src/placement/fleet_run.rs
@@ -116,7 +116,7 @@
             plan,
             rule,
             admission,
-            publish: PublishRule::default(),
+            publish: PublishRule::for_targets(shape.engines * shape.pools),
             rng: SmallRng::seed_from_u64(seed),
             now: 0,
             arrival_time: 0.0,
@@ -448,8 +448,9 @@
     }
 
     fn report_loads(&mut self) {
-        let up = self.engines.iter().filter(|engine| engine.up);
-        let (count, total) = up.fold((0, 0), |sum, engine| (sum.0 + 1, sum.1 + engine.load()));
+        let last = |engine: &EngineModel| engine.published.back().map(|record| record.streams);
+        let known = self.engines.iter().filter_map(last);
+        let (count, total) = known.fold((0, 0), |sum, streams| (sum.0 + 1, sum.1 + streams));
         let mean = total as f32 / count.max(1) as f32;
         let own_rule = self.rule == RoutingRule::Briarrail;
         let measured = self.measured();
--- a/crates/briarrail_policy/src/admission_gate.rs
+++ b/crates/briarrail_policy/src/admission_gate.rs
@@ -5,9 +5,9 @@
 use crate::{AdmissionChoice, CustomerShares};
 
 /// Part of the pool's capacity from which on deferrable calls wait.
-const DEFER_AT: f64 = 0.80;
+const DEFER_AT: f64 = 0.75;
 /// Part of the pool's capacity to which customers above their fair share are held.
-const ADMIT_AT: f64 = 0.85;
+const ADMIT_AT: f64 = 0.80;
 const MIN_FAIR_SHARE: f64 = 1.0;
 const WAIT_STEP: MilliDuration = MilliDuration::from_millis(250);
 const MIN_RETRY_AFTER_MS: f64 = 1_000.0;
--- a/crates/briarrail_policy/src/load_ledger.rs
+++ b/crates/briarrail_policy/src/load_ledger.rs
@@ -6,6 +6,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::load_sum::LoadSum;
+use crate::target_history::HistorySample;
 use crate::target_state::TargetState;
 use crate::view_builder::ViewBuilder;
 use crate::{PlacementSettings, PlacementView, RouterSite, TargetInput};
@@ -86,7 +87,27 @@
             site,
             now,
         };
-        builder.build(&open)
+        let view = builder.build(&open);
+        self.record_history(inputs, &keys, &view, now);
+        view
+    }
+
+    /// Notes what the view leads to, for the forecasts of later views.
+    fn record_history(
+        &mut self,
+        inputs: &[TargetInput],
+        keys: &[TargetKey],
+        view: &PlacementView,
+        now: MilliTime,
+    ) {
+        for (position, input) in inputs.iter().enumerate() {
+            let sample = HistorySample {
+                at: now,
+                own: input.in_flight,
+                inflow: view.targets[position].inflow,
+            };
+            self.targets[keys[position]].history.record(sample);
+        }
     }
 
     /// Returns the bytes of the ledger.
@@ -142,7 +163,7 @@
         }
     }
 
-    /// Takes over new load records and learns the usual load of each target from them.
+    /// Takes over new load records and learns the home load of each target from them.
     fn learn(
         &mut self,
         inputs: &[TargetInput],
@@ -151,24 +172,32 @@
         settings: PlacementSettings,
         now: MilliTime,
     ) {
+        if !settings.reports_load {
+            return;
+        }
         let mut fresh = Vec::new();
         for &position in open {
             let Some(record) = inputs[position].load else {
                 continue;
             };
             let state = &mut self.targets[keys[position]];
-            let previous = state.record.map(|held| held.version);
-            if settings.reports_load && state.observe_load(record) {
-                let elapsed = previous.map_or(MilliDuration::ZERO, |at| record.version.since(at));
-                fresh.push((position, record.streams, elapsed));
+            let previous = state.record;
+            if state.observe_load(record) {
+                fresh.push((position, previous));
             }
         }
         let means = self.region_means(inputs, keys, open, now);
-        for (position, streams, elapsed) in fresh {
-            let mean = means[&inputs[position].region].mean();
-            if mean > 0.0 {
-                self.targets[keys[position]].learn_ratio(streams as f32 / mean, elapsed);
+        for (position, previous) in fresh {
+            let mean = means
+                .get(&inputs[position].region)
+                .map_or(0.0, LoadSum::mean);
+            let state = &mut self.targets[keys[position]];
+            if let Some(previous) = previous
+                && mean > 0.0
+            {
+                state.compare(previous, mean, settings.stream_time);
             }
+            state.record_mean = mean;
         }
     }
 
--- a/crates/briarrail_policy/src/place.rs
+++ b/crates/briarrail_policy/src/place.rs
@@ -112,8 +112,7 @@
     C: OwnCounts + ?Sized,
 {
     let target = &view.targets[ranked.index.as_usize()];
-    let room = (target.shed_limit - view.load(ranked.index, counts)) / target.shed_band;
-    let kept = room.clamp(0.0, 1.0) * target.share;
+    let kept = target.kept_part(view.load(ranked.index, counts));
     let draw = hash_pair(StableHash(ranked.score), KEEP_SALT);
     has_slot(view, ranked.index, counts) && unit_fraction(draw) < kept
 }
--- a/crates/briarrail_policy/src/target_state.rs
+++ b/crates/briarrail_policy/src/target_state.rs
@@ -4,11 +4,14 @@
 
 use crate::TargetInput;
 use crate::flap_damper::FlapDamper;
-use crate::own_history::OwnHistory;
+use crate::load_forecast::LoadForecast;
+use crate::target_history::TargetHistory;
 
 const WARM_ABSENCE: MilliDuration = MilliDuration::from_secs(300);
 const MAX_RECORD_AGE: MilliDuration = MilliDuration::from_secs(120);
-const SHARE_MEMORY_S: f64 = 30.0;
+const HOME_MEMORY_S: f64 = 180.0;
+const MIN_HOME_RATIO: f32 = 0.5;
+const MAX_HOME_RATIO: f32 = 2.0;
 const FIRST_SHARE: f32 = 0.2;
 
 /// What a load ledger remembers of one target.
@@ -16,13 +19,15 @@
 pub(crate) struct TargetState {
     pub(crate) last_seen: MilliTime,
     pub(crate) record: Option<LoadRecord>,
-    /// Usual load as a multiple of the pool's mean.
-    pub(crate) usual_ratio: f32,
+    /// Mean load of the target's region when the record arrived.
+    pub(crate) record_mean: f32,
+    /// Load to which the arrivals of its home chats lead, as a multiple of the pool's mean.
+    pub(crate) home_ratio: f32,
     pub(crate) damper: FlapDamper,
-    pub(crate) history: OwnHistory,
+    pub(crate) history: TargetHistory,
     incarnation: u64,
     live: bool,
-    live_since: MilliTime,
+    pub(crate) live_since: MilliTime,
     ramp_from: Option<MilliTime>,
 }
 
@@ -32,9 +37,10 @@
         Self {
             last_seen: now,
             record: None,
-            usual_ratio: 1.0,
+            record_mean: 0.0,
+            home_ratio: 1.0,
             damper: FlapDamper::default(),
-            history: OwnHistory::default(),
+            history: TargetHistory::default(),
             incarnation: input.incarnation,
             live: input.phase == HostPhase::Live,
             live_since: if cold { now } else { MilliTime::default() },
@@ -57,7 +63,6 @@
         self.incarnation = self.incarnation.max(input.incarnation);
         self.live = live;
         self.last_seen = now;
-        self.history.record(input.in_flight, now);
     }
 
     /// Notes that the host list no longer holds the target.
@@ -78,16 +83,50 @@
         accepted
     }
 
+    /// Returns the held record, or none at the time of a restart; none when both are too old.
+    ///
+    /// A target that started a short while ago holds no stream then.
+    pub(crate) fn known_load(&self, now: MilliTime) -> Option<(u32, MilliTime)> {
+        let reported = self.record.map(|record| (record.streams, record.version));
+        let known = reported.unwrap_or((0, self.live_since));
+        (now.since(known.1) <= MAX_RECORD_AGE).then_some(known)
+    }
+
     /// Returns the held record unless it is too old to say anything.
     pub(crate) fn usable_record(&self, now: MilliTime) -> Option<LoadRecord> {
         let fresh = |record: &LoadRecord| now.since(record.version) <= MAX_RECORD_AGE;
         self.record.filter(fresh)
     }
 
-    /// Moves the usual load towards a reported multiple of the mean.
-    pub(crate) fn learn_ratio(&mut self, ratio: f32, elapsed: MilliDuration) {
-        let weight = 1.0 - (-elapsed.as_secs_f64() / SHARE_MEMORY_S).exp();
-        self.usual_ratio += weight as f32 * (ratio - self.usual_ratio);
+    /// Learns from the held record what a forecast from the previous one missed.
+    pub(crate) fn compare(&mut self, previous: LoadRecord, mean: f32, stream_time: MilliDuration) {
+        let Some(record) = self.record.filter(|_| self.record_mean > 0.0) else {
+            return;
+        };
+        let forecast = LoadForecast {
+            reported: previous.streams as f32 / self.record_mean,
+            reported_at: previous.version,
+            mean: 1.0,
+            usual_inflow: self.home_ratio,
+            stream_time,
+        };
+        let expected = forecast.expected(&self.history, record.version);
+        let surprise = record.streams as f32 / mean - expected;
+        let elapsed = record.version.since(previous.version);
+        self.learn_surprise(surprise, elapsed, stream_time);
+    }
+
+    /// Moves the home load by what a report gives above its forecast, in multiples of the mean.
+    fn learn_surprise(
+        &mut self,
+        surprise: f32,
+        elapsed: MilliDuration,
+        stream_time: MilliDuration,
+    ) {
+        let span = elapsed + stream_time;
+        let weight = (span.as_secs_f64() / HOME_MEMORY_S).min(1.0) as f32;
+        let home_ratio = self.home_ratio + weight * surprise;
+        self.home_ratio = home_ratio.clamp(MIN_HOME_RATIO, MAX_HOME_RATIO);
     }
 
     /// Returns the part of its home chats that the target takes while its load is low.
@@ -101,7 +140,7 @@
 
     fn restart(&mut self, now: MilliTime) {
         self.record = None;
-        self.usual_ratio = 1.0;
+        self.home_ratio = 1.0;
         self.live_since = now;
         self.ramp_from = Some(now);
     }
--- a/crates/briarrail_policy/src/view_builder.rs
+++ b/crates/briarrail_policy/src/view_builder.rs
@@ -1,6 +1,6 @@
 //! Building of placement views.
 
-use briarrail_model::{MilliDuration, MilliTime};
+use briarrail_model::MilliTime;
 
 use crate::load_forecast::LoadForecast;
 use crate::load_sum::LoadSum;
@@ -10,6 +10,7 @@
 use crate::{PlacementSettings, PlacementView, RouterSite, TargetIndex, TargetInput};
 
 const FULL_SHARE: f32 = 255.0;
+const MIN_KEPT_MEAN: f32 = 0.1;
 
 /// Makes the view of one pool from inputs and the states that belong to them.
 pub(crate) struct ViewBuilder<'a> {
@@ -59,7 +60,7 @@
                 Some(mean) => self.forecast_reported(position, mean, target),
                 None => self.forecast_unreported(position, target),
             };
-            let own_change = self.inputs[position].in_flight as f32 - target.own_at_report as f32;
+            let own_change = self.own_change(position, target);
             mean.add((target.expected + own_change).max(0.0));
             deviations.push(deviation);
         }
@@ -72,16 +73,39 @@
             target.shed_band = limits.band;
             target.share = self.share(position);
         }
+        self.expect_inflow(members, targets);
         mean
     }
 
+    /// Fills in the load to which the admitted arrivals lead.
+    ///
+    /// What the targets shed reaches the others in proportion to what these keep.
+    fn expect_inflow(&self, members: &[usize], targets: &mut [ViewTarget]) {
+        let mut kept_sum = LoadSum::default();
+        for &position in members {
+            let own_change = self.own_change(position, &targets[position]);
+            let target = &mut targets[position];
+            let kept = target.kept_part(target.expected + own_change);
+            target.inflow = self.states[position].home_ratio * kept;
+            kept_sum.add(target.inflow);
+        }
+        let mean = kept_sum.mean().max(MIN_KEPT_MEAN);
+        for &position in members {
+            targets[position].inflow /= mean;
+        }
+    }
+
+    fn own_change(&self, position: usize, target: &ViewTarget) -> f32 {
+        self.inputs[position].in_flight as f32 - target.own_at_report as f32
+    }
+
     /// Returns the mean load with the router's own change scaled to the fleet.
     fn fleet_load(&self, members: &[usize], targets: &[ViewTarget]) -> Option<f32> {
         self.reported_mean(members)?;
         let mut load = LoadSum::default();
         for &position in members {
             let target = &targets[position];
-            let own_change = self.inputs[position].in_flight as f32 - target.own_at_report as f32;
+            let own_change = self.own_change(position, target);
             load.add(target.expected + own_change * self.site.routers as f32);
         }
         Some(load.mean().max(0.0))
@@ -98,25 +122,30 @@
     }
 
     /// Forecasts from the target's report, or its usual load while it has none.
+    ///
+    /// The part that this router sends is known from its own counts; returns the deviation.
     fn forecast_reported(&self, position: usize, mean: f32, target: &mut ViewTarget) -> f32 {
         let state = self.states[position];
-        let usual = state.usual_ratio * mean;
-        let Some(record) = state.usable_record(self.now) else {
-            target.expected = usual;
-            target.own_at_report = self.inputs[position].in_flight;
+        let own_now = self.inputs[position].in_flight;
+        let Some((reported, reported_at)) = state.known_load(self.now) else {
+            target.expected = state.home_ratio * mean;
+            target.own_at_report = own_now;
             return 0.0;
         };
         let forecast = LoadForecast {
-            reported: record.streams as f32,
-            usual,
-            others: 1.0 - 1.0 / self.site.routers.max(1) as f32,
+            reported: reported as f32,
+            reported_at,
+            mean,
+            usual_inflow: state.home_ratio,
+            stream_time: self.settings.stream_time,
         };
-        let age = self.now.since(record.version);
+        let others = 1.0 - 1.0 / self.site.routers.max(1) as f32;
+        let drift = forecast.expected(&state.history, self.now) - reported as f32;
+        target.expected = (reported as f32 + others * drift).max(0.0);
+        target.own_at_report = state.history.own_at(reported_at).unwrap_or(own_now);
+        let age = self.now.since(reported_at);
         let known_age = age.min(self.settings.report_delay);
-        let own_then = state.history.count_at(record.version);
-        target.expected = forecast.expected(self.remaining(age));
-        target.own_at_report = own_then.unwrap_or(self.inputs[position].in_flight);
-        forecast.deviation(self.remaining(known_age))
+        forecast.deviation(known_age) * others.sqrt()
     }
 
     /// Takes the router's own in-flight count for the load.
@@ -127,12 +156,6 @@
         0.0
     }
 
-    /// Returns the part of streams that still run after a span.
-    fn remaining(&self, span: MilliDuration) -> f32 {
-        let stream_time = self.settings.stream_time.as_secs_f64().max(0.001);
-        (-span.as_secs_f64() / stream_time).exp() as f32
-    }
-
     fn share(&self, position: usize) -> f32 {
         let state = self.states[position];
         let ramp = state.ramp_share(self.settings.join_ramp, self.now);
--- a/crates/briarrail_policy/src/view_target.rs
+++ b/crates/briarrail_policy/src/view_target.rs
@@ -19,6 +19,16 @@
     pub(crate) shed_band: f32,
     /// Part of its home chats that the target takes while its load is low.
     pub(crate) share: f32,
+    /// Load to which the admitted arrivals lead, as a multiple of the mean.
+    pub(crate) inflow: f32,
+}
+
+impl ViewTarget {
+    /// Returns the part of its home chats that the target keeps at a load.
+    pub(crate) fn kept_part(&self, load: f32) -> f32 {
+        let room = (self.shed_limit - load) / self.shed_band;
+        room.clamp(0.0, 1.0) * self.share
+    }
 }
 
 /// A target that takes new work.
