feat(policy): add up the routers' own counts in a small fleet

Cause: with nine routers an engine's load is known sooner from all routers' counts than from its report. Change: PeerCount names, publishes and adds up counts as load records; the ledger takes the newer of report and sum.

--- a/crates/briarrail_bench/src/placement/fleet_run.rs
+++ b/crates/briarrail_bench/src/placement/fleet_run.rs
@@ -5,13 +5,15 @@
 use std::time::Instant;
 
 use briarrail_model::{CallPriority, LoadRecord, MilliDuration, MilliTime, StableHash, hash_pair};
-use briarrail_policy::{AdmissionChoice, AdmissionRequest, PlacementRequest, PublishRule};
+use briarrail_policy::{
+    AdmissionChoice, AdmissionRequest, PeerCount, PlacementRequest, PublishRule,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use super::chat_source::{ArrivalFacts, ChatSource};
 use super::engine_model::EngineModel;
-use super::router_model::{RouteAnswer, RouterModel};
+use super::router_model::{FleetReports, RouteAnswer, RouterModel};
 use super::routing_rule::RoutingRule;
 use super::run_totals::RunTotals;
 use super::scenario_plan::{
@@ -23,6 +25,8 @@
 const TICK_MS: u64 = 100;
 const REFRESH_TICKS: u64 = 10;
 const REPORT_TICKS: u64 = 5;
+/// Time in which a record reaches the other routers of a small fleet.
+const EXCHANGE_DELAY: MilliDuration = MilliDuration::from_secs(2);
 const DEAD_RETRY_MS: u64 = 200;
 /// Contexts that an engine caches, as a multiple of its home chats.
 const CACHE_RATIO: f64 = 2.0;
@@ -80,12 +84,22 @@
     }
 }
 
+/// Parts of the system that a case may leave out.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RunSwitches {
+    /// Whether customers pass the admission gate.
+    pub(crate) admission: bool,
+    /// Whether the routers of a small fleet exchange their counts.
+    pub(crate) peer_counts: bool,
+}
+
 /// One case: a site, a policy, a scenario and a seed.
 pub(crate) struct FleetRun {
     shape: SiteShape,
     plan: ScenarioPlan,
     rule: RoutingRule,
     admission: bool,
+    peer_counts: bool,
     publish: PublishRule,
     rng: SmallRng,
     now: u64,
@@ -106,7 +120,7 @@
         shape: SiteShape,
         plan: ScenarioPlan,
         rule: RoutingRule,
-        admission: bool,
+        switches: RunSwitches,
         seed: u64,
     ) -> Self {
         let home_chats = shape.request_rate() * RETURN_SECONDS / shape.engines as f64;
@@ -115,7 +129,8 @@
             shape,
             plan,
             rule,
-            admission,
+            admission: switches.admission,
+            peer_counts: switches.peer_counts,
             publish: PublishRule::for_targets(shape.engines * shape.pools),
             rng: SmallRng::seed_from_u64(seed),
             now: 0,
@@ -408,23 +423,42 @@
         let visible = |engine: &EngineModel| engine.visible_record(self.now, self.plan.lag_ms);
         let records: Vec<_> = self.engines.iter().map(visible).collect();
         let phase = (tick % REFRESH_TICKS) as usize;
-        for router in self
-            .routers
-            .iter_mut()
-            .skip(phase)
-            .step_by(REFRESH_TICKS as usize)
-        {
-            router.refresh(
+        for router in (phase..self.routers.len()).step_by(REFRESH_TICKS as usize) {
+            let peers = self.exchange_counts(router);
+            let reports = FleetReports {
+                records: &records,
+                peers: &peers,
+            };
+            self.routers[router].refresh(
                 self.rule,
                 &self.shape,
                 &self.plan,
                 &self.engines,
-                &records,
+                reports,
                 self.now,
             );
         }
     }
 
+    /// Publishes a router's counts, and returns what it has heard of the others'.
+    fn exchange_counts(&mut self, router: usize) -> Vec<Option<PeerCount>> {
+        let (routers, engines) = (self.routers.len(), self.engines.len());
+        let own_rule = self.rule == RoutingRule::Briarrail;
+        if !own_rule || !self.peer_counts || !PeerCount::suits(routers, engines) {
+            return vec![None; engines];
+        }
+        let published = self.routers[router].publish_counts(self.now);
+        self.totals.records += published * u64::from(self.measured());
+        let now = MilliTime::from_millis(self.now);
+        let sum = |engine: usize| {
+            let others = (0..routers).filter(|&other| other != router);
+            let visible =
+                |other: usize| self.routers[other].visible_count(engine, now - EXCHANGE_DELAY);
+            PeerCount::add_up(others.map(visible), EXCHANGE_DELAY, now)
+        };
+        (0..engines).map(sum).collect()
+    }
+
     fn apply_failures(&mut self) {
         if self.plan.churn && self.now > 0 && self.now.is_multiple_of(RESTART_EVERY_MS) {
             let engine = self.rng.random_range(0..self.engines.len());
--- a/crates/briarrail_bench/src/placement/mod.rs
+++ b/crates/briarrail_bench/src/placement/mod.rs
@@ -9,7 +9,7 @@
 use getopts::Options;
 
 use case_report::CaseReport;
-use fleet_run::FleetRun;
+use fleet_run::{FleetRun, RunSwitches};
 use routing_rule::{RULES, RoutingRule};
 use scenario_plan::{MEASURED_MS, SCENARIOS, ScenarioPlan};
 use site_shape::SiteShape;
@@ -48,6 +48,7 @@
     options.optopt("", "bound", "skew bound of the pool", "MULTIPLE");
     options.optopt("", "preference", "even_load or cache_reuse", "PREFERENCE");
     options.optopt("", "streams", "mean streams of an engine", "N");
+    options.optopt("", "peer-counts", "on or off", "SWITCH");
     options.optopt("", "admission", "on or off", "SWITCH");
     let matches = options
         .parse(arguments)
@@ -76,7 +77,10 @@
     let seed = matches
         .opt_get_default("seed", 1)
         .map_err(|_| "--seed is not a number")?;
-    let admission = text("admission", "on") == "on";
+    let switches = RunSwitches {
+        admission: text("admission", "on") == "on",
+        peer_counts: text("peer-counts", "on") == "on",
+    };
     let policy = text("policy", "all");
     let scenario = text("scenario", "all");
     let plans = SCENARIOS
@@ -87,7 +91,7 @@
             .iter()
             .filter(|rule| policy == "all" || rule.name() == policy);
         for &rule in rules {
-            let report = run_case(shape, *plan, rule, admission, seed);
+            let report = run_case(shape, *plan, rule, switches, seed);
             let line = serde_json::to_string(&report).map_err(|error| error.to_string())?;
             println!("{line}");
         }
@@ -99,10 +103,10 @@
     shape: SiteShape,
     plan: ScenarioPlan,
     rule: RoutingRule,
-    admission: bool,
+    switches: RunSwitches,
     seed: u64,
 ) -> CaseReport {
-    let (mut totals, mut meter) = FleetRun::new(shape, plan, rule, admission, seed).run();
+    let (mut totals, mut meter) = FleetRun::new(shape, plan, rule, switches, seed).run();
     let seconds = MEASURED_MS as f64 / 1_000.0;
     let records_per_s = totals.records as f64 * shape.pools as f64 / seconds;
     let requests = totals.requests as f64;
@@ -121,7 +125,7 @@
         policy: rule.name(),
         scenario: plan.name,
         seed,
-        admission,
+        admission: switches.admission,
         cache_reuse: totals.hits as f64 / returning,
         prefix_reuse: totals.prefix / returning,
         skew_p50: meter.quantile(0.5),
--- a/crates/briarrail_bench/src/placement/router_model.rs
+++ b/crates/briarrail_bench/src/placement/router_model.rs
@@ -1,9 +1,11 @@
 //! Routers with their lagged views.
 
+use std::collections::VecDeque;
+
 use briarrail_model::{HostPhase, LoadRecord, MilliDuration, MilliTime, StableHash, hash_pair};
 use briarrail_policy::{
-    AdmissionGate, LoadLedger, PlacementChoice, PlacementRequest, PlacementSettings, PlacementView,
-    RouterSite, TargetInput, place,
+    AdmissionGate, LoadLedger, PeerCount, PlacementChoice, PlacementRequest, PlacementSettings,
+    PlacementView, RouterSite, TargetInput, place,
 };
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -13,8 +15,10 @@
 use super::scenario_plan::ScenarioPlan;
 use super::site_shape::{STREAM_SECONDS, SiteShape};
 
+const REFRESH_MS: u64 = 1_000;
 const MIN_LIST_DELAY_MS: u64 = 500;
 const REGION: StableHash = StableHash(0xc0a5_7a15);
+const KEPT_COUNTS: usize = 8;
 const MAX_GATE_WAIT: MilliDuration = MilliDuration::from_secs(2);
 
 /// Where a request goes.
@@ -27,11 +31,22 @@
     Refused,
 }
 
+/// What a router has heard of the engines' loads.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FleetReports<'a> {
+    /// Visible load record of each engine.
+    pub(crate) records: &'a [Option<LoadRecord>],
+    /// Sum of the other routers' counts of each engine.
+    pub(crate) peers: &'a [Option<PeerCount>],
+}
+
 /// One router: its own counts and its view of the engines.
 pub(crate) struct RouterModel {
     pub(crate) in_flight: Vec<u32>,
     pub(crate) gate: AdmissionGate,
     pub(crate) ledger: LoadLedger,
+    /// Published counts of each engine, oldest first.
+    counts: Vec<VecDeque<LoadRecord>>,
     view: PlacementView,
     baseline: BaselineView,
     index: u64,
@@ -50,7 +65,7 @@
         let stream_time = MilliDuration::from_millis((STREAM_SECONDS * 1_000.0) as u64);
         let mut settings = PlacementSettings::new(shape.skew_bound, shape.preference)
             .stream_time(stream_time)
-            .report_delay(MilliDuration::from_millis(plan.lag_ms + 1_000));
+            .report_delay(MilliDuration::from_millis(plan.lag_ms + REFRESH_MS));
         settings.max_streams_per_target = 0;
         let site = RouterSite {
             data_centre: StableHash((index % shape.data_centres) as u64),
@@ -63,6 +78,7 @@
             in_flight: vec![0; shape.engines],
             gate: AdmissionGate::new(stream_time, MAX_GATE_WAIT),
             ledger,
+            counts: vec![VecDeque::new(); shape.engines],
             view,
             baseline: BaselineView {
                 turn: index,
@@ -82,7 +98,7 @@
         shape: &SiteShape,
         plan: &ScenarioPlan,
         engines: &[EngineModel],
-        records: &[Option<LoadRecord>],
+        reports: FleetReports<'_>,
         now: u64,
     ) {
         self.inputs.clear();
@@ -95,7 +111,7 @@
             } else {
                 HostPhase::Leaving
             };
-            let load = records[engine];
+            let load = reports.records[engine];
             self.inputs.push(TargetInput {
                 name: engine_name(engine),
                 data_centre: StableHash((engine % shape.data_centres) as u64),
@@ -103,6 +119,7 @@
                 phase,
                 incarnation: model.incarnation,
                 load,
+                peers: reports.peers[engine],
                 in_flight: self.in_flight[engine],
             });
             let load = load.map_or(0, |record| record.streams);
@@ -127,6 +144,35 @@
         self.gate.refresh(Some(pressure));
     }
 
+    /// Publishes the own counts that are due; returns their number.
+    pub(crate) fn publish_counts(&mut self, now: u64) -> u64 {
+        let version = MilliTime::from_millis(now);
+        let mut published = 0;
+        for (engine, counts) in self.counts.iter_mut().enumerate() {
+            let next = LoadRecord {
+                version,
+                streams: self.in_flight[engine],
+                keep_share: u8::MAX,
+            };
+            if PeerCount::is_due(counts.back(), &next) {
+                counts.push_back(next);
+                published += 1;
+            }
+            while counts.len() > KEPT_COUNTS {
+                counts.pop_front();
+            }
+        }
+        published
+    }
+
+    /// Returns the count of an engine that other routers have heard of.
+    pub(crate) fn visible_count(&self, engine: usize, latest: MilliTime) -> Option<LoadRecord> {
+        let mut newest_first = self.counts[engine].iter().rev();
+        newest_first
+            .find(|record| record.version <= latest)
+            .copied()
+    }
+
     pub(crate) fn route(
         &mut self,
         rule: RoutingRule,
--- a/crates/briarrail_policy/src/load_ledger.rs
+++ b/crates/briarrail_policy/src/load_ledger.rs
@@ -37,6 +37,7 @@
 ///         phase: HostPhase::Live,
 ///         incarnation: 0,
 ///         load: None,
+///         peers: None,
 ///         in_flight: 0,
 ///     })
 ///     .collect();
@@ -177,10 +178,10 @@
         }
         let mut fresh = Vec::new();
         for &position in open {
-            let Some(record) = inputs[position].load else {
+            let state = &mut self.targets[keys[position]];
+            let Some(record) = state.newest_load(&inputs[position]) else {
                 continue;
             };
-            let state = &mut self.targets[keys[position]];
             let previous = state.record;
             if state.observe_load(record) {
                 fresh.push((position, previous));
--- a/crates/briarrail_policy/src/target_input.rs
+++ b/crates/briarrail_policy/src/target_input.rs
@@ -2,6 +2,8 @@
 
 use briarrail_model::{HostEntry, HostPhase, LoadRecord, StableHash};
 
+use crate::PeerCount;
+
 /// What the control thread knows of one target of a pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetInput {
@@ -17,6 +19,8 @@
     pub incarnation: u64,
     /// Latest load record, if any.
     pub load: Option<LoadRecord>,
+    /// Sum of the other routers' requests in flight, where these are exchanged and complete.
+    pub peers: Option<PeerCount>,
     /// Requests in flight from this router.
     pub in_flight: u32,
 }
@@ -32,6 +36,7 @@
             phase: host.phase,
             incarnation: host.incarnation,
             load: None,
+            peers: None,
             in_flight: 0,
         }
     }
@@ -43,6 +48,13 @@
         self
     }
 
+    /// Sets the sum of the other routers' requests in flight.
+    #[must_use]
+    pub const fn peers(mut self, peers: Option<PeerCount>) -> Self {
+        self.peers = peers;
+        self
+    }
+
     /// Sets the requests in flight from this router.
     #[must_use]
     pub const fn in_flight(mut self, in_flight: u32) -> Self {
--- a/crates/briarrail_policy/src/target_state.rs
+++ b/crates/briarrail_policy/src/target_state.rs
@@ -73,6 +73,18 @@
         self.live = false;
     }
 
+    /// Returns the newer of the target's report and the sum of all routers' counts.
+    pub(crate) fn newest_load(&self, input: &TargetInput) -> Option<LoadRecord> {
+        let keep_share = input.load.map_or(u8::MAX, |record| record.keep_share);
+        let counted = input.peers.map(|peers| LoadRecord {
+            version: peers.as_of,
+            streams: peers.in_flight + self.history.own_at(peers.as_of).unwrap_or(input.in_flight),
+            keep_share,
+        });
+        let records = input.load.into_iter().chain(counted);
+        records.max_by_key(|record| record.version)
+    }
+
     /// Takes over a record unless it is older than the held one or than the last start.
     pub(crate) fn observe_load(&mut self, record: LoadRecord) -> bool {
         let current = self.record.is_none_or(|held| record.supersedes(&held));
