perf(policy): tune shed limits, ramp and mean by measurement

Cause: limits of four deviations with a wide band shed chats at the mean, and engines that had just joined pulled the mean down for all others. Change: guard of 3.5 deviations, band of 3% of the mean above it, mean over settled targets (30 s), join ramp of 5 s. Trials with guard 2, 3 and 4, bands of 3 to 20%, ramps of 0, 20 and 60 s: a wider band and a longer ramp cost reuse, guard 4 as well.

--- a/crates/briarrail_policy/src/placement_settings.rs
+++ b/crates/briarrail_policy/src/placement_settings.rs
@@ -4,7 +4,7 @@
 
 const STREAM_TIME: MilliDuration = MilliDuration::from_secs(12);
 const REPORT_DELAY: MilliDuration = MilliDuration::from_millis(1_500);
-const JOIN_RAMP: MilliDuration = MilliDuration::from_secs(20);
+const JOIN_RAMP: MilliDuration = MilliDuration::from_secs(5);
 
 /// Settings of placement in a pool.
 ///
--- a/crates/briarrail_policy/src/shed_limits.rs
+++ b/crates/briarrail_policy/src/shed_limits.rs
@@ -5,17 +5,17 @@
 use crate::PlacementSettings;
 
 /// Deviations between the load at which chats are shed and the promised bound.
-const GUARD_DEVIATIONS: f32 = 4.0;
+const GUARD_DEVIATIONS: f32 = 3.5;
 /// Deviations between the load at which every request is held back and the promised bound.
 const PROMISE_DEVIATIONS: f32 = 2.5;
 /// Streams above the mean that a target may always take; the bound starts to count above them.
 const FREE_STREAMS: f32 = 4.0;
-/// Least multiple of the mean at which chats are shed.
-const MIN_SHED_RATIO: f32 = 1.02;
+/// Least multiple of the mean from which on chats are shed.
+const MIN_SHED_RATIO: f32 = 1.0;
 const EVEN_LOAD_AIM: f32 = 0.5;
-const EVEN_LOAD_BAND: f32 = 0.10;
+const EVEN_LOAD_BAND: f32 = 0.03;
 const CACHE_REUSE_AIM: f32 = 0.9;
-const CACHE_REUSE_BAND: f32 = 0.05;
+const CACHE_REUSE_BAND: f32 = 0.03;
 
 /// Loads at which one target sheds work, in streams.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -36,7 +36,7 @@
         let aimed = mean * (1.0 + aim * (bound - 1.0));
         let ceiling = Self::ceiling(settings, bound * mean);
         let guarded = ceiling - GUARD_DEVIATIONS * deviation;
-        let shed = guarded.min(aimed).max(mean * MIN_SHED_RATIO);
+        let shed = guarded.min(aimed).max(mean * (MIN_SHED_RATIO + band));
         let promise = (ceiling - PROMISE_DEVIATIONS * deviation).max(shed);
         let free = Self::ceiling(settings, mean + FREE_STREAMS);
         Self {
--- a/crates/briarrail_policy/src/target_state.rs
+++ b/crates/briarrail_policy/src/target_state.rs
@@ -12,6 +12,7 @@
 const HOME_MEMORY_S: f64 = 180.0;
 const MIN_HOME_RATIO: f32 = 0.5;
 const MAX_HOME_RATIO: f32 = 2.0;
+const SETTLE_TIME: MilliDuration = MilliDuration::from_secs(30);
 const FIRST_SHARE: f32 = 0.2;
 
 /// What a load ledger remembers of one target.
@@ -150,6 +151,11 @@
         (FIRST_SHARE + (1.0 - FIRST_SHARE) * progress).min(1.0)
     }
 
+    /// Returns whether the target has run for long enough to carry its part of the load.
+    pub(crate) fn is_settled(&self, now: MilliTime) -> bool {
+        now.since(self.live_since) >= SETTLE_TIME
+    }
+
     fn restart(&mut self, now: MilliTime) {
         self.record = None;
         self.home_ratio = 1.0;
--- a/crates/briarrail_policy/src/view_builder.rs
+++ b/crates/briarrail_policy/src/view_builder.rs
@@ -52,7 +52,6 @@
     /// Fills in loads and limits of the members of a region; returns their mean load in streams.
     fn forecast(&self, members: &[usize], targets: &mut [ViewTarget]) -> f32 {
         let reported_mean = self.reported_mean(members);
-        let mut mean = LoadSum::default();
         let mut deviations = Vec::with_capacity(members.len());
         for &position in members {
             let target = &mut targets[position];
@@ -60,11 +59,9 @@
                 Some(mean) => self.forecast_reported(position, mean, target),
                 None => self.forecast_unreported(position, target),
             };
-            let own_change = self.own_change(position, target);
-            mean.add((target.expected + own_change).max(0.0));
             deviations.push(deviation);
         }
-        let mean = mean.mean();
+        let mean = self.settled_mean(members, targets);
         for (&position, deviation) in members.iter().zip(deviations) {
             let limits = ShedLimits::new(&self.settings, mean, deviation);
             let target = &mut targets[position];
@@ -111,6 +108,24 @@
         Some(load.mean().max(0.0))
     }
 
+    /// Returns the mean load of the targets that have settled, or of all when none has.
+    ///
+    /// A target that has just joined holds little yet; counted in, it would make all others shed.
+    fn settled_mean(&self, members: &[usize], targets: &[ViewTarget]) -> f32 {
+        let mut settled = LoadSum::default();
+        let mut all = LoadSum::default();
+        for &position in members {
+            let target = &targets[position];
+            let load = (target.expected + self.own_change(position, target)).max(0.0);
+            all.add(load);
+            if self.states[position].is_settled(self.now) {
+                settled.add(load);
+            }
+        }
+        let sum = if settled.is_empty() { all } else { settled };
+        sum.mean()
+    }
+
     fn reported_mean(&self, members: &[usize]) -> Option<f32> {
         let mut sum = LoadSum::default();
         for &position in members {
