perf(policy): hold only surging customers, and refresh small views five times a second

Change: CustomerShares learns usual use while there is no overload; the gate holds customers that surge, all only when the pool is full; half weight for the own change; thresholds 0.70 and 0.72 of the capacity; views each 200 ms in the small sites' bench.

--- a/crates/briarrail_bench/src/placement/router_model.rs
+++ b/crates/briarrail_bench/src/placement/router_model.rs
@@ -15,7 +15,7 @@
 use super::scenario_plan::ScenarioPlan;
 use super::site_shape::{STREAM_SECONDS, SiteShape};
 
-const REFRESH_MS: u64 = 1_000;
+const REPORT_SPREAD_MS: u64 = 1_000;
 const MIN_LIST_DELAY_MS: u64 = 500;
 const REGION: StableHash = StableHash(0xc0a5_7a15);
 const KEPT_COUNTS: usize = 8;
@@ -65,7 +65,7 @@
         let stream_time = MilliDuration::from_millis((STREAM_SECONDS * 1_000.0) as u64);
         let mut settings = PlacementSettings::new(shape.skew_bound, shape.preference)
             .stream_time(stream_time)
-            .report_delay(MilliDuration::from_millis(plan.lag_ms + REFRESH_MS));
+            .report_delay(MilliDuration::from_millis(plan.lag_ms + REPORT_SPREAD_MS));
         settings.max_streams_per_target = 0;
         let site = RouterSite {
             data_centre: StableHash((index % shape.data_centres) as u64),
@@ -141,7 +141,8 @@
                 .refresh(&self.inputs, self.settings, self.site, time);
             pressure = self.view.pressure_for(shape.slots()).unwrap_or_default();
         }
-        self.gate.refresh(Some(pressure));
+        self.gate
+            .refresh(Some(pressure), MilliTime::from_millis(now));
     }
 
     /// Publishes the own counts that are due; returns their number.
--- a/crates/briarrail_bench/src/placement/site_shape.rs
+++ b/crates/briarrail_bench/src/placement/site_shape.rs
@@ -9,6 +9,8 @@
     pub(crate) engines: usize,
     pub(crate) data_centres: usize,
     pub(crate) routers: usize,
+    /// Time between two views of a router, in tenths of a second.
+    pub(crate) refresh_ticks: u64,
     /// Pools of this shape that a router serves.
     pub(crate) pools: usize,
     pub(crate) customers: usize,
@@ -33,6 +35,7 @@
             engines: 12,
             data_centres: 4,
             routers: 9,
+            refresh_ticks: 2,
             pools: 1,
             customers: 10,
             streams: 64.0,
@@ -52,6 +55,7 @@
                 name: "target",
                 engines: 312,
                 routers: 900,
+                refresh_ticks: 10,
                 pools: 8,
                 customers: 44_000,
                 streams: 180.0,
--- a/crates/briarrail_policy/src/admission_gate.rs
+++ b/crates/briarrail_policy/src/admission_gate.rs
@@ -1,13 +1,15 @@
 //! Fair admission of customers to a pool.
 
-use briarrail_model::{CallPriority, MilliDuration, StableHash};
+use briarrail_model::{CallPriority, MilliDuration, MilliTime, StableHash};
 
 use crate::{AdmissionChoice, CustomerShares};
 
-/// Part of the pool's capacity from which on deferrable calls wait.
-const DEFER_AT: f64 = 0.75;
-/// Part of the pool's capacity to which customers above their fair share are held.
-const ADMIT_AT: f64 = 0.80;
+/// Part of the pool's capacity from which on deferrable calls of surging customers wait.
+const DEFER_AT: f64 = 0.70;
+/// Part of the pool's capacity to which surging customers are held.
+const ADMIT_AT: f64 = 0.72;
+/// Part of the pool's capacity at which all deferrable calls and customers above share wait.
+const FULL_AT: f64 = 0.95;
 const MIN_FAIR_SHARE: f64 = 1.0;
 const WAIT_STEP: MilliDuration = MilliDuration::from_millis(250);
 const MIN_RETRY_AFTER_MS: f64 = 1_000.0;
@@ -32,11 +34,11 @@
 /// travel between routers.
 ///
 /// ```
-/// use briarrail_model::{CallPriority, MilliDuration, StableHash};
+/// use briarrail_model::{CallPriority, MilliDuration, MilliTime, StableHash};
 /// use briarrail_policy::{AdmissionChoice, AdmissionGate, AdmissionRequest};
 ///
 /// let mut gate = AdmissionGate::new(MilliDuration::from_secs(12), MilliDuration::from_secs(2));
-/// gate.refresh(Some(0.5));
+/// gate.refresh(Some(0.5), MilliTime::from_millis(1_000));
 /// let request = AdmissionRequest {
 ///     customer: StableHash(1),
 ///     priority: CallPriority::Interactive,
@@ -51,6 +53,7 @@
     shares: CustomerShares,
     stream_time: MilliDuration,
     max_wait: MilliDuration,
+    refreshed_at: MilliTime,
     pressure: f64,
     fair_share: Option<f64>,
 }
@@ -63,6 +66,7 @@
             shares: CustomerShares::default(),
             stream_time,
             max_wait,
+            refreshed_at: MilliTime::default(),
             pressure: 0.0,
             fair_share: None,
         }
@@ -71,37 +75,41 @@
     /// Takes over the pool's pressure: its load as a part of its capacity, if that is known.
     ///
     /// The control thread calls it several times a second.
-    pub fn refresh(&mut self, pressure: Option<f32>) {
+    pub fn refresh(&mut self, pressure: Option<f32>, now: MilliTime) {
+        let span = now.since(self.refreshed_at);
+        self.refreshed_at = now;
         self.pressure = f64::from(pressure.unwrap_or_default()).max(0.0);
-        self.fair_share = if self.pressure > DEFER_AT {
-            let budget = f64::from(self.shares.total()) * ADMIT_AT / self.pressure;
-            let share = self.shares.fair_share(budget);
-            share.map(|share| share.max(MIN_FAIR_SHARE))
-        } else {
-            None
-        };
+        self.fair_share = None;
+        if self.pressure <= DEFER_AT {
+            self.shares.learn(span);
+            return;
+        }
+        let budget = f64::from(self.shares.total()) * ADMIT_AT / self.pressure;
+        let share = self.shares.fair_share(budget);
+        self.fair_share = share.map(|share| share.max(MIN_FAIR_SHARE));
     }
 
     /// Decides on a request; the caller counts an admitted one with [`start`](Self::start).
+    ///
+    /// A customer at its usual use is admitted until the pool is full; one that surges is held to
+    /// its fair share, its deferrable calls first.
     #[must_use]
     pub fn decide(&self, request: &AdmissionRequest) -> AdmissionChoice {
+        let admit = AdmissionChoice::Admit {
+            priority: request.priority,
+        };
         if self.pressure <= DEFER_AT {
-            return AdmissionChoice::Admit {
-                priority: request.priority,
-            };
+            return admit;
         }
         let used = f64::from(self.shares.in_flight(request.customer)) + 1.0;
         let over_share = self.fair_share.is_some_and(|share| used > share);
-        match (over_share, request.priority) {
-            (false, CallPriority::Interactive) => AdmissionChoice::Admit {
-                priority: CallPriority::Interactive,
-            },
-            (false, CallPriority::Deferrable) if self.pressure < ADMIT_AT => {
-                AdmissionChoice::Admit {
-                    priority: CallPriority::Deferrable,
-                }
-            }
-            _ => self.hold_back(request, used),
+        let deferrable = request.priority == CallPriority::Deferrable;
+        let surging = self.shares.is_surging(request.customer);
+        let full = self.pressure >= FULL_AT;
+        if (surging || full) && (over_share || deferrable) {
+            self.hold_back(request, used)
+        } else {
+            admit
         }
     }
 
--- a/crates/briarrail_policy/src/view_builder.rs
+++ b/crates/briarrail_policy/src/view_builder.rs
@@ -10,6 +10,8 @@
 use crate::{PlacementSettings, PlacementView, RouterSite, TargetIndex, TargetInput};
 
 const FULL_SHARE: f32 = 255.0;
+/// Weight of the router's own change, scaled to the fleet, against no change.
+const OWN_CHANGE_WEIGHT: f32 = 0.5;
 const MIN_KEPT_MEAN: f32 = 0.1;
 
 /// Makes the view of one pool from inputs and the states that belong to them.
@@ -103,7 +105,7 @@
         for &position in members {
             let target = &targets[position];
             let own_change = self.own_change(position, target);
-            load.add(target.expected + own_change * self.site.routers as f32);
+            load.add(target.expected + own_change * self.site.routers as f32 * OWN_CHANGE_WEIGHT);
         }
         Some(load.mean().max(0.0))
     }
