test(bench): give every policy the same arrivals and failures

Cause: one generator served arrivals, failures and policies, so each policy met other restarts. Change: three generators; reuse also without the surging customer.

--- a/crates/briarrail_bench/src/placement/case_report.rs
+++ b/crates/briarrail_bench/src/placement/case_report.rs
@@ -12,6 +12,8 @@
     pub(crate) admission: bool,
     /// Part of the returning turns that found the context of the last turn.
     pub(crate) cache_reuse: f64,
+    /// The same for customers that do not surge.
+    pub(crate) others_cache_reuse: f64,
     /// Part of the returning turns' context that was found, older prefixes included.
     pub(crate) prefix_reuse: f64,
     /// Busiest engine over the mean, sampled each 250 ms.
--- a/crates/briarrail_bench/src/placement/fleet_run.rs
+++ b/crates/briarrail_bench/src/placement/fleet_run.rs
@@ -100,6 +100,10 @@
     admission: bool,
     peer_counts: bool,
     publish: PublishRule,
+    /// Draws arrivals; they are the same for every policy, and so are failures.
+    world_rng: SmallRng,
+    failure_rng: SmallRng,
+    /// Draws what policies choose at random.
     rng: SmallRng,
     now: u64,
     arrival_time: f64,
@@ -131,7 +135,9 @@
             admission: switches.admission,
             peer_counts: switches.peer_counts,
             publish: PublishRule::for_targets(shape.engines * shape.pools),
-            rng: SmallRng::seed_from_u64(seed),
+            world_rng: SmallRng::seed_from_u64(seed),
+            failure_rng: SmallRng::seed_from_u64(seed.rotate_left(32)),
+            rng: SmallRng::seed_from_u64(!seed),
             now: 0,
             arrival_time: 0.0,
             sequence: 0,
@@ -181,8 +187,8 @@
     }
 
     fn arrive(&mut self) {
-        let facts = self.source.draw(&self.plan, self.now, &mut self.rng);
-        let router = self.rng.random_range(0..self.routers.len()) as u32;
+        let facts = self.source.draw(&self.plan, self.now, &mut self.world_rng);
+        let router = self.world_rng.random_range(0..self.routers.len()) as u32;
         let request = OpenRequest {
             facts,
             arrived_at: self.now,
@@ -192,7 +198,7 @@
         self.totals.requests += u64::from(self.measured());
         self.dispatch(request);
         self.arrival_time = self.arrival_time.max(self.now as f64);
-        self.arrival_time += self.source.gap(&self.plan, self.now, &mut self.rng);
+        self.arrival_time += self.source.gap(&self.plan, self.now, &mut self.world_rng);
         self.schedule(self.arrival_time as u64, FleetEvent::Arrive);
     }
 
@@ -329,8 +335,8 @@
         chat.turns += 1;
         let hit = turns > 0 && held == Some(turns);
         if turns > 0 && self.now >= WARM_UP_MS {
-            self.totals.returning += 1;
-            self.totals.hits += u64::from(hit);
+            let surger = request.facts.customer == 0;
+            self.totals.count_return(surger, hit);
             self.totals.prefix += f64::from(held.unwrap_or(0).min(turns)) / f64::from(turns);
         }
         hit
@@ -460,7 +466,7 @@
 
     fn apply_failures(&mut self) {
         if self.plan.churn && self.now > 0 && self.now.is_multiple_of(RESTART_EVERY_MS) {
-            let engine = self.rng.random_range(0..self.engines.len());
+            let engine = self.failure_rng.random_range(0..self.engines.len());
             if self.engines[engine].up {
                 self.stop_engine(engine);
             }
--- a/crates/briarrail_bench/src/placement/mod.rs
+++ b/crates/briarrail_bench/src/placement/mod.rs
@@ -127,6 +127,7 @@
         seed,
         admission: switches.admission,
         cache_reuse: totals.hits as f64 / returning,
+        others_cache_reuse: totals.others_hits as f64 / totals.others_returning.max(1) as f64,
         prefix_reuse: totals.prefix / returning,
         skew_p50: meter.quantile(0.5),
         skew_p99: meter.quantile(0.99),
--- a/crates/briarrail_bench/src/placement/run_totals.rs
+++ b/crates/briarrail_bench/src/placement/run_totals.rs
@@ -8,6 +8,8 @@
     pub(crate) requests: u64,
     pub(crate) returning: u64,
     pub(crate) hits: u64,
+    pub(crate) others_returning: u64,
+    pub(crate) others_hits: u64,
     pub(crate) prefix: f64,
     pub(crate) waited: u64,
     pub(crate) others_waited: u64,
@@ -27,6 +29,8 @@
             requests: 0,
             returning: 0,
             hits: 0,
+            others_returning: 0,
+            others_hits: 0,
             prefix: 0.0,
             waited: 0,
             others_waited: 0,
@@ -42,6 +46,14 @@
 }
 
 impl RunTotals {
+    /// Counts a returning turn.
+    pub(crate) fn count_return(&mut self, surger: bool, hit: bool) {
+        self.returning += 1;
+        self.hits += u64::from(hit);
+        self.others_returning += u64::from(!surger);
+        self.others_hits += u64::from(hit && !surger);
+    }
+
     /// Records the time to the first token, in milliseconds.
     pub(crate) fn record_wait(&mut self, surger: bool, millis: u64) {
         let histogram = if surger {
