fix(policy): keep the gate's refresh as it was and learn on its own

Cause: the daemon calls refresh(pressure); the added argument broke it. Change: learn(now) is a call of its own; the publishing rule of large pools is coarser. Conclusion: compatible with the wiring.

--- a/crates/briarrail_policy/src/admission_gate.rs
+++ b/crates/briarrail_policy/src/admission_gate.rs
@@ -38,7 +38,8 @@
 /// use briarrail_policy::{AdmissionChoice, AdmissionGate, AdmissionRequest};
 ///
 /// let mut gate = AdmissionGate::new(MilliDuration::from_secs(12), MilliDuration::from_secs(2));
-/// gate.refresh(Some(0.5), MilliTime::from_millis(1_000));
+/// gate.refresh(Some(0.5));
+/// gate.learn(MilliTime::from_millis(1_000));
 /// let request = AdmissionRequest {
 ///     customer: StableHash(1),
 ///     priority: CallPriority::Interactive,
@@ -53,7 +54,7 @@
     shares: CustomerShares,
     stream_time: MilliDuration,
     max_wait: MilliDuration,
-    refreshed_at: MilliTime,
+    learned_at: MilliTime,
     pressure: f64,
     fair_share: Option<f64>,
 }
@@ -66,7 +67,7 @@
             shares: CustomerShares::default(),
             stream_time,
             max_wait,
-            refreshed_at: MilliTime::default(),
+            learned_at: MilliTime::default(),
             pressure: 0.0,
             fair_share: None,
         }
@@ -75,13 +76,10 @@
     /// Takes over the pool's pressure: its load as a part of its capacity, if that is known.
     ///
     /// The control thread calls it several times a second.
-    pub fn refresh(&mut self, pressure: Option<f32>, now: MilliTime) {
-        let span = now.since(self.refreshed_at);
-        self.refreshed_at = now;
+    pub fn refresh(&mut self, pressure: Option<f32>) {
         self.pressure = f64::from(pressure.unwrap_or_default()).max(0.0);
         self.fair_share = None;
         if self.pressure <= DEFER_AT {
-            self.shares.learn(span);
             return;
         }
         let budget = f64::from(self.shares.total()) * ADMIT_AT / self.pressure;
@@ -89,6 +87,18 @@
         self.fair_share = share.map(|share| share.max(MIN_FAIR_SHARE));
     }
 
+    /// Learns the usual use of each customer, unless the pool is under pressure.
+    ///
+    /// The control thread calls it with each refresh. Without it every customer above its fair
+    /// share counts as surging.
+    pub fn learn(&mut self, now: MilliTime) {
+        let span = now.since(self.learned_at);
+        self.learned_at = now;
+        if self.pressure <= DEFER_AT {
+            self.shares.learn(span);
+        }
+    }
+
     /// Decides on a request; the caller counts an admitted one with [`start`](Self::start).
     ///
     /// A customer at its usual use is admitted until the pool is full; one that surges is held to
--- a/crates/briarrail_policy/src/publish_rule.rs
+++ b/crates/briarrail_policy/src/publish_rule.rs
@@ -36,10 +36,10 @@
             };
         }
         Self {
-            zone_ratio: 1.12,
+            zone_ratio: 1.13,
             exit_ratio: 1.0,
-            zone_step: 0.06,
-            heartbeat: MilliDuration::from_secs(60),
+            zone_step: 0.10,
+            heartbeat: MilliDuration::from_secs(90),
         }
     }
 
