--- a/crates/briarrail_bench/src/placement/router_model.rs
+++ b/crates/briarrail_bench/src/placement/router_model.rs
@@ -141,8 +141,8 @@
                 .refresh(&self.inputs, self.settings, self.site, time);
             pressure = self.view.pressure_for(shape.slots()).unwrap_or_default();
         }
-        self.gate
-            .refresh(Some(pressure), MilliTime::from_millis(now));
+        self.gate.refresh(Some(pressure));
+        self.gate.learn(MilliTime::from_millis(now));
     }
 
     /// Publishes the own counts that are due; returns their number.
