test(config): measure edits at the size of the target

Change: an ignored measurement of editing and reading 1,000, 10,000 and 44,000 rows; a starting router counts as behind.

--- a/crates/briarctl/src/commands/status_report.rs
+++ b/crates/briarctl/src/commands/status_report.rs
@@ -37,6 +37,7 @@
     /// Highest configuration that a router has in force, or the store's when it was asked.
     pub(crate) latest_sequence: u64,
     pub(crate) in_force: usize,
+    /// Routers that have an earlier configuration in force, or none yet.
     pub(crate) behind: Vec<String>,
     pub(crate) silent: Vec<SilentRouter>,
     pub(crate) pools: Vec<PoolSummary>,
@@ -58,7 +59,9 @@
         }
         let sequences = routers.iter().map(|router| router.config_sequence);
         let latest_sequence = sequences.chain(head_sequence).max().unwrap_or(0);
-        let is_behind = |router: &&RouterStatus| router.config_sequence < latest_sequence;
+        let is_behind = |router: &&RouterStatus| {
+            router.phase == RouterPhase::Starting || router.config_sequence < latest_sequence
+        };
         let behind = routers.iter().filter(is_behind);
         let behind: Vec<_> = behind.map(|router| router.host.to_string()).collect();
         Self {
--- a/crates/briarctl/tests/suite/routers.rs
+++ b/crates/briarctl/tests/suite/routers.rs
@@ -104,6 +104,17 @@
     assert_eq!(report["pools"][0]["skew"], 1.5);
 }
 
+#[tokio::test]
+async fn router_without_a_configuration_is_behind() {
+    let mut starting = status(1, 0);
+    starting.phase = RouterPhase::Starting;
+    let router = FakeRouter::start(&starting, &BurnSnapshot::default()).await;
+    let output = run_on(&[&router], "status").await;
+    assert_eq!(output.exit, ExitStatus::Findings);
+    let first = "configuration 0: in force on 0 routers, 1 behind, 0 silent\n";
+    assert!(output.stdout.starts_with(first), "{}", output.stdout);
+}
+
 #[tokio::test]
 async fn burn_merges_all_routers() {
     let first = FakeRouter::start(&status(1, 7), &burn(0)).await;
--- a/crates/briarrail_config/src/lib.rs
+++ b/crates/briarrail_config/src/lib.rs
@@ -7,6 +7,17 @@
 //! as of some edit stand in shards, which a base object lists. Segments, shards and bases are
 //! written before the head refers to them and never change. [`ConfigReader`] follows the head;
 //! [`ConfigEditor`] submits edits.
+//!
+//! # Why this layout
+//!
+//! - One object with both tables would end at the size limit of a value, and would be read whole
+//!   after each edit.
+//! - One object for each row has no order of edits: a router that lists rows sees some of an edit
+//!   and not the rest, and a lost reply can't be told from another operator's write.
+//! - A log of one object for each edit needs a list call to find its end, and grows for ever.
+//!
+//! The head keeps the order, stays at a few kilobytes for the routers that read it after each
+//! edit, and is the only object that is ever updated.
 
 mod base_object;
 mod config_edit;
--- a/crates/briarrail_config/tests/suite/fake_store.rs
+++ b/crates/briarrail_config/tests/suite/fake_store.rs
@@ -35,8 +35,18 @@
     condition: WriteCondition,
 }
 
+/// Calls so far, and the bytes of values that they carried.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct StoreCalls {
+    pub(crate) reads: usize,
+    pub(crate) writes: usize,
+    pub(crate) read_bytes: usize,
+    pub(crate) written_bytes: usize,
+}
+
 #[derive(Debug, Default)]
 struct Contents {
+    calls: StoreCalls,
     objects: BTreeMap<String, (ObjectVersion, Bytes)>,
     revision: u64,
     heads: Vec<HeadObject>,
@@ -89,6 +99,11 @@
         self.lock().heads.clone()
     }
 
+    /// Returns the calls since the last time, and counts anew.
+    pub(crate) fn take_calls(&self) -> StoreCalls {
+        std::mem::take(&mut self.lock().calls)
+    }
+
     /// Returns the keys of all objects.
     pub(crate) fn keys(&self) -> Vec<String> {
         self.lock().objects.keys().cloned().collect()
@@ -123,6 +138,7 @@
     {
         self.pause().await;
         let mut contents = self.lock();
+        contents.calls.reads += 1;
         contents.release_delayed();
         if contents.down || contents.strikes() {
             return Err(StoreError::new(StoreErrorKind::Unavailable, "fake"));
@@ -162,6 +178,8 @@
     }
 
     fn meet_fault(&mut self, write: Write) -> Result<ObjectVersion, StoreError> {
+        self.calls.writes += 1;
+        self.calls.written_bytes += write.value.as_ref().map_or(0, Bytes::len);
         self.release_delayed();
         let lost = Err(StoreError::new(StoreErrorKind::Unknown, "fake"));
         match self.next_fault() {
@@ -221,8 +239,10 @@
             version,
             value: value.clone(),
         };
-        self.read(|contents| contents.objects.get(key).map(stored))
-            .await
+        let found = self.read(|contents| contents.objects.get(key).map(stored));
+        let found = found.await?;
+        self.lock().calls.read_bytes += found.as_ref().map_or(0, |object| object.value.len());
+        Ok(found)
     }
 
     async fn put(
--- a/crates/briarrail_config/tests/suite/main.rs
+++ b/crates/briarrail_config/tests/suite/main.rs
@@ -4,5 +4,6 @@
 mod fake_store;
 mod fuzz;
 mod layout;
+mod scale;
 mod state;
 mod table_rows;
--- a/crates/briarrail_status/src/pool_status.rs
+++ b/crates/briarrail_status/src/pool_status.rs
@@ -20,7 +20,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct CacheTotals {
-    /// Requests of chats that had been seen before.
+    /// Requests that continue a chat.
     pub returning: u64,
     /// Those among them whose target had their context cached.
     pub reused: u64,
