--- a/crates/briarrail_outcome/tests/suite/claims/world.rs
+++ b/crates/briarrail_outcome/tests/suite/claims/world.rs
@@ -1,5 +1,8 @@
 //! A world of three routers, one store and one target, driven by choices.
 
+mod world_checks;
+mod world_faults;
+
 use std::collections::BTreeMap;
 
 use briarrail_model::{MilliDuration, MilliTime, StableHash};
@@ -12,14 +15,13 @@
 };
 use bytes::Bytes;
 
-use super::fake_router::{BUCKETS, EntryCall, FakeRouter, claim_wait, small_settings};
+use super::fake_router::{BUCKETS, EntryCall, FakeRouter, claim_wait};
 use super::fake_store::{CallFate, FakeStore};
 use super::oracle::{CallId, ClaimOracle};
 use super::tape::ChoiceTape;
 
 const ROUTERS: usize = 3;
 const EPOCH: MilliTime = MilliTime::from_millis(1_800_000_000_000);
-const MAX_SETTLE_STEPS: usize = 20_000;
 
 /// A message under way, or a result that waits for its router.
 #[derive(Debug, Clone)]
@@ -358,47 +360,6 @@
         }
     }
 
-    fn lose_letter(&mut self, tape: &mut ChoiceTape<'_>) {
-        if self.letters.is_empty() {
-            return;
-        }
-        let index = tape.pick(self.letters.len());
-        let Envelope { from, letter, .. } = self.letters[index].clone();
-        let now = self.routers[from].local(self.now);
-        match letter {
-            Letter::StoreResult { .. } => return,
-            Letter::Claim { call, .. } => {
-                self.take_claim_event(from, call, ClaimEvent::Undelivered);
-            }
-            Letter::Report { id, .. } => self.routers[from].reports.handle(id, None, now),
-            Letter::ClaimReply { call, .. } => {
-                let to = self.letters[index].to;
-                self.take_claim_event(to, call, ClaimEvent::Lost);
-            }
-            Letter::ReportReply { id, .. } => {
-                let to = self.letters[index].to;
-                self.routers[to].reports.handle(id, None, now);
-            }
-        }
-        self.letters.swap_remove(index);
-    }
-
-    fn run_store_call(&mut self, tape: &mut ChoiceTape<'_>) {
-        if self.store_calls.is_empty() {
-            return;
-        }
-        let index = tape.pick(self.store_calls.len());
-        let fate = match tape.pick(4) {
-            _ if self.store.is_down => CallFate::Refused,
-            _ if !tape.chance(self.trouble / 3) => CallFate::Good,
-            0 => CallFate::Refused,
-            1 => CallFate::ReplyLost,
-            2 => CallFate::Late,
-            _ => CallFate::Lost,
-        };
-        self.finish_store_call(index, fate);
-    }
-
     fn finish_store_call(&mut self, index: usize, fate: CallFate) {
         let (router, incarnation, id, call) = self.store_calls.swap_remove(index);
         let reply = self.store.call(call, fate);
@@ -519,146 +480,7 @@
         self.report(router, call, report);
     }
 
-    fn run_late(&mut self, tape: &mut ChoiceTape<'_>) {
-        if !self.late_runs.is_empty() {
-            let index = tape.pick(self.late_runs.len());
-            let call = self.late_runs.swap_remove(index);
-            self.oracle.note_run(call);
-        }
-    }
-
-    fn toggle_pause(&mut self, tape: &mut ChoiceTape<'_>) {
-        let router = &mut self.routers[tape.pick(ROUTERS)];
-        router.is_paused = !router.is_paused;
-    }
-
-    /// Ends a router without notice and starts another in its place.
-    fn replace_router(&mut self, tape: &mut ChoiceTape<'_>) {
-        let index = tape.pick(ROUTERS);
-        let lead = tape.pick(3) as u64 * 500;
-        let calls = self.sent_calls();
-        let lost = calls.into_iter().filter(|&(router, _)| router == index);
-        for (_, call) in lost {
-            // The target may run what the router sent before its end.
-            if tape.chance(50) {
-                self.late_runs.push(call);
-            }
-        }
-        self.routers[index] = FakeRouter::new(self.next_incarnation, lead);
-        self.next_incarnation += 1;
-        self.break_connections(index);
-    }
-
-    /// Tells the senders of the messages that a replaced router held.
-    fn break_connections(&mut self, holder: usize) {
-        let held = self.tickets.extract_if(.., |_, held| held.holder == holder);
-        let held: Vec<HeldTicket> = held.map(|(_, held)| held).collect();
-        for held in held {
-            if held.incarnation != self.routers[held.sender].incarnation {
-                continue;
-            }
-            let now = self.routers[held.sender].local(self.now);
-            match held.origin {
-                TicketOrigin::Claim(call) => {
-                    self.take_claim_event(held.sender, call, ClaimEvent::Lost);
-                }
-                TicketOrigin::Report(id, ..) => {
-                    self.routers[held.sender].reports.handle(id, None, now);
-                }
-            }
-        }
-    }
-
-    /// Gives a router another view of the buckets that it is a candidate for.
-    fn change_candidates(&mut self, tape: &mut ChoiceTape<'_>) {
-        let owned = (0..BUCKETS).filter(|_| tape.chance(60)).map(ClaimBucket);
-        let owned = owned.collect();
-        self.routers[tape.pick(ROUTERS)]
-            .owner
-            .set_candidate_for(owned);
-    }
-
-    /// A caller leaves, or the router stops waiting for the claim.
-    fn leave(&mut self, tape: &mut ChoiceTape<'_>) {
-        let router = tape.pick(ROUTERS);
-        if self.routers[router].is_paused {
-            return;
-        }
-        let calls: Vec<CallId> = self.routers[router].entries.keys().copied().collect();
-        if !calls.is_empty() {
-            let call = calls[tape.pick(calls.len())];
-            self.take_claim_event(router, call, ClaimEvent::GaveUp);
-        }
-    }
-
     pub(crate) const fn segments_written(&self) -> u64 {
         self.store.segments
     }
-
-    /// Ends all faults, lets everything finish, and retries every key.
-    pub(crate) fn heal_and_check(&mut self) {
-        self.store.is_down = false;
-        for router in &mut self.routers {
-            router.is_paused = false;
-            router.own_all();
-        }
-        self.settle();
-        for (key, made_at) in self.keys.clone() {
-            self.check_retry(&key, made_at);
-        }
-    }
-
-    fn check_retry(&mut self, key: &str, made_at: MilliTime) {
-        let is_timeless = key.contains("order-");
-        let kept_until = made_at + small_settings().retention_ms;
-        let is_kept =
-            is_timeless || self.now + claim_wait() + claim_wait() + claim_wait() < kept_until;
-        let is_due = is_kept && self.oracle.recorded_answer(key, 1).is_some();
-        let call = self.call(0, key.to_owned(), 1);
-        self.settle();
-        let told = self.oracle.outcome(call);
-        assert_ne!(told, None, "{key} has no outcome");
-        if is_due {
-            let answered = Some(RequestOutcome::Answered);
-            assert_eq!(told, answered, "the recorded answer of {key} is lost");
-        }
-    }
-
-    fn settle(&mut self) {
-        for _ in 0..MAX_SETTLE_STEPS {
-            while !self.store_calls.is_empty() {
-                self.finish_store_call(0, CallFate::Good);
-            }
-            while !self.letters.is_empty() {
-                let envelope = self.letters.remove(0);
-                self.open(envelope);
-            }
-            for (router, call) in self.sent_calls() {
-                let answer = self.oracle.note_run(call);
-                self.take_attempt(router, call, AttemptEvent::Completed, Some(answer));
-            }
-            if self.is_quiet() {
-                return;
-            }
-            self.advance(MilliDuration::from_millis(20));
-        }
-        let held = self
-            .routers
-            .iter()
-            .map(|router| (router.owner.pending(), router.reports.len()));
-        panic!(
-            "the world does not come to rest: {:?}",
-            held.collect::<Vec<_>>()
-        );
-    }
-
-    fn is_quiet(&self) -> bool {
-        let mut routers = self.routers.iter();
-        let is_quiet = |router: &FakeRouter| {
-            let mut entries = router.entries.keys();
-            let all_told = entries.all(|&call| self.oracle.outcome(call).is_some());
-            router.owner.is_idle() && router.reports.is_empty() && all_told
-        };
-        self.letters.is_empty() && self.store_calls.is_empty() && routers.all(is_quiet)
-    }
 }
