feat(daemon): add up the routers' own counts in a small fleet

Cause: placement's measured limits for the sites of today rest on each router knowing the others' counts, views five times a second and customers' usual use; the daemon had none of the three, and read loads at a pace of its own. Change: counts travel through the exchange as load records under codes of their own; views every 200 ms from a host view that is rebuilt only when the list changes; the gate learns; loads are read at the fleet's interval; the exchange's default interval is the 400 ms that its bounds were measured with.

--- a/crates/briarrail_fleet/src/fleet_node.rs
+++ b/crates/briarrail_fleet/src/fleet_node.rs
@@ -223,6 +223,20 @@
             .observe(host_code(target), record, distances, refresh);
     }
 
+    /// Publishes this router's own count under a code that no host has.
+    ///
+    /// The caller decides which counts are worth their bytes; they travel as load records do.
+    pub fn publish_count(&mut self, code: u32, record: &LoadRecord) {
+        let distances = self.ring.distance_mask();
+        self.loads.publish(code, record, distances);
+    }
+
+    /// Returns the latest count that was published under a code.
+    #[must_use]
+    pub fn count(&self, code: u32) -> Option<LoadRecord> {
+        self.loads.get(code)
+    }
+
     /// Returns the actions that are due, in their order.
     pub fn take_outputs(&mut self) -> VecDeque<FleetOutput> {
         std::mem::take(&mut self.outputs)
--- a/crates/briarrail_fleet/src/load_table.rs
+++ b/crates/briarrail_fleet/src/load_table.rs
@@ -74,6 +74,12 @@
         publish
     }
 
+    /// Takes over a record of this router's own, and publishes it whatever it says.
+    pub fn publish(&mut self, code: u32, record: &LoadRecord, distances: u16) {
+        let record = LoadItem::quantize(record);
+        self.set(code, LoadSlot { record, distances });
+    }
+
     fn is_worth_sending(&self, code: u32, record: &LoadRecord, refresh: MilliDuration) -> bool {
         let Some(published) = self.published.get(&code) else {
             return true;
@@ -134,14 +140,14 @@
         self.slots.values().filter(due).count()
     }
 
-    /// Drops the records of targets that are gone.
+    /// Drops the records that are not to be kept, such as those of targets that are gone.
     pub fn retain<K>(&mut self, keep: K)
     where
-        K: Fn(u32) -> bool,
+        K: Fn(u32, &LoadRecord) -> bool,
     {
-        self.slots.retain(|&code, _| keep(code));
+        self.slots.retain(|&code, slot| keep(code, &slot.record));
         let streams = |slot: &LoadSlot| u64::from(slot.record.streams);
         self.total_streams = self.slots.values().map(streams).sum();
-        self.published.retain(|&code, _| keep(code));
+        self.published.retain(|&code, record| keep(code, record));
     }
 }
--- a/crates/briarrail_fleet/src/node_observed.rs
+++ b/crates/briarrail_fleet/src/node_observed.rs
@@ -8,6 +8,8 @@
 use crate::host_slot::HostSlot;
 use crate::{FleetNode, FleetOutput, ViewPhase};
 
+/// Time after which a count that is not published again is forgotten.
+const COUNT_LIFETIME: MilliDuration = MilliDuration::from_secs(30);
 const OBSERVED_INTERVAL: MilliDuration = MilliDuration::from_millis(1_000);
 /// Shortest time between two reads of one target's load.
 const MIN_READ_INTERVAL_MS: u64 = 1_000;
@@ -33,7 +35,9 @@
         self.observed_generation = generation;
         self.observed_due = now + OBSERVED_INTERVAL;
         let hosts = &self.hosts;
-        self.loads.retain(|code| hosts.key_of(code).is_some());
+        self.loads.retain(|code, record| {
+            hosts.key_of(code).is_some() || now.since(record.version) < COUNT_LIFETIME
+        });
         self.peer_sequences
             .retain(|name, _| hosts.key(name).is_some());
         let observed = self.choose_observed();
--- a/crates/briarrail_settings/src/exchange_settings.rs
+++ b/crates/briarrail_settings/src/exchange_settings.rs
@@ -43,7 +43,7 @@
 
 impl ExchangeSettings {
     pub(crate) const ROUTER_SERVICE: &'static str = "briarraild";
-    pub(crate) const INTERVAL: MilliDuration = MilliDuration::from_secs(1);
+    pub(crate) const INTERVAL: MilliDuration = MilliDuration::from_millis(400);
     pub(crate) const BUDGET_BYTES_PER_S: u64 = 5_000;
 
     pub(crate) fn read(section: SectionReader<'_>) -> Self {
--- a/crates/briarraild/src/control/control_loop.rs
+++ b/crates/briarraild/src/control/control_loop.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarrail_fleet::{FleetNode, FleetOutput};
+use briarrail_fleet::{FleetNode, FleetOutput, FleetView};
 use briarrail_model::{HostEntry, HostName, LoadRecord, MilliDuration, MilliTime};
 use briarrail_peer::FrameCodec;
 use briarrail_platform::{HostDirectory, ObjectStore};
@@ -12,14 +12,14 @@
 use tokio::time::MissedTickBehavior;
 
 use super::claim_desk::{ClaimDesk, PendingCall};
+use super::peer_counts::PeerCounts;
 use super::snapshot_builder::SnapshotBuilder;
 use super::{ControlEvent, PlatformTasks};
 use crate::state::SharedState;
 use crate::system_clock::SystemClock;
 
 const TICK: Duration = Duration::from_millis(50);
-const REFRESH_INTERVAL: MilliDuration = MilliDuration::from_millis(250);
-const LOAD_INTERVAL: MilliDuration = MilliDuration::from_millis(1_000);
+const REFRESH_INTERVAL: MilliDuration = MilliDuration::from_millis(200);
 /// Request and reply of a load read on the wire, headers included.
 const LOAD_READ_BYTES: usize = 420;
 
@@ -49,7 +49,10 @@
     pub(super) tasks: PlatformTasks<S, D>,
     events: mpsc::Receiver<ControlEvent>,
     pub(super) own_loads: HashMap<HostName, LoadRecord>,
-    pub(super) published_generation: Option<u64>,
+    pub(super) peer_counts: PeerCounts,
+    pub(super) view: FleetView,
+    pub(super) view_generation: Option<u64>,
+    is_outdated: bool,
     /// Whether the router has been ready; a leaving router goes on serving.
     pub(super) has_been_ready: bool,
     refresh_due: MilliTime,
@@ -68,12 +71,16 @@
         tasks: PlatformTasks<S, D>,
         events: mpsc::Receiver<ControlEvent>,
     ) -> Self {
+        let peer_counts = PeerCounts::new(&parts.own.name);
         Self {
             parts,
             tasks,
             events,
             own_loads: HashMap::new(),
-            published_generation: None,
+            peer_counts,
+            view: FleetView::default(),
+            view_generation: None,
+            is_outdated: true,
             has_been_ready: false,
             refresh_due: MilliTime::default(),
             load_due: MilliTime::default(),
@@ -110,7 +117,7 @@
             self.publish(now);
         }
         if now >= self.load_due {
-            self.load_due = now + LOAD_INTERVAL;
+            self.load_due = now + self.parts.fleet.load_interval();
             self.read_loads();
             self.sample_rate(now);
         }
@@ -183,14 +190,15 @@
                 }
                 FleetOutput::ConfigChanged { sequence } => {
                     tracing::info!(sequence, "control: configuration in force");
-                    self.published_generation = None;
+                    self.is_outdated = true;
                     self.set_objectives();
                 }
                 _ => {}
             }
         }
-        let generation = Some(self.parts.fleet.hosts().generation());
-        if self.published_generation != generation {
+        let is_stale = self.view_generation != Some(self.parts.fleet.hosts().generation());
+        if is_stale || self.is_outdated {
+            self.is_outdated = false;
             self.publish(self.now());
         }
     }
--- a/crates/briarraild/src/control/mod.rs
+++ b/crates/briarraild/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod fleet_setup;
 mod frame_handling;
 mod load_reading;
+mod peer_counts;
 mod peer_server;
 mod platform_tasks;
 mod snapshot_builder;
--- a/crates/briarraild/src/control/snapshot_builder.rs
+++ b/crates/briarraild/src/control/snapshot_builder.rs
@@ -1,6 +1,6 @@
 //! Snapshots for the traffic threads.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use briarrail_fleet::{FleetView, ViewPhase};
@@ -8,7 +8,7 @@
     ConfigSnapshot, DataCentre, HostEntry, HostName, HostPhase, LoadRecord, MilliTime, PoolRow,
     RegionName,
 };
-use briarrail_policy::{LoadLedger, PlacementSettings, RouterSite, TargetInput};
+use briarrail_policy::{LoadLedger, PeerCount, PlacementSettings, RouterSite, TargetInput};
 
 use crate::state::{PoolEntry, PoolRuntime, RoutingSnapshot, TargetCounters, TargetEntry};
 
@@ -19,8 +19,17 @@
     pub(crate) config: &'a Arc<ConfigSnapshot>,
     /// Routers and targets with their phases.
     pub(crate) view: &'a FleetView,
-    /// Latest load records.
-    pub(crate) loads: &'a BTreeMap<HostName, LoadRecord>,
+    /// What is known of the load of each target of the view, in its order.
+    pub(crate) readings: &'a [TargetReading],
+}
+
+/// What is known of a target's load.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct TargetReading {
+    /// Latest load record.
+    pub(crate) load: Option<LoadRecord>,
+    /// Sum of the other routers' counts.
+    pub(crate) peers: Option<PeerCount>,
 }
 
 /// State of a pool between two snapshots.
@@ -50,6 +59,13 @@
         }
     }
 
+    /// Returns the requests in flight to a target of some pool.
+    pub(crate) fn in_flight(&self, target: &HostName) -> Option<u32> {
+        self.counters
+            .get(target)
+            .map(|counters| counters.in_flight())
+    }
+
     /// Builds a snapshot from what is known at `now`.
     pub(crate) fn build(
         &mut self,
@@ -97,16 +113,17 @@
     ) -> PoolEntry {
         let mut targets = Vec::new();
         let mut states = Vec::new();
-        for target in &inputs.view.targets {
+        for (target, reading) in inputs.view.targets.iter().zip(inputs.readings) {
             let host = &*target.entry;
             if !row.targets.accepts(host) {
                 continue;
             }
             let counters = self.counters.entry(host.name.clone()).or_default();
-            let load = inputs.loads.get(&host.name).copied();
-            let mut state = TargetInput::from_host(host).load(load);
+            let mut state = TargetInput::from_host(host)
+                .load(reading.load)
+                .peers(reading.peers)
+                .in_flight(counters.in_flight());
             state.phase = placement_phase(target.phase);
-            state.in_flight = counters.in_flight();
             targets.push(TargetEntry::new(host, &state, Arc::clone(counters)));
             states.push(state);
         }
@@ -119,9 +136,7 @@
             });
         let settings = PlacementSettings::from_pool(row).stream_time(memory.runtime.stream_time());
         let view = memory.ledger.refresh(&states, settings, site, now);
-        let capacity = row.limits.max_streams_per_target;
-        let pressure = (capacity > 0).then(|| view.mean_load() / capacity as f32);
-        memory.runtime.refresh(pressure);
+        memory.runtime.refresh(view.pressure(), now);
         let runtime = Arc::clone(&memory.runtime);
         PoolEntry {
             row: row.clone(),
--- a/crates/briarraild/src/control/view_publishing.rs
+++ b/crates/briarraild/src/control/view_publishing.rs
@@ -1,14 +1,10 @@
 //! Publishing of control state to the traffic threads.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
-
-use briarrail_fleet::FleetView;
-use briarrail_model::{ConfigSnapshot, HostName, LoadRecord, MilliTime};
+use briarrail_model::{HostName, MilliTime};
 use briarrail_platform::{HostDirectory, ObjectStore};
 
 use super::ControlLoop;
-use super::snapshot_builder::SnapshotInputs;
+use super::snapshot_builder::{SnapshotInputs, TargetReading};
 use crate::state::ControlBytes;
 
 impl<S, D> ControlLoop<S, D>
@@ -42,43 +38,63 @@
 
     /// Builds a snapshot from what is known and hands it to the traffic threads.
     pub(super) fn publish(&mut self, now: MilliTime) {
-        let fleet = &self.parts.fleet;
-        self.has_been_ready |= fleet.is_ready();
-        self.published_generation = Some(fleet.hosts().generation());
-        let view = fleet.view();
-        let config = fleet
-            .config()
-            .cloned()
-            .unwrap_or_else(|| Arc::new(ConfigSnapshot::default()));
-        let loads = self.latest_loads(&view);
+        self.has_been_ready |= self.parts.fleet.is_ready();
+        let is_changed = self.refresh_view();
+        self.publish_counts(now);
+        let config = self.parts.fleet.config().cloned().unwrap_or_default();
+        let readings = self.target_readings(now);
         let inputs = SnapshotInputs {
             config: &config,
-            view: &view,
-            loads: &loads,
+            view: &self.view,
+            readings: &readings,
         };
         let snapshot = self.parts.builder.build(inputs, self.has_been_ready, now);
-        self.parts
-            .desk
-            .assign(&snapshot.routers, &self.parts.own.name);
         let metrics = &self.parts.state.metrics;
         metrics.set_config_sequence(config.sequence);
-        metrics.set_live_hosts("router", snapshot.routers.len() as u64);
-        metrics.set_live_hosts("target", view.targets.len() as u64);
+        if is_changed {
+            metrics.set_live_hosts("router", snapshot.routers.len() as u64);
+            metrics.set_live_hosts("target", self.view.targets.len() as u64);
+            self.parts
+                .desk
+                .assign(&snapshot.routers, &self.parts.own.name);
+        }
         self.parts.state.publish(snapshot);
     }
 
-    /// Returns the latest record of each target, own readings included.
-    fn latest_loads(&self, view: &FleetView) -> BTreeMap<HostName, LoadRecord> {
-        let records = view.targets.iter().filter_map(|target| {
+    /// Takes over the hosts when they have changed, and returns whether they have.
+    fn refresh_view(&mut self) -> bool {
+        let generation = Some(self.parts.fleet.hosts().generation());
+        if self.view_generation == generation {
+            return false;
+        }
+        self.view_generation = generation;
+        self.view = self.parts.fleet.view();
+        let hosts = self.parts.fleet.hosts();
+        self.own_loads
+            .retain(|target, _| hosts.key(target).is_some());
+        true
+    }
+
+    fn publish_counts(&mut self, now: MilliTime) {
+        let builder = &self.parts.builder;
+        let in_flight = |target: &HostName| builder.in_flight(target);
+        self.peer_counts
+            .publish(&mut self.parts.fleet, &self.view, in_flight, now);
+    }
+
+    /// Returns what is known of each target of the view, own readings included.
+    fn target_readings(&self, now: MilliTime) -> Vec<TargetReading> {
+        let fleet = &self.parts.fleet;
+        let targets = self.view.targets.iter();
+        let readings = targets.map(|target| {
             let name = &target.entry.name;
-            let exchanged = self.parts.fleet.load_of(name);
             let own = self.own_loads.get(name).copied();
-            let newest = exchanged
-                .into_iter()
-                .chain(own)
-                .max_by_key(|record| record.version)?;
-            Some((name.clone(), newest))
+            let known = fleet.load_of(name).into_iter().chain(own);
+            TargetReading {
+                load: known.max_by_key(|record| record.version),
+                peers: self.peer_counts.of_target(fleet, &self.view, name, now),
+            }
         });
-        records.collect()
+        readings.collect()
     }
 }
--- a/crates/briarraild/src/state/pool_runtime.rs
+++ b/crates/briarraild/src/state/pool_runtime.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use briarrail_model::{CallSemantics, MilliDuration, StableHash};
+use briarrail_model::{CallSemantics, MilliDuration, MilliTime, StableHash};
 use briarrail_policy::{AdmissionChoice, AdmissionGate, AdmissionRequest, RetryBudget};
 use briarrail_status::CacheTotals;
 
@@ -41,9 +41,12 @@
         }
     }
 
-    /// Takes over the pool's load as a part of its capacity, if that is known.
-    pub(crate) fn refresh(&self, pressure: Option<f32>) {
-        self.lock().gate.refresh(pressure);
+    /// Takes over the pool's load as a part of its capacity, if that is known, and learns what
+    /// its customers usually use.
+    pub(crate) fn refresh(&self, pressure: Option<f32>, now: MilliTime) {
+        let mut parts = self.lock();
+        parts.gate.refresh(pressure);
+        parts.gate.learn(now);
     }
 
     /// Decides on a request, and counts it when it is admitted.
