fix(fleet): compare the last change of the own region, not of the whole list

Change: routers tell and compare the revision of the last change in their region; a whole list that was just read is not told, since its last change may be older.

--- a/crates/briarrail_fleet/src/host_table.rs
+++ b/crates/briarrail_fleet/src/host_table.rs
@@ -32,6 +32,8 @@
     codes: BTreeMap<u32, HostKey>,
     tombstones: VecDeque<(u64, HostName)>,
     revision: u64,
+    /// Revision of the last change of a host of the region.
+    region_revision: u64,
     /// Revision from which on all changes are known.
     baseline: u64,
     generation: u64,
@@ -47,6 +49,7 @@
             codes: BTreeMap::new(),
             tombstones: VecDeque::new(),
             revision: 0,
+            region_revision: 0,
             baseline: u64::MAX,
             generation: 0,
         }
@@ -58,6 +61,25 @@
         self.revision
     }
 
+    /// Returns the revision of the last change of a host of the region.
+    ///
+    /// Routers compare this one, so that changes of other regions cost them nothing.
+    #[must_use]
+    pub fn region_revision(&self) -> u64 {
+        self.region_revision
+    }
+
+    /// Returns the revision that peers are told; 0 while no change was seen since the whole list
+    /// was read, since the last change of the region may be older than that list.
+    #[must_use]
+    pub fn told_revision(&self) -> u64 {
+        if self.is_loaded() && self.region_revision > self.baseline {
+            self.region_revision
+        } else {
+            0
+        }
+    }
+
     /// Returns whether the table holds a list.
     #[must_use]
     pub fn is_loaded(&self) -> bool {
@@ -148,11 +170,15 @@
             self.baseline = change.revision;
         }
         self.revision = change.revision;
+        self.region_revision = change.revision;
         self.generation += 1;
         true
     }
 
     fn upsert(&mut self, entry: &Arc<HostEntry>, revision: u64) {
+        if entry.region == self.region {
+            self.region_revision = revision;
+        }
         let code = host_code(&entry.name);
         let Some(&key) = self.codes.get(&code) else {
             let slot = HostSlot::new(Arc::clone(entry), revision);
@@ -175,6 +201,7 @@
         if let Some(key) = self.key(name) {
             self.slots.remove(key);
             self.codes.remove(&host_code(name));
+            self.region_revision = revision;
             self.generation += 1;
         }
         self.tombstones.push_back((revision, name.clone()));
@@ -212,7 +239,7 @@
     /// Returns the changes of the own region after a revision, if all of them are known.
     #[must_use]
     pub fn part_since(&self, since: u64) -> Option<HostPart> {
-        if !self.is_loaded() || since < self.baseline || since >= self.revision {
+        if !self.is_loaded() || since < self.baseline || since >= self.region_revision {
             return None;
         }
         let mut part = HostPart {
--- a/crates/briarrail_fleet/src/node_inbox.rs
+++ b/crates/briarrail_fleet/src/node_inbox.rs
@@ -93,12 +93,12 @@
 
     fn take_message(&mut self, now: MilliTime, envelope: &Envelope<ExchangeMessage>) {
         let message = &envelope.body;
-        let before = (self.sequence(), self.hosts.revision());
+        let before = (self.sequence(), self.hosts.region_revision());
         self.take_edits(message);
         if let Some(part) = &message.hosts {
             self.hosts.apply_part(part);
         }
-        if (self.sequence(), self.hosts.revision()) != before {
+        if (self.sequence(), self.hosts.region_revision()) != before {
             self.repair.behind_since = None;
         }
         self.note_peer(now, envelope);
@@ -129,7 +129,7 @@
         repair.sequence_seen = repair.sequence_seen.max(message.sequence);
         repair.revision_seen = repair.revision_seen.max(message.revision);
         let behind = repair.sequence_seen > self.config.sequence()
-            || repair.revision_seen > self.hosts.revision();
+            || repair.revision_seen > self.hosts.region_revision();
         if behind {
             repair.behind_since.get_or_insert(now);
         }
--- a/crates/briarrail_fleet/src/node_platform.rs
+++ b/crates/briarrail_fleet/src/node_platform.rs
@@ -33,7 +33,7 @@
     }
 
     fn read_hosts(&mut self, now: MilliTime, is_relay: bool) {
-        let lacks_hosts = self.repair.revision_seen > self.hosts.revision();
+        let lacks_hosts = self.repair.revision_seen > self.hosts.region_revision();
         let stuck = self.is_stuck(now) && lacks_hosts;
         let wanted = is_relay || stuck || !self.hosts.is_loaded();
         if !wanted || self.platform.hosts_reading || now < self.platform.hosts_due {
--- a/crates/briarrail_fleet/src/node_rounds.rs
+++ b/crates/briarrail_fleet/src/node_rounds.rs
@@ -18,7 +18,7 @@
     pub(crate) fn digest(&self) -> ExchangeMessage {
         ExchangeMessage {
             sequence: self.sequence(),
-            revision: self.hosts.revision(),
+            revision: self.hosts.told_revision(),
             notice_digest: self.notice_digest,
             ..ExchangeMessage::default()
         }
@@ -126,7 +126,7 @@
 
     fn pull_request(&mut self, now: MilliTime) -> Option<PullRequest> {
         let lacks_config = self.repair.sequence_seen > self.sequence();
-        let lacks_hosts = self.repair.revision_seen > self.hosts.revision();
+        let lacks_hosts = self.repair.revision_seen > self.hosts.region_revision();
         let wants_loads = self.repair.load_pulls_left > 0;
         self.repair.load_pulls_left = self.repair.load_pulls_left.saturating_sub(1);
         let patience = MISMATCHES_PER_DISTANCE * self.ring.distance_count();
@@ -148,7 +148,7 @@
         let wants_edits = (overdue && lacks_config) || self.repair.wants_whole;
         Some(PullRequest {
             after_sequence: wants_edits.then(|| self.sequence()),
-            after_revision: (overdue && lacks_hosts).then(|| self.hosts.revision()),
+            after_revision: (overdue && lacks_hosts).then(|| self.hosts.region_revision()),
             whole: self.repair.wants_whole || (long_overdue && lacks_config),
             notices: wants_notices,
             loads: wants_loads,
--- a/crates/briarrail_fleet/src/node_urgent.rs
+++ b/crates/briarrail_fleet/src/node_urgent.rs
@@ -20,7 +20,7 @@
             // What the data centre knows before this router is a relay is not told again.
             self.broadcast.due = None;
             self.broadcast.told_sequence = Some(self.sequence());
-            self.broadcast.told_revision = Some(self.hosts.revision());
+            self.broadcast.told_revision = Some(self.hosts.region_revision());
             return;
         };
         if !self.has_untold() {
@@ -44,7 +44,7 @@
             broadcast: Some(self.rng.random()),
             ..self.digest()
         };
-        self.note_told(message.sequence, message.revision);
+        self.note_told(self.sequence(), self.hosts.region_revision());
         let hosts = message.hosts.as_ref();
         let no_hosts = hosts.is_none_or(|part| {
             part.upserts.is_empty() && part.patches.is_empty() && part.removed.is_empty()
@@ -57,7 +57,7 @@
     }
 
     fn has_untold(&mut self) -> bool {
-        let (sequence, revision) = (self.sequence(), self.hosts.revision());
+        let (sequence, revision) = (self.sequence(), self.hosts.region_revision());
         let told = &mut self.broadcast;
         // What a router starts with is known to the others.
         let told_sequence = *told.told_sequence.get_or_insert(sequence);
