perf(fleet): read loads at most twice a second a router

Change: at most 2 reads of loads a second a router (was 3); the relays' head start is a setting, so that the baseline of the bench reads at once.

--- a/crates/briarrail_bench/src/fleet/bench_fleet.rs
+++ b/crates/briarrail_bench/src/fleet/bench_fleet.rs
@@ -184,12 +184,11 @@
     pub(crate) fn new(count: usize, seed: u64, scenario: BenchScenario, baseline: bool) -> Self {
         let resident_before = resident_bytes();
         let keys = KeyRing::new(SharedKey::new(b"bench"));
-        let relays = if baseline {
-            usize::MAX
-        } else {
-            FleetSettings::new(keys.clone()).relays
-        };
-        let settings = FleetSettings::new(keys).with_relays(relays);
+        let mut settings = FleetSettings::new(keys);
+        if baseline {
+            let settings_of_all = settings.with_relays(usize::MAX);
+            settings = settings_of_all.with_turn_delay(MilliDuration::ZERO);
+        }
         let (regions, cells) = if count < 30 { (1, 3) } else { (4, 15) };
         let targets = (count * 10_000).div_ceil(3_600);
         let entries: Vec<_> = (0..count + targets)
--- a/crates/briarrail_fleet/src/fleet_settings.rs
+++ b/crates/briarrail_fleet/src/fleet_settings.rs
@@ -21,6 +21,8 @@
     pub retry_delay: MilliDuration,
     /// Time after which an unchanged load record is published again.
     pub load_refresh: MilliDuration,
+    /// Head start that a relay leaves to the one whose turn it is to read a changed head.
+    pub turn_delay: MilliDuration,
     /// Relays in each data centre.
     pub relays: usize,
     /// Bytes a second, sent plus received, that the exchange may use.
@@ -41,6 +43,7 @@
             repair_delay: MilliDuration::from_millis(600),
             retry_delay: MilliDuration::from_millis(300),
             load_refresh: MilliDuration::from_secs(120),
+            turn_delay: MilliDuration::from_millis(400),
             relays: 3,
             budget_rate: 4_200,
             budget_burst: 12_000,
@@ -71,6 +74,12 @@
         Self { relays, ..self }
     }
 
+    /// Sets the head start of the relay whose turn it is.
+    #[must_use]
+    pub fn with_turn_delay(self, turn_delay: MilliDuration) -> Self {
+        Self { turn_delay, ..self }
+    }
+
     /// Sets the bytes a second and the bytes at once that the exchange may use.
     #[must_use]
     pub fn with_budget(self, budget_rate: u32, budget_burst: u32) -> Self {
--- a/crates/briarrail_fleet/src/node_observed.rs
+++ b/crates/briarrail_fleet/src/node_observed.rs
@@ -14,7 +14,7 @@
 /// Shortest time between two reads of one target's load.
 const MIN_READ_INTERVAL_MS: u64 = 1_000;
 /// Reads of loads that a router makes in a second, at most.
-const MAX_READS_PER_S: u64 = 3;
+const MAX_READS_PER_S: u64 = 2;
 /// Routers for each relay from which on relays read no loads.
 const ROUTERS_PER_RELAY: usize = 3;
 
--- a/crates/briarrail_fleet/src/node_platform.rs
+++ b/crates/briarrail_fleet/src/node_platform.rs
@@ -10,8 +10,6 @@
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 /// The few relays try more often, since the others depend on them.
 const MAX_RELAY_DOUBLINGS: u32 = 1;
-/// Head start that a relay leaves to the one whose turn it is to read a changed head.
-const TURN_DELAY: MilliDuration = MilliDuration::from_millis(400);
 /// Longest random delay of the read after an outage.
 const MISSED_JITTER: MilliDuration = MilliDuration::from_millis(500);
 /// Time for which a router that is behind asks peers before it reads the platform itself.
@@ -170,7 +168,7 @@
         let rank = self.relay_rank().unwrap_or(0) as u64;
         let relays = self.settings.relays.max(1) as u64;
         let turn = (rank + self.sequence()) % relays;
-        let delay = MilliDuration::from_millis(turn * TURN_DELAY.as_millis());
+        let delay = MilliDuration::from_millis(turn * self.settings.turn_delay.as_millis());
         self.platform.config_due = Some(now + delay);
         self.platform.config_unless_above = Some(self.sequence());
     }
