test: roll three routers under 200 streams

Change: a balancer polls readiness every 500 ms, 200 streams and ticket posts go to the routers it lists, and each router in turn gets SIGTERM, has to end with exit code 0 and is replaced in a new incarnation. Every stream has to be answered whole and every ticket to run once.

--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -4,6 +4,7 @@
 //! ends with a failure only after a limit far above what is expected.
 
 mod claim_faults;
+mod rolling_stop;
 mod store_outage;
 mod support;
 mod wide_fleet;
