--- a/crates/briarrail_bench/src/placement/fleet_run.rs
+++ b/crates/briarrail_bench/src/placement/fleet_run.rs
@@ -4,85 +4,26 @@
 use std::collections::BinaryHeap;
 use std::time::Instant;
 
-use briarrail_model::{CallPriority, LoadRecord, MilliDuration, MilliTime, StableHash, hash_pair};
-use briarrail_policy::{
-    AdmissionChoice, AdmissionRequest, PeerCount, PlacementRequest, PublishRule,
-};
+use briarrail_model::{CallPriority, MilliDuration, StableHash, hash_pair};
+use briarrail_policy::{AdmissionChoice, AdmissionRequest, PlacementRequest, PublishRule};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::chat_source::{ArrivalFacts, ChatSource};
+use super::chat_source::ChatSource;
 use super::engine_model::EngineModel;
-use super::router_model::{FleetReports, RouteAnswer, RouterModel};
+use super::router_model::{RouteAnswer, RouterModel};
 use super::routing_rule::RoutingRule;
 use super::run_totals::RunTotals;
-use super::scenario_plan::{
-    DOWN_MS, LOSS_MS, MEASURED_MS, RESTART_EVERY_MS, ScenarioPlan, WARM_UP_MS,
-};
+use super::scenario_plan::{MEASURED_MS, ScenarioPlan, WARM_UP_MS};
 use super::site_shape::{RETURN_SECONDS, SiteShape};
 use super::skew_meter::SkewMeter;
+use super::timed_event::{FleetEvent, OpenRequest, OpenStream, TimedEvent};
 
-const TICK_MS: u64 = 100;
-const REPORT_TICKS: u64 = 5;
-/// Time in which a record reaches the other routers of a small fleet.
-const EXCHANGE_DELAY: MilliDuration = MilliDuration::from_secs(2);
 const DEAD_RETRY_MS: u64 = 200;
 /// Contexts that an engine caches, as a multiple of its home chats.
 const CACHE_RATIO: f64 = 2.0;
 const TIMING_SAMPLE: u64 = 64;
 
-/// One request on its way.
-#[derive(Debug, Clone, Copy)]
-struct OpenRequest {
-    facts: ArrivalFacts,
-    arrived_at: u64,
-    router: u32,
-    /// Whether it ran on an engine that stopped.
-    resent: bool,
-}
-
-/// One stream at an engine.
-#[derive(Debug, Clone, Copy)]
-struct OpenStream {
-    request: OpenRequest,
-    engine: u32,
-    hit: bool,
-    alive: bool,
-}
-
-#[derive(Debug, Clone, Copy)]
-enum FleetEvent {
-    Arrive,
-    Dispatch(OpenRequest),
-    Finish(u32),
-    Tick,
-}
-
-struct TimedEvent {
-    key: Reverse<(u64, u64)>,
-    event: FleetEvent,
-}
-
-impl PartialEq for TimedEvent {
-    fn eq(&self, other: &Self) -> bool {
-        self.key == other.key
-    }
-}
-
-impl Eq for TimedEvent {}
-
-impl PartialOrd for TimedEvent {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for TimedEvent {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.key.cmp(&other.key)
-    }
-}
-
 /// Parts of the system that a case may leave out.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RunSwitches {
@@ -94,28 +35,28 @@
 
 /// One case: a site, a policy, a scenario and a seed.
 pub(crate) struct FleetRun {
-    shape: SiteShape,
-    plan: ScenarioPlan,
-    rule: RoutingRule,
-    admission: bool,
-    peer_counts: bool,
-    publish: PublishRule,
+    pub(super) shape: SiteShape,
+    pub(super) plan: ScenarioPlan,
+    pub(super) rule: RoutingRule,
+    pub(super) admission: bool,
+    pub(super) peer_counts: bool,
+    pub(super) publish: PublishRule,
     /// Draws arrivals; they are the same for every policy, and so are failures.
-    world_rng: SmallRng,
-    failure_rng: SmallRng,
+    pub(super) world_rng: SmallRng,
+    pub(super) failure_rng: SmallRng,
     /// Draws what policies choose at random.
-    rng: SmallRng,
-    now: u64,
-    arrival_time: f64,
-    sequence: u64,
-    events: BinaryHeap<TimedEvent>,
-    engines: Vec<EngineModel>,
-    routers: Vec<RouterModel>,
-    streams: Vec<OpenStream>,
-    free_streams: Vec<u32>,
-    source: ChatSource,
-    meter: SkewMeter,
-    totals: RunTotals,
+    pub(super) rng: SmallRng,
+    pub(super) now: u64,
+    pub(super) arrival_time: f64,
+    pub(super) sequence: u64,
+    pub(super) events: BinaryHeap<TimedEvent>,
+    pub(super) engines: Vec<EngineModel>,
+    pub(super) routers: Vec<RouterModel>,
+    pub(super) streams: Vec<OpenStream>,
+    pub(super) free_streams: Vec<u32>,
+    pub(super) source: ChatSource,
+    pub(super) meter: SkewMeter,
+    pub(super) totals: RunTotals,
 }
 
 impl FleetRun {
@@ -176,13 +117,13 @@
         (self.totals, self.meter)
     }
 
-    fn schedule(&mut self, at: u64, event: FleetEvent) {
+    pub(super) fn schedule(&mut self, at: u64, event: FleetEvent) {
         self.sequence += 1;
         let key = Reverse((at, self.sequence));
         self.events.push(TimedEvent { key, event });
     }
 
-    const fn measured(&self) -> bool {
+    pub(super) const fn measured(&self) -> bool {
         self.now >= WARM_UP_MS
     }
 
@@ -202,7 +143,7 @@
         self.schedule(self.arrival_time as u64, FleetEvent::Arrive);
     }
 
-    fn dispatch(&mut self, request: OpenRequest) {
+    pub(super) fn dispatch(&mut self, request: OpenRequest) {
         let waited = MilliDuration::from_millis(self.now - request.arrived_at);
         if let Some(retry_ms) = self.held_back(&request, waited) {
             return self.wait_or_refuse(request, retry_ms);
@@ -378,7 +319,7 @@
         }
     }
 
-    fn release(&mut self, stream: &OpenStream) {
+    pub(super) fn release(&mut self, stream: &OpenStream) {
         let request = &stream.request;
         let router = &mut self.routers[request.router as usize];
         router.in_flight[stream.engine as usize] -= 1;
@@ -386,126 +327,4 @@
             .gate
             .finish(StableHash(u64::from(request.facts.customer)));
     }
-
-    /// Stops an engine; its streams are sent again elsewhere.
-    fn stop_engine(&mut self, engine: usize) {
-        let waiting: Vec<u32> = self.engines[engine]
-            .waiting
-            .iter()
-            .flatten()
-            .copied()
-            .collect();
-        self.engines[engine].stop(self.now);
-        self.meter.sample(&self.engines, self.now, false);
-        let mut resent = Vec::new();
-        let free: std::collections::HashSet<u32> = self.free_streams.iter().copied().collect();
-        for id in 0..self.streams.len() as u32 {
-            let stream = self.streams[id as usize];
-            if stream.engine as usize != engine || !stream.alive || free.contains(&id) {
-                continue;
-            }
-            self.streams[id as usize].alive = false;
-            self.release(&stream);
-            resent.push(OpenRequest {
-                resent: true,
-                ..stream.request
-            });
-        }
-        self.free_streams.extend(waiting);
-        for request in resent {
-            self.dispatch(request);
-        }
-    }
-
-    fn tick(&mut self) {
-        let tick = self.now / TICK_MS;
-        self.schedule(self.now + TICK_MS, FleetEvent::Tick);
-        self.meter.sample(&self.engines, self.now, self.measured());
-        self.apply_failures();
-        if tick.is_multiple_of(REPORT_TICKS) {
-            self.report_loads();
-        }
-        let visible = |engine: &EngineModel| engine.visible_record(self.now, self.plan.lag_ms);
-        let records: Vec<_> = self.engines.iter().map(visible).collect();
-        let phase = (tick % self.shape.refresh_ticks) as usize;
-        for router in (phase..self.routers.len()).step_by(self.shape.refresh_ticks as usize) {
-            let peers = self.exchange_counts(router);
-            let reports = FleetReports {
-                records: &records,
-                peers: &peers,
-            };
-            self.routers[router].refresh(
-                self.rule,
-                &self.shape,
-                &self.plan,
-                &self.engines,
-                reports,
-                self.now,
-            );
-        }
-    }
-
-    /// Publishes a router's counts, and returns what it has heard of the others'.
-    fn exchange_counts(&mut self, router: usize) -> Vec<Option<PeerCount>> {
-        let (routers, engines) = (self.routers.len(), self.engines.len());
-        let own_rule = self.rule == RoutingRule::Briarrail;
-        if !own_rule || !self.peer_counts || !PeerCount::suits(routers, engines) {
-            return vec![None; engines];
-        }
-        let published = self.routers[router].publish_counts(self.now);
-        self.totals.records += published * u64::from(self.measured());
-        let now = MilliTime::from_millis(self.now);
-        let sum = |engine: usize| {
-            let others = (0..routers).filter(|&other| other != router);
-            let visible =
-                |other: usize| self.routers[other].visible_count(engine, now - EXCHANGE_DELAY);
-            PeerCount::add_up(others.map(visible), EXCHANGE_DELAY, now)
-        };
-        (0..engines).map(sum).collect()
-    }
-
-    fn apply_failures(&mut self) {
-        if self.plan.churn && self.now > 0 && self.now.is_multiple_of(RESTART_EVERY_MS) {
-            let engine = self.failure_rng.random_range(0..self.engines.len());
-            if self.engines[engine].up {
-                self.stop_engine(engine);
-            }
-        }
-        if self.plan.data_centre_loss && self.now == WARM_UP_MS + LOSS_MS.0 {
-            for engine in (0..self.engines.len()).step_by(self.shape.data_centres) {
-                self.stop_engine(engine);
-            }
-        }
-        let back = self.now == WARM_UP_MS + LOSS_MS.1;
-        for engine in &mut self.engines {
-            let down_for = engine.changed_at.map_or(0, |at| self.now - at);
-            let restarted = self.plan.churn && down_for >= DOWN_MS;
-            if !engine.up && (restarted || back) {
-                engine.start(self.now);
-            }
-        }
-    }
-
-    fn report_loads(&mut self) {
-        let last = |engine: &EngineModel| engine.published.back().map(|record| record.streams);
-        let known = self.engines.iter().filter_map(last);
-        let (count, total) = known.fold((0, 0), |sum, streams| (sum.0 + 1, sum.1 + streams));
-        let mean = total as f32 / count.max(1) as f32;
-        let own_rule = self.rule == RoutingRule::Briarrail;
-        let measured = self.measured();
-        for engine in self.engines.iter_mut().filter(|engine| engine.up) {
-            let record = LoadRecord {
-                version: MilliTime::from_millis(self.now),
-                streams: engine.load(),
-                keep_share: u8::MAX,
-            };
-            let last = engine.published.back().copied();
-            if own_rule && !self.publish.is_due(last.as_ref(), &record, mean) {
-                continue;
-            }
-            engine.published.push_back(record);
-            engine.prune_records(self.now, self.plan.lag_ms);
-            self.totals.records += u64::from(measured);
-        }
-    }
 }
--- a/crates/briarrail_bench/src/placement/mod.rs
+++ b/crates/briarrail_bench/src/placement/mod.rs
@@ -18,12 +18,14 @@
 mod chat_source;
 mod engine_model;
 mod fleet_run;
+mod fleet_tick;
 mod router_model;
 mod routing_rule;
 mod run_totals;
 mod scenario_plan;
 mod site_shape;
 mod skew_meter;
+mod timed_event;
 
 /// Times that a record crosses a router's network interface: received once, sent on once.
 const CROSSINGS: f64 = 2.0;
--- /dev/null
+++ b/crates/briarrail_bench/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Checks of stated bounds against the bench, on fixed seeds.
+
+mod placement;
