perf(policy): widen what counts as usual use

Cause: in churn, customers at their usual use were held for a chance peak. Change: two deviations above 1.25 times the usual use, not one.

--- a/crates/briarrail_policy/src/customer_shares.rs
+++ b/crates/briarrail_policy/src/customer_shares.rs
@@ -8,6 +8,8 @@
 /// Usual use below which an idle customer is forgotten, in requests in flight.
 const MIN_USUAL: f64 = 0.02;
 const SURGE_RATIO: f64 = 1.25;
+/// Deviations of a count above its usual value that do not count as a surge.
+const SURGE_DEVIATIONS: f64 = 2.0;
 
 /// Use of one customer.
 #[derive(Debug, Clone, Copy, Default)]
@@ -59,7 +61,7 @@
     #[must_use]
     pub fn is_surging(&self, customer: StableHash) -> bool {
         let used = self.uses.get(&customer).copied().unwrap_or_default();
-        let spread = used.usual.sqrt() + 1.0;
+        let spread = SURGE_DEVIATIONS * used.usual.sqrt() + 1.0;
         f64::from(used.in_flight) + 1.0 > SURGE_RATIO * used.usual + spread
     }
 
