--- a/crates/briarrail_policy/src/shed_limits.rs
+++ b/crates/briarrail_policy/src/shed_limits.rs
@@ -5,7 +5,7 @@
 use crate::PlacementSettings;
 
 /// Deviations between the load at which chats are shed and the promised bound.
-const GUARD_DEVIATIONS: f32 = 3.5;
+const GUARD_DEVIATIONS: f32 = 3.9;
 /// Deviations between the load at which every request is held back and the promised bound.
 const PROMISE_DEVIATIONS: f32 = 2.5;
 /// Streams above the mean that a target may always take; the bound starts to count above them.
