fix(claims): use the batch and wait that the bounds were measured with

Cause: the daemon's defaults (a batch each 100 ms, a wait of 2 s) would cost 640 writes a second at the target, over the 300 that the bound allows, and the number of buckets was a setting whose change could run a key twice. Change: batch 250 ms, wait 450 ms, store calls for claims 150 ms with a client of their own; the number of buckets is no setting any more; reports are answered under a message kind of their own; routes are found by an index that is made once a configuration.

--- a/crates/briarrail_peer/src/message_kind.rs
+++ b/crates/briarrail_peer/src/message_kind.rs
@@ -14,6 +14,8 @@
     ClaimReply,
     /// A [`ClaimReport`](crate::ClaimReport).
     ClaimReport,
+    /// A [`ReportReply`](crate::ReportReply).
+    ReportReply,
 }
 
 impl MessageKind {
@@ -26,6 +28,7 @@
             Self::ClaimRequest => 3,
             Self::ClaimReply => 4,
             Self::ClaimReport => 5,
+            Self::ReportReply => 6,
         }
     }
 }
--- a/crates/briarrail_settings/src/claim_settings.rs
+++ b/crates/briarrail_settings/src/claim_settings.rs
@@ -7,23 +7,23 @@
 /// How claims on idempotency keys are stored.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ClaimSettings {
-    /// Number of claim buckets; equal on all routers.
-    pub buckets: u64,
-    /// Longest time that a claim waits for others to share its write, in milliseconds.
+    /// Longest time that a request waits for its claim, in milliseconds.
+    pub wait_ms: MilliDuration,
+    /// Least time between two writes of a bucket, in milliseconds.
     pub batch_ms: MilliDuration,
     /// Time for which keys are remembered, in milliseconds.
     pub retention_ms: MilliDuration,
-    /// Time that a claim may take to become durable, in milliseconds.
+    /// Time that one call to the object API may take for a claim, in milliseconds.
     pub store_timeout_ms: MilliDuration,
 }
 
 impl Default for ClaimSettings {
     fn default() -> Self {
         Self {
-            buckets: 64,
-            batch_ms: MilliDuration::from_millis(100),
+            wait_ms: MilliDuration::from_millis(450),
+            batch_ms: MilliDuration::from_millis(250),
             retention_ms: MilliDuration::from_secs(24 * 3_600),
-            store_timeout_ms: MilliDuration::from_secs(2),
+            store_timeout_ms: MilliDuration::from_millis(150),
         }
     }
 }
@@ -34,7 +34,7 @@
         let retention = default.retention_ms;
         let store_timeout = default.store_timeout_ms;
         let claims = Self {
-            buckets: section.number("buckets", default.buckets, 1..=1_024),
+            wait_ms: section.millis("wait_ms", default.wait_ms, 1..=60_000),
             batch_ms: section.millis("batch_ms", default.batch_ms, 1..=5_000),
             retention_ms: section.millis("retention_ms", retention, 60_000..=2_592_000_000),
             store_timeout_ms: section.millis("store_timeout_ms", store_timeout, 1..=60_000),
--- a/crates/briarraild/src/control/control_thread.rs
+++ b/crates/briarraild/src/control/control_thread.rs
@@ -110,9 +110,18 @@
     } = context;
     let platform = &settings.platform;
     let timeout = Duration::from(platform.timeout_ms);
-    let store = HttpStore::new(client.clone(), &platform.object_api_url, timeout);
+    let store_with = |timeout: Duration| {
+        Arc::new(HttpStore::new(
+            client.clone(),
+            &platform.object_api_url,
+            timeout,
+        ))
+    };
+    let store = store_with(timeout);
+    let claim_store = store_with(settings.claims.store_timeout_ms.into());
     let directory = HttpDirectory::new(client.clone(), &platform.host_list_url, timeout);
-    let tasks = PlatformTasks::new(Arc::new(store), Arc::new(directory), client, sender, clock);
+    let directory = Arc::new(directory);
+    let tasks = PlatformTasks::new(store, claim_store, directory, client.clone(), sender, clock);
     let writer = random_u64();
     let host = &settings.host;
     let parts = ControlParts {
--- a/crates/briarraild/src/control/fleet_setup.rs
+++ b/crates/briarraild/src/control/fleet_setup.rs
@@ -32,8 +32,9 @@
 /// Returns the settings of the claims.
 pub(crate) fn claim_settings(settings: &DaemonSettings) -> ClaimSettings {
     ClaimSettings {
-        buckets: settings.claims.buckets as u32,
+        claim_wait_ms: settings.claims.wait_ms,
         commit_interval_ms: settings.claims.batch_ms,
+        store_timeout_ms: settings.claims.store_timeout_ms,
         retention_ms: settings.claims.retention_ms,
         ..ClaimSettings::default()
     }
--- a/crates/briarraild/src/control/frame_handling.rs
+++ b/crates/briarraild/src/control/frame_handling.rs
@@ -71,7 +71,7 @@
         let (sender, answered) = oneshot::channel();
         let calls = self.parts.desk.report(envelope.body, sender, self.now());
         self.call_store(calls);
-        self.reply_sealed(MessageKind::ClaimReply, envelope.from, answered, reply);
+        self.reply_sealed(MessageKind::ReportReply, envelope.from, answered, reply);
         Ok(())
     }
 
--- a/crates/briarraild/src/control/platform_tasks.rs
+++ b/crates/briarraild/src/control/platform_tasks.rs
@@ -29,6 +29,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PlatformTasks<S, D> {
     store: Arc<S>,
+    claim_store: Arc<S>,
     directory: Arc<D>,
     client: reqwest::Client,
     events: mpsc::Sender<ControlEvent>,
@@ -48,9 +49,10 @@
     S: ObjectStore,
     D: HostDirectory,
 {
-    /// Makes the tasks; results go to `events`.
+    /// Makes the tasks; results go to `events`. Calls for claims go to `claim_store`.
     pub(crate) fn new(
         store: Arc<S>,
+        claim_store: Arc<S>,
         directory: Arc<D>,
         client: reqwest::Client,
         events: mpsc::Sender<ControlEvent>,
@@ -58,6 +60,7 @@
     ) -> Self {
         Self {
             store,
+            claim_store,
             directory,
             client,
             events,
@@ -137,7 +140,7 @@
 
     /// Makes a call for the claims.
     pub(crate) fn call_store(&self, pending: PendingCall) {
-        let store = Arc::clone(&self.store);
+        let store = Arc::clone(&self.claim_store);
         self.spawn(async move {
             let reply = make_call(&*store, pending.call).await;
             ControlEvent::Store(pending.id, reply)
--- a/crates/briarraild/src/control/snapshot_builder.rs
+++ b/crates/briarraild/src/control/snapshot_builder.rs
@@ -6,7 +6,7 @@
 use briarrail_fleet::{FleetView, ViewPhase};
 use briarrail_model::{
     ConfigSnapshot, DataCentre, HostEntry, HostName, HostPhase, LoadRecord, MilliTime, PoolRow,
-    RegionName,
+    RegionName, RouteIndex,
 };
 use briarrail_policy::{LoadLedger, PeerCount, PlacementSettings, RouterSite, TargetInput};
 
@@ -46,6 +46,9 @@
     region: RegionName,
     counters: HashMap<HostName, Arc<TargetCounters>>,
     pools: HashMap<String, PoolMemory>,
+    index: Arc<RouteIndex>,
+    /// Configuration that the index was made of.
+    indexed: Option<Arc<ConfigSnapshot>>,
 }
 
 impl SnapshotBuilder {
@@ -56,6 +59,8 @@
             region,
             counters: HashMap::new(),
             pools: HashMap::new(),
+            index: Arc::default(),
+            indexed: None,
         }
     }
 
@@ -89,12 +94,26 @@
         let pools = pools.collect();
         RoutingSnapshot {
             config: Arc::clone(inputs.config),
+            index: self.route_index(inputs.config),
             is_ready,
             pools,
             routers,
         }
     }
 
+    /// Returns the index over the routes, made anew only when the tables have changed.
+    fn route_index(&mut self, config: &Arc<ConfigSnapshot>) -> Arc<RouteIndex> {
+        let is_kept = self
+            .indexed
+            .as_ref()
+            .is_some_and(|kept| Arc::ptr_eq(kept, config));
+        if !is_kept {
+            self.index = Arc::new(RouteIndex::new(&config.tables));
+            self.indexed = Some(Arc::clone(config));
+        }
+        Arc::clone(&self.index)
+    }
+
     fn site(&self, routers: &[HostEntry]) -> RouterSite {
         let near = routers.iter().filter(|router| router.region == self.region);
         RouterSite {
--- a/crates/briarraild/src/router_daemon.rs
+++ b/crates/briarraild/src/router_daemon.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control::{
-    ControlContext, ControlEvent, ControlStart, ControlThread, key_ring, own_entry,
+    ControlContext, ControlEvent, ControlStart, ControlThread, claim_settings, key_ring, own_entry,
 };
 use crate::operators::{OperatorContext, serve_operators};
 use crate::state::{SharedState, StopPhase};
@@ -79,9 +79,9 @@
             events: sender.clone(),
             state: Arc::clone(&state),
             clock,
-            buckets: settings.claims.buckets as u32,
+            buckets: claim_settings(&settings).buckets,
             reports: Arc::default(),
-            max_wait: settings.claims.store_timeout_ms,
+            max_wait: settings.claims.wait_ms,
         };
         let context = ControlContext {
             settings: Arc::clone(&settings),
--- a/crates/briarraild/src/state/routing_snapshot.rs
+++ b/crates/briarraild/src/state/routing_snapshot.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use briarrail_model::{ConfigSnapshot, HostEntry, RequestFacts, RouteRow};
+use briarrail_model::{ConfigSnapshot, HostEntry, RequestFacts, RouteIndex, RouteRow};
 
 use super::PoolEntry;
 
@@ -12,6 +12,8 @@
 pub(crate) struct RoutingSnapshot {
     /// The tables in force; sequence number 0 before the first.
     pub(crate) config: Arc<ConfigSnapshot>,
+    /// Index over the routes in force.
+    pub(crate) index: Arc<RouteIndex>,
     /// Whether the fleet part has confirmed the tables since the start.
     pub(crate) is_ready: bool,
     /// Pools by name.
@@ -32,7 +34,7 @@
 impl RoutingSnapshot {
     /// Finds route and pool of a request.
     pub(crate) fn find(&self, facts: &RequestFacts<'_>) -> Option<RoutingSource> {
-        let route = self.config.tables.route_for(facts)?;
+        let route = self.index.route_for(&self.config.tables, facts)?;
         let pool = self.pools.get(&route.pool)?;
         Some(RoutingSource {
             route: Arc::new(route.clone()),
--- a/crates/briarraild/src/traffic/claim_gateway.rs
+++ b/crates/briarraild/src/traffic/claim_gateway.rs
@@ -191,7 +191,7 @@
                     .ok()
             }
             OwnerRoute::Remote(owner) => {
-                let kind = (MessageKind::ClaimReport, MessageKind::ClaimReply);
+                let kind = (MessageKind::ClaimReport, MessageKind::ReportReply);
                 let path = PeerPath::Report;
                 let report = due.report.clone();
                 self.exchange(&owner, path, kind, report, REPORT_TIMEOUT)
