refactor(bench): split the fleet bench by job

Cause: bench_fleet.rs had grown to 832 lines. Change: events, platform calls and measures have modules of their own; no decision changed.

--- a/crates/briarrail_bench/src/fleet/bench_fleet.rs
+++ b/crates/briarrail_bench/src/fleet/bench_fleet.rs
@@ -3,47 +3,37 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Instant;
 
-use briarrail_fleet::{
-    ConfigRead, FleetNode, FleetOutput, FleetSettings, SendId, ViewPhase, WatchOutcome,
-};
+use briarrail_fleet::{FleetNode, FleetOutput, FleetSettings, SendId};
 use briarrail_model::{HostEntry, HostName, HostPhase, LoadRecord, MilliDuration, MilliTime};
-use briarrail_peer::{KeyRing, REPLY_HEADER_BYTES, REQUEST_HEADER_BYTES, SharedKey};
+use briarrail_peer::{KeyRing, SharedKey};
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Normal};
 
+use super::bench_event::{BenchEvent, BenchNode, LeavingTarget, Scheduled};
 use super::bench_platform::BenchPlatform;
 use super::bench_scenario::{BenchScenario, WARM_UP_S};
 use super::case_report::CaseReport;
 
 const TICK_MS: u64 = 100;
 const SEND_TIMEOUT_MS: u64 = 1_000;
-const PLATFORM_DELAY_MS: u64 = 10;
-const WATCH_TIMEOUT_MS: u64 = 30_000;
-const LOAD_TICK_MS: u64 = 250;
-const WINDOW_MS: u64 = 10_000;
+pub(super) const PLATFORM_DELAY_MS: u64 = 10;
+pub(super) const LOAD_TICK_MS: u64 = 250;
+pub(super) const WINDOW_MS: u64 = 10_000;
 /// 28,000 edits a day.
 const EDIT_INTERVAL_MS: u64 = 86_400_000 / 28_000;
 const LEAVING_INTERVAL_MS: u64 = 7_000;
-/// Bytes of a read and of its answer beside the headers.
-const READ_BYTES: usize = 80;
-/// Bytes of the head object: edits, references to segments and to the base.
-const HEAD_BYTES: usize = 3_600;
-/// Edits that the head object carries itself.
-const HEAD_EDITS: usize = 4;
-const SEGMENT_BYTES: usize = 32_000;
-const BYTES_PER_HOST: usize = 200;
 const RESTART_MS: u64 = 3_000;
 const LIST_LAG_MS: u64 = 2_000;
-const PER_MILLE: f64 = 1_000.0;
-const MEAN_STREAMS: f64 = 180.0;
+pub(super) const PER_MILLE: f64 = 1_000.0;
+pub(super) const MEAN_STREAMS: f64 = 180.0;
 const STREAM_S: f64 = 12.6;
 /// Chance in a load tick that a target's share moves: once in 200 s.
 const SHARE_CHANGE: f64 = 0.001_25;
 /// Time after which every edit must be in force, for the check at the end.
-const SETTLE_MS: u64 = 6_000;
+pub(super) const SETTLE_MS: u64 = 6_000;
 
 /// Where a router stands, for the drop predicate.
 #[derive(Debug, Clone, Copy)]
@@ -53,131 +43,35 @@
     pub(crate) is_paused: bool,
 }
 
-#[derive(Debug)]
-enum BenchEvent {
-    Tick(usize),
-    Frame {
-        from: usize,
-        to: usize,
-        id: SendId,
-        frame: Bytes,
-    },
-    Reply {
-        to: usize,
-        id: SendId,
-        frame: Bytes,
-    },
-    Failed {
-        to: usize,
-        id: SendId,
-    },
-    HostsRead {
-        to: usize,
-        since: u64,
-    },
-    ConfigRead {
-        to: usize,
-        after: u64,
-    },
-    Watched {
-        to: usize,
-        outcome: WatchOutcome,
-    },
-    Loads,
-    Edit,
-    Leaving,
-    Window,
-    Restart(usize),
-    Listed(usize),
-    Removed(usize),
-}
-
-#[derive(Debug)]
-struct Scheduled {
-    at: u64,
-    order: u64,
-    /// Incarnation of the router that the event is for; 0 for none.
-    incarnation: u64,
-    event: BenchEvent,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-impl Eq for Scheduled {}
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (other.at, other.order).cmp(&(self.at, self.order))
-    }
-}
-
-#[derive(Debug)]
-struct BenchNode {
-    node: FleetNode,
-    entry: HostEntry,
-    place: Place,
-    incarnation: u64,
-    is_up: bool,
-    sequence: u64,
-    generation: u64,
-    read_bytes: u64,
-    window_start: u64,
-    measured_start: u64,
-    reachable_since: u64,
-    loads_due: u64,
-}
-
-impl BenchNode {
-    fn bytes(&self) -> u64 {
-        let counters = self.node.counters();
-        counters.bytes_sent + counters.bytes_received + self.read_bytes
-    }
-}
-
-#[derive(Debug)]
-struct LeavingTarget {
-    name: HostName,
-    region: usize,
-    since: u64,
-    unaware: Vec<bool>,
-}
-
 /// The routers, the platform and the queue of one case.
 #[derive(Debug)]
 pub(crate) struct BenchFleet {
-    scenario: BenchScenario,
-    settings: FleetSettings,
-    seed: u64,
-    baseline: bool,
-    now: u64,
-    end: u64,
-    order: u64,
-    queue: BinaryHeap<Scheduled>,
-    rng: SmallRng,
-    nodes: Vec<BenchNode>,
-    index: BTreeMap<HostName, usize>,
-    streams: BTreeMap<HostName, (f64, u8)>,
-    platform: BenchPlatform,
-    accepted: Vec<u64>,
-    watchers: Vec<(usize, u64)>,
-    leaving: Vec<LeavingTarget>,
-    targets: usize,
-    config_ms: Histogram<u64>,
-    load_error: Histogram<u64>,
-    leaving_ms: u64,
-    reads: u64,
-    cpu_ns: u64,
-    worst_window: u64,
-    false_suspicions: u64,
-    reverts: u64,
-    resident_before: u64,
+    pub(super) scenario: BenchScenario,
+    pub(super) settings: FleetSettings,
+    pub(super) seed: u64,
+    pub(super) baseline: bool,
+    pub(super) now: u64,
+    pub(super) end: u64,
+    pub(super) order: u64,
+    pub(super) queue: BinaryHeap<Scheduled>,
+    pub(super) rng: SmallRng,
+    pub(super) nodes: Vec<BenchNode>,
+    pub(super) index: BTreeMap<HostName, usize>,
+    pub(super) streams: BTreeMap<HostName, (f64, u8)>,
+    pub(super) platform: BenchPlatform,
+    pub(super) accepted: Vec<u64>,
+    pub(super) watchers: Vec<(usize, u64)>,
+    pub(super) leaving: Vec<LeavingTarget>,
+    pub(super) targets: usize,
+    pub(super) config_ms: Histogram<u64>,
+    pub(super) load_error: Histogram<u64>,
+    pub(super) leaving_ms: u64,
+    pub(super) reads: u64,
+    pub(super) cpu_ns: u64,
+    pub(super) worst_window: u64,
+    pub(super) false_suspicions: u64,
+    pub(super) reverts: u64,
+    pub(super) resident_before: u64,
 }
 
 impl BenchFleet {
@@ -241,7 +135,7 @@
         fleet
     }
 
-    fn add_router(&mut self, entry: HostEntry, place: Place) {
+    pub(super) fn add_router(&mut self, entry: HostEntry, place: Place) {
         let node = self.make_node(&entry, self.nodes.len());
         self.nodes.push(BenchNode {
             node,
@@ -259,12 +153,12 @@
         });
     }
 
-    fn make_node(&self, entry: &HostEntry, index: usize) -> FleetNode {
+    pub(super) fn make_node(&self, entry: &HostEntry, index: usize) -> FleetNode {
         let seed = self.seed.wrapping_mul(1_000_003) ^ (index as u64) ^ (entry.incarnation << 32);
         FleetNode::new(self.settings.clone(), entry.clone(), at(self.now), seed)
     }
 
-    fn push_first(&mut self) {
+    pub(super) fn push_first(&mut self) {
         for index in 0..self.nodes.len() {
             let delay = self.rng.random_range(0..TICK_MS);
             self.push_for(index, delay, BenchEvent::Tick(index));
@@ -287,15 +181,15 @@
         }
     }
 
-    fn push(&mut self, delay: u64, event: BenchEvent) {
+    pub(super) fn push(&mut self, delay: u64, event: BenchEvent) {
         self.push_with(delay, 0, event);
     }
 
-    fn push_for(&mut self, router: usize, delay: u64, event: BenchEvent) {
+    pub(super) fn push_for(&mut self, router: usize, delay: u64, event: BenchEvent) {
         self.push_with(delay, self.nodes[router].incarnation, event);
     }
 
-    fn push_with(&mut self, delay: u64, incarnation: u64, event: BenchEvent) {
+    pub(super) fn push_with(&mut self, delay: u64, incarnation: u64, event: BenchEvent) {
         self.order += 1;
         let at = self.now + delay;
         let order = self.order;
@@ -318,7 +212,7 @@
         self.report()
     }
 
-    fn handle(&mut self, next: Scheduled) {
+    pub(super) fn handle(&mut self, next: Scheduled) {
         let incarnation = next.incarnation;
         let current = |nodes: &[BenchNode], to: usize| {
             nodes[to].is_up && (incarnation == 0 || nodes[to].incarnation == incarnation)
@@ -363,16 +257,16 @@
         }
     }
 
-    fn is_measured(&self) -> bool {
+    pub(super) fn is_measured(&self) -> bool {
         self.now >= WARM_UP_S * 1_000
     }
 
     /// Seconds since the measurement began, as scenarios count them.
-    fn scenario_s(&self) -> u64 {
+    pub(super) fn scenario_s(&self) -> u64 {
         self.now / 1_000
     }
 
-    fn drive<F>(&mut self, to: usize, action: F)
+    pub(super) fn drive<F>(&mut self, to: usize, action: F)
     where
         F: FnOnce(&mut FleetNode, MilliTime),
     {
@@ -389,7 +283,7 @@
         self.note_leaving(to);
     }
 
-    fn carry_out(&mut self, from: usize, output: FleetOutput) {
+    pub(super) fn carry_out(&mut self, from: usize, output: FleetOutput) {
         match output {
             FleetOutput::Send { id, to, frame, .. } => self.send(from, &to, id, frame),
             FleetOutput::ReadHostList { since } => {
@@ -420,13 +314,13 @@
         }
     }
 
-    fn is_reachable(&self, index: usize) -> bool {
+    pub(super) fn is_reachable(&self, index: usize) -> bool {
         let lost = self.scenario.lost_cell_at_s;
         let lost = lost.is_some_and(|start| self.scenario_s() >= start);
         self.nodes[index].is_up && !(lost && self.nodes[index].place.cell == 0)
     }
 
-    fn send(&mut self, from: usize, to: &HostName, id: SendId, frame: Bytes) {
+    pub(super) fn send(&mut self, from: usize, to: &HostName, id: SendId, frame: Bytes) {
         let to = self.index[to];
         let delay = self.delay(from, to);
         if !self.nodes[to].is_up {
@@ -447,19 +341,19 @@
         }
     }
 
-    fn is_lost(&mut self, from: usize, to: usize) -> bool {
+    pub(super) fn is_lost(&mut self, from: usize, to: usize) -> bool {
         let (from, to) = (self.nodes[from].place, self.nodes[to].place);
         let loss = self.scenario.loss;
         self.scenario.drops(self.scenario_s(), from, to) || self.rng.random::<f64>() < loss
     }
 
-    fn delay(&mut self, from: usize, to: usize) -> u64 {
+    pub(super) fn delay(&mut self, from: usize, to: usize) -> u64 {
         let (from, to) = (self.nodes[from].place, self.nodes[to].place);
         let base = if from.region == to.region { 1 } else { 40 };
         base + self.rng.random_range(0..2)
     }
 
-    fn deliver(&mut self, from: usize, to: usize, id: SendId, frame: &Bytes) {
+    pub(super) fn deliver(&mut self, from: usize, to: usize, id: SendId, frame: &Bytes) {
         if !self.nodes[to].is_up {
             self.push_for(from, 1, BenchEvent::Failed { to: from, id });
             return;
@@ -483,89 +377,7 @@
         }
     }
 
-    fn count_read(&mut self, router: usize, calls: u64, bytes: usize) {
-        let bytes = REQUEST_HEADER_BYTES + REPLY_HEADER_BYTES + READ_BYTES + bytes;
-        self.nodes[router].node.charge_external(bytes);
-        self.nodes[router].read_bytes += bytes as u64;
-        if self.is_measured() {
-            self.reads += calls;
-        }
-    }
-
-    fn platform_answers(&self, router: usize) -> bool {
-        let place = self.nodes[router].place;
-        self.scenario.platform_answers(self.scenario_s(), place)
-    }
-
-    fn hosts_read(&mut self, to: usize, since: u64) {
-        if !self.platform_answers(to) {
-            self.count_read(to, 1, 0);
-            self.drive(to, |node, now| node.on_hosts_read(now, None));
-            return;
-        }
-        let change = self.platform.read_hosts(since);
-        // A first read of the whole list belongs to the start of a router, not to its rate.
-        let listed = if since == 0 { 0 } else { change.upserts.len() };
-        self.count_read(to, 1, listed * BYTES_PER_HOST);
-        self.drive(to, |node, now| node.on_hosts_read(now, Some(&change)));
-    }
-
-    fn config_read(&mut self, to: usize, after: u64) {
-        if !self.platform_answers(to) {
-            self.count_read(to, 1, 0);
-            self.drive(to, |node, now| node.on_config_read(now, ConfigRead::Failed));
-            return;
-        }
-        let read = self.platform.read_config(after);
-        // A first read of the whole tables belongs to the start of a router, not to its rate.
-        let (calls, bytes) = match &read {
-            ConfigRead::Edits(edits) if edits.len() > HEAD_EDITS => (2, HEAD_BYTES + SEGMENT_BYTES),
-            ConfigRead::Edits(_) => (1, HEAD_BYTES),
-            _ => (3, HEAD_BYTES),
-        };
-        self.count_read(to, calls, bytes);
-        self.drive(to, |node, now| node.on_config_read(now, read));
-    }
-
-    fn watch(&mut self, router: usize, after: u64) {
-        self.count_read(router, 1, 0);
-        let outcome = if !self.platform_answers(router) {
-            WatchOutcome::Failed
-        } else if self.platform.sequence() > after {
-            WatchOutcome::Changed
-        } else {
-            self.watchers.push((router, self.now + WATCH_TIMEOUT_MS));
-            return;
-        };
-        let event = BenchEvent::Watched {
-            to: router,
-            outcome,
-        };
-        self.push_for(router, PLATFORM_DELAY_MS, event);
-    }
-
-    fn end_watches(&mut self, changed: bool) {
-        let watchers = std::mem::take(&mut self.watchers);
-        for (router, until) in watchers {
-            let outcome = if !self.platform_answers(router) {
-                WatchOutcome::Failed
-            } else if changed {
-                WatchOutcome::Changed
-            } else if self.now >= until {
-                WatchOutcome::TimedOut
-            } else {
-                self.watchers.push((router, until));
-                continue;
-            };
-            let event = BenchEvent::Watched {
-                to: router,
-                outcome,
-            };
-            self.push_for(router, PLATFORM_DELAY_MS, event);
-        }
-    }
-
-    fn accept_edit(&mut self) {
+    pub(super) fn accept_edit(&mut self) {
         let next = self.rng.random_range(1..2 * EDIT_INTERVAL_MS);
         self.push(next, BenchEvent::Edit);
         let down = self.scenario.store_down_s;
@@ -577,24 +389,7 @@
         self.end_watches(true);
     }
 
-    fn note_config(&mut self, router: usize, sequence: u64) {
-        let now = self.now;
-        let node = &mut self.nodes[router];
-        let before = std::mem::replace(&mut node.sequence, sequence);
-        self.reverts += u64::from(sequence <= before && before > 0);
-        let since = node.reachable_since;
-        if before == 0 || now < WARM_UP_S * 1_000 || !self.is_reachable(router) {
-            return;
-        }
-        for edit in before..sequence {
-            let accepted = self.accepted[edit as usize].max(since);
-            self.config_ms
-                .record(now - accepted.min(now))
-                .expect("the range grows");
-        }
-    }
-
-    fn start_leaving(&mut self) {
+    pub(super) fn start_leaving(&mut self) {
         self.push(LEAVING_INTERVAL_MS, BenchEvent::Leaving);
         let index = self.nodes.len() + self.rng.random_range(0..self.targets);
         let change = self.platform.read_hosts(0);
@@ -617,29 +412,7 @@
         });
     }
 
-    fn note_leaving(&mut self, router: usize) {
-        let generation = self.nodes[router].node.hosts().generation();
-        if self.nodes[router].generation == generation {
-            return;
-        }
-        self.nodes[router].generation = generation;
-        let reachable = self.is_reachable(router);
-        let node = &self.nodes[router];
-        for target in &mut self.leaving {
-            let known = target.region == node.place.region && target.unaware[router];
-            if !known || node.node.host_phase(&target.name) == Some(ViewPhase::Live) {
-                continue;
-            }
-            target.unaware[router] = false;
-            if reachable {
-                let since = target.since.max(node.reachable_since);
-                self.leaving_ms = self.leaving_ms.max(self.now - since.min(self.now));
-            }
-        }
-        self.leaving.retain(|target| target.unaware.contains(&true));
-    }
-
-    fn read_loads(&mut self) {
+    pub(super) fn read_loads(&mut self) {
         self.push(LOAD_TICK_MS, BenchEvent::Loads);
         self.end_watches(false);
         self.note_reachability();
@@ -677,16 +450,7 @@
         }
     }
 
-    /// A router that was cut off counts as reachable again from the end of the cut on.
-    fn note_reachability(&mut self) {
-        for router in 0..self.nodes.len() {
-            if !self.platform_answers(router) {
-                self.nodes[router].reachable_since = self.now + LOAD_TICK_MS;
-            }
-        }
-    }
-
-    fn restart(&mut self, index: usize) {
+    pub(super) fn restart(&mut self, index: usize) {
         let node = &mut self.nodes[index];
         if node.is_up {
             node.is_up = false;
@@ -703,102 +467,14 @@
         self.push_for(index, 0, BenchEvent::Tick(index));
         self.push(LIST_LAG_MS, BenchEvent::Listed(index));
     }
-
-    fn close_window(&mut self) {
-        self.push(WINDOW_MS, BenchEvent::Window);
-        let first = self.now == WARM_UP_S * 1_000;
-        let now_s = self.scenario_s();
-        for node in &mut self.nodes {
-            let bytes = node.bytes();
-            if first {
-                node.measured_start = bytes;
-            } else {
-                self.worst_window = self.worst_window.max(bytes - node.window_start);
-            }
-            node.window_start = bytes;
-        }
-        for node in self.nodes.iter().step_by(self.nodes.len().div_ceil(20)) {
-            if !self.scenario.platform_answers(now_s, node.place) {
-                continue;
-            }
-            for (target, &(streams, _)) in &self.streams {
-                if streams <= MEAN_STREAMS {
-                    continue;
-                }
-                let Some(record) = node.node.load_of(target) else {
-                    continue;
-                };
-                let error = (f64::from(record.streams) - streams).abs() / MEAN_STREAMS;
-                let error = (error * PER_MILLE) as u64;
-                self.load_error.record(error).expect("the range grows");
-            }
-        }
-    }
-
-    fn report(&mut self) -> CaseReport {
-        let seconds = self.scenario.measured_s;
-        let latest = self
-            .accepted
-            .iter()
-            .filter(|&&at| at + SETTLE_MS < self.end)
-            .count() as u64;
-        let behind = (0..self.nodes.len())
-            .filter(|&index| self.is_reachable(index))
-            .filter(|&index| self.nodes[index].sequence < latest);
-        let behind_at_end = behind.count();
-        let waits = self.leaving.iter().filter(|target| {
-            let mut unaware = target.unaware.iter().enumerate();
-            unaware.any(|(index, &is_unaware)| is_unaware && self.is_reachable(index))
-        });
-        let waits = waits
-            .map(|target| self.end - target.since)
-            .max()
-            .unwrap_or(0);
-        let rates: Vec<_> = self
-            .nodes
-            .iter()
-            .map(|node| (node.bytes() - node.measured_start) as f64 / seconds as f64)
-            .collect();
-        let routers = self.nodes.len();
-        let sum = |value: fn(&BenchNode) -> u64| self.nodes.iter().map(value).sum::<u64>() as f64;
-        let duplicates = sum(|node| node.node.counters().duplicate_loads);
-        let fresh = sum(|node| node.node.counters().fresh_loads);
-        let whole_run = self.end as f64 / 1_000.0 * routers as f64;
-        CaseReport {
-            scenario: self.scenario.name,
-            routers,
-            seed: self.seed,
-            baseline: self.baseline,
-            seconds,
-            config_s_p50: self.config_ms.value_at_quantile(0.5) as f64 / 1_000.0,
-            config_s_max: self.config_ms.max() as f64 / 1_000.0,
-            behind_at_end,
-            leaving_s_max: self.leaving_ms.max(waits.saturating_sub(3_000)) as f64 / 1_000.0,
-            control_bytes_per_router_s_mean: rates.iter().sum::<f64>() / routers as f64,
-            control_bytes_per_router_s_max: rates.iter().copied().fold(0.0, f64::max),
-            control_bytes_worst_window: self.worst_window as f64 * 1_000.0 / WINDOW_MS as f64,
-            read_bytes_per_router_s: sum(|node| node.read_bytes) / whole_run,
-            reads_per_s: self.reads as f64 / seconds as f64,
-            writes_per_s: 0.0,
-            cpu_us_per_router_s: self.cpu_ns as f64 / 1e3 / seconds as f64 / routers as f64,
-            state_bytes: resident_bytes().saturating_sub(self.resident_before) / routers as u64,
-            false_suspicions: self.false_suspicions,
-            reverts: self.reverts,
-            load_error_p50: self.load_error.value_at_quantile(0.5) as f64 / PER_MILLE,
-            load_error_p99: self.load_error.value_at_quantile(0.99) as f64 / PER_MILLE,
-            duplicate_load_part: duplicates / (duplicates + fresh).max(1.0),
-            broken: Vec::new(),
-        }
-        .check()
-    }
 }
 
 /// Unix-like times, so that load versions have room before them.
-fn at(now: u64) -> MilliTime {
+pub(super) fn at(now: u64) -> MilliTime {
     MilliTime::from_millis(1_700_000_000_000) + MilliDuration::from_millis(now)
 }
 
-fn place_of(index: usize, regions: usize, cells: usize) -> Place {
+pub(super) fn place_of(index: usize, regions: usize, cells: usize) -> Place {
     let cell = index % cells;
     Place {
         region: cell % regions,
@@ -807,7 +483,7 @@
     }
 }
 
-fn host_entry(index: usize, routers: usize, regions: usize, cells: usize) -> HostEntry {
+pub(super) fn host_entry(index: usize, routers: usize, regions: usize, cells: usize) -> HostEntry {
     let place = place_of(index, regions, cells);
     let is_router = index < routers;
     let kind = if is_router { "entry" } else { "engine" };
@@ -824,7 +500,7 @@
     }
 }
 
-fn resident_bytes() -> u64 {
+pub(super) fn resident_bytes() -> u64 {
     const PAGE_BYTES: u64 = 4_096;
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
--- a/crates/briarrail_bench/src/fleet/mod.rs
+++ b/crates/briarrail_bench/src/fleet/mod.rs
@@ -3,10 +3,13 @@
 //! Prints one JSON object a case. Two terms are counted beside the frames: the bytes with which
 //! routers read targets and the platform, and the reads of the platform themselves.
 
+mod bench_event;
 mod bench_fleet;
+mod bench_measures;
 mod bench_platform;
 mod bench_scenario;
 mod case_report;
+mod platform_calls;
 
 use std::process::ExitCode;
 
