test: give the claims of the process tests the wait they had before

Change: the process tests set wait and store timeout in their settings; every check and bound is as it was.

--- a/tests/suite/support/test_site.rs
+++ b/tests/suite/support/test_site.rs
@@ -75,6 +75,8 @@
                 "host_list_url": self.standins.hosts.base_url(),
             },
             "exchange": { "keys": [{ "id": "k1", "secret": EXCHANGE_SECRET }] },
+            // Outcomes are checked here, not waits; a busy machine may be slower than a platform.
+            "claims": { "wait_ms": 5_000, "store_timeout_ms": 2_000 },
             "stop": { "list_lag_ms": 2_000 },
             "threads": { "traffic": 2 },
         });
