fix(daemon): drop callers' own fencing, priority and resume headers

Cause: read-through; headers of the caller went on beside the router's, so a caller could claim a priority or a fencing number of its own. Change: the headers that routers set are dropped from what callers and targets send.

--- a/crates/briarraild/src/traffic/target_client.rs
+++ b/crates/briarraild/src/traffic/target_client.rs
@@ -12,18 +12,23 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Headers that concern one connection only, and those that this router sets itself.
-const DROPPED_HEADERS: [&str; 12] = [
+const DROPPED_HEADERS: [&str; 17] = [
     "connection",
     "content-length",
     "expect",
     "host",
     "keep-alive",
+    "last-event-id",
     "proxy-authorization",
     "proxy-connection",
     "te",
     "trailer",
     "transfer-encoding",
     "upgrade",
+    "x-briarrail-outcome",
+    "x-briarrail-repeated",
+    "x-fencing-number",
+    "x-priority",
     "x-request-id",
 ];
 
--- a/crates/briarraild/tests/suite/callers.rs
+++ b/crates/briarraild/tests/suite/callers.rs
@@ -4,7 +4,7 @@
 
 use briarrail_model::MilliDuration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 use super::site::{TestSite, chat_body};
 
@@ -91,3 +91,43 @@
     assert!(text.contains(r#"model \"x\""#), "{text}");
     site.stop().await;
 }
+
+/// Answers one request on a bare connection and returns its head.
+async fn take_one_head(listener: TcpListener) -> String {
+    let (mut stream, _) = listener.accept().await.expect("connection");
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.expect("head"));
+    }
+    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(answer).await.expect("answered");
+    String::from_utf8_lossy(&head).to_lowercase()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_cannot_set_the_headers_that_routers_set() {
+    let site = TestSite::start(1, 0, 1).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+    let address = listener.local_addr().expect("address");
+    site.list("bare", "weighbridge", address);
+    site.wait_until_pools_show("weighbridge", 1).await;
+    let head = tokio::spawn(take_one_head(listener));
+    let request = site.client.get(site.url(0, "/tickets/1"));
+    let request = request
+        .header("x-priority", "forged")
+        .header("x-fencing-number", "9");
+    let request = request
+        .header("x-request-id", "forged")
+        .header("x-note", "kept");
+    assert_eq!(request.send().await.expect("response").status(), 200);
+    let head = head.await.expect("head");
+    assert!(
+        !head.contains("forged") && !head.contains("x-fencing-number"),
+        "{head}"
+    );
+    assert!(
+        head.contains("x-note: kept") && head.contains("x-priority: interactive"),
+        "{head}"
+    );
+    site.stop().await;
+}
