fix(daemon): count events by their ids

Cause: read-through; the metric counted the slices that are relayed, each of which may hold several events, or the terminal mark. Change: the difference of event ids counts, where events carry ids. Figures: five tokens and a ticket count 6; the slices counted 7.

--- a/crates/briarraild/src/traffic/event_relay.rs
+++ b/crates/briarraild/src/traffic/event_relay.rs
@@ -91,12 +91,17 @@
     }
 
     async fn take_chunk(&mut self, chunk: Bytes) {
-        let mut events = Vec::new();
-        let result = self.checker.push(chunk, &mut events);
-        if !events.is_empty() {
+        let mut runs = Vec::new();
+        let before = self.checker.resume_offset().unwrap_or_default();
+        let result = self.checker.push(chunk, &mut runs);
+        if !runs.is_empty() {
+            // A run holds several events; only their ids tell how many.
+            let numbered = self.checker.resume_offset().map(|after| after - before);
             let now = self.driver.now();
-            self.driver.record.note_events(events.len() as u64, now);
-            self.ready.extend(events);
+            self.driver
+                .record
+                .note_events(numbered.unwrap_or(runs.len() as u64), now);
+            self.ready.extend(runs);
         }
         match result {
             Ok(StreamState::Open) => {}
--- a/crates/briarraild/tests/suite/operators.rs
+++ b/crates/briarraild/tests/suite/operators.rs
@@ -52,6 +52,10 @@
     let metrics = page(&site, "/metrics").await;
     assert!(metrics.contains("briarrail_requests_total{"), "{metrics}");
     assert!(metrics.contains("pool=\"pan\""), "{metrics}");
+    assert!(
+        metrics.contains("briarrail_events_total{otel_scope_name=\"briarraild\"} 6\n"),
+        "five tokens and a ticket: {metrics}"
+    );
     assert_eq!(page(&site, "/ready").await, "ready\n");
     site.stop().await;
 }
