fix(claims): tell a repeat when the recorded answer has no body

Cause: read-through; an answer over 2,048 bytes is recorded without its body, and its repeat was a 201 with an empty body that looked like the answer.

--- a/crates/briarraild/src/traffic/claim_gateway.rs
+++ b/crates/briarraild/src/traffic/claim_gateway.rs
@@ -254,8 +254,9 @@
     }
 }
 
-/// Returns the recorded answer of an earlier call; one without a body is told as answered.
+/// Returns the recorded answer of an earlier call; one without a body says so.
 fn repeat_answer(answer: ClaimAnswer) -> CallerReply {
+    let is_kept = answer.body.is_some();
     let status = http::StatusCode::from_u16(answer.status).unwrap_or(http::StatusCode::OK);
     let reply = CallerReply {
         status,
@@ -265,8 +266,12 @@
     let content_type = answer
         .content_type
         .unwrap_or_else(|| "application/json".to_owned());
-    reply
+    let reply = reply
         .with_header("content-type", &content_type)
         .with_header("x-briarrail-outcome", RequestOutcome::Answered.as_header())
-        .with_header("x-briarrail-repeated", "true")
+        .with_header("x-briarrail-repeated", "true");
+    if is_kept {
+        return reply;
+    }
+    reply.with_header("x-briarrail-body", "not-kept")
 }
--- a/crates/briarraild/src/traffic/target_client.rs
+++ b/crates/briarraild/src/traffic/target_client.rs
@@ -12,7 +12,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Headers that concern one connection only, and those that this router sets itself.
-const DROPPED_HEADERS: [&str; 17] = [
+const DROPPED_HEADERS: [&str; 18] = [
     "connection",
     "content-length",
     "expect",
@@ -25,6 +25,7 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
+    "x-briarrail-body",
     "x-briarrail-outcome",
     "x-briarrail-repeated",
     "x-fencing-number",
--- a/crates/briarraild/tests/suite/claims.rs
+++ b/crates/briarraild/tests/suite/claims.rs
@@ -2,6 +2,8 @@
 
 use briarrail_standin::{LedgerEntry, OutageKind};
 use reqwest::Response;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 use super::site::{TestSite, new_key};
 
@@ -62,6 +64,48 @@
     site.stop().await;
 }
 
+/// Answers one request on a bare connection with a body of some size.
+async fn answer_once(listener: TcpListener, bytes: usize) {
+    let (mut stream, _) = listener.accept().await.expect("connection");
+    let mut seen = [0; 4_096];
+    let _ = stream.read(&mut seen).await.expect("request");
+    let head = format!("HTTP/1.1 201 Created\r\ncontent-length: {bytes}\r\n\r\n");
+    let answer = head + &"x".repeat(bytes);
+    stream.write_all(answer.as_bytes()).await.expect("answered");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_repeat_says_when_the_answer_was_too_large_to_keep() {
+    let site = TestSite::start(1, 0, 2).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+    site.list(
+        "bare",
+        "weighbridge",
+        listener.local_addr().expect("address"),
+    );
+    site.wait_until_pools_show("weighbridge", 1).await;
+    let target = tokio::spawn(answer_once(listener, 10_000));
+    let key = new_key();
+    let first = site
+        .post_ticket(0, &key, BODY)
+        .send()
+        .await
+        .expect("response");
+    assert_eq!(first.bytes().await.expect("whole body").len(), 10_000);
+    target.await.expect("answered");
+    let repeat = site
+        .post_ticket(1, &key, BODY)
+        .send()
+        .await
+        .expect("response");
+    assert_eq!(
+        (repeat.status().as_u16(), outcome(&repeat).as_str()),
+        (201, "answered")
+    );
+    assert_eq!(repeat.headers()["x-briarrail-body"], "not-kept");
+    site.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_key_with_another_body_is_refused() {
     let site = TestSite::start(1, 1, 2).await;
