--- /dev/null
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -0,0 +1,33 @@
+//! Decisions of the gateway, apart from any I/O.
+//!
+//! Every function that decides takes the present time as an argument. [`RoutingTable`] finds the
+//! route and the customer of a request, [`TargetBoard`] holds what is believed of each target and
+//! places requests, [`RepeatBudget`] limits repeats over the fleet, [`TargetRoster`] decides which
+//! listed targets still count while the store is away, and [`choose_hub`] says which router reads
+//! the store for the others.
+
+mod hub_choice;
+mod outlier_guard;
+mod prompt_facts;
+mod refusal_timing;
+mod repeat_budget;
+mod routing_table;
+mod site_config;
+mod target_board;
+mod target_placement;
+mod target_roster;
+mod target_row;
+
+pub use hub_choice::{HubCandidate, choose_hub};
+pub use outlier_guard::{OutlierGuard, SendOutcome};
+pub use prompt_facts::PromptFacts;
+pub use refusal_timing::{RefusalCause, retry_after};
+pub use repeat_budget::{BudgetTerms, RepeatBudget};
+pub use routing_table::{RouteKey, RouteLookup, RoutingTable};
+pub use site_config::{
+    CallerLimits, CustomerRow, RepeatRule, RouteRules, ServiceRules, ServiceShare, SiteConfig,
+};
+pub use target_board::{TargetBoard, TargetKey, TargetState};
+pub use target_placement::{PlacementAsk, PlacementTerms};
+pub use target_roster::{RosterChange, TargetRoster};
+pub use target_row::{TargetPhase, TargetRow};
--- /dev/null
+++ b/crates/briarrail_dispatch/src/outlier_guard.rs
@@ -0,0 +1,122 @@
+//! Ejection of failing targets.
+//!
+//! Load pattern: a target fails a part of its requests, hangs, or is gone, while its entry in the
+//! store still says that it is ready. Requests that meet it are lost or late until it stops
+//! getting work; too eager ejection under a common cause would empty the service.
+
+use briarrail_model::{MilliDuration, MilliTime};
+
+/// How a send to a target ended, as far as it speaks for or against the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendOutcome {
+    /// A whole answer came, or a stream made progress.
+    Good,
+    /// The target could not be reached.
+    Unreachable,
+    /// The connection broke, the answer was spoilt, or none came in time.
+    Broken,
+    /// The target answered with a failure of its own.
+    Failed,
+    /// The target refused because it is full.
+    Refused,
+}
+
+/// Length of the first ejection; covers a process restart.
+const FIRST_EJECTION: MilliDuration = MilliDuration::from_millis(1_000);
+/// Longest ejection; bounds the time that a recovered target stays without work.
+const MAX_EJECTION: MilliDuration = MilliDuration::from_millis(4_000);
+/// Weight of the newest outcome in the failure ratio.
+const RATIO_GAIN: f32 = 0.3;
+/// Failure ratio that ejects; plain services fail up to a seventh of their calls in good health.
+const EJECT_RATIO: f32 = 0.5;
+/// Weight of a target's own failures, so that four in a row eject, and not two.
+const FAILURE_WEIGHT: f32 = 0.7;
+/// Refusals weigh less than failures: a full target is healthy.
+const REFUSAL_WEIGHT: f32 = 0.4;
+
+/// Judges one target by the outcomes of this router's sends.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OutlierGuard {
+    /// Moving average of failures, 0 to 1.
+    failure_ratio: f32,
+    ejected_until: Option<MilliTime>,
+    /// Ejections since the last recovery.
+    ejections: u32,
+    /// When the trial after an ejection began.
+    trial_since: Option<MilliTime>,
+}
+
+impl OutlierGuard {
+    /// Takes an outcome; returns whether it ejected the target.
+    pub fn record(&mut self, outcome: SendOutcome, now: MilliTime) -> bool {
+        let weight = match outcome {
+            SendOutcome::Good => 0.0,
+            SendOutcome::Refused => REFUSAL_WEIGHT,
+            SendOutcome::Failed => FAILURE_WEIGHT,
+            SendOutcome::Unreachable | SendOutcome::Broken => 1.0,
+        };
+        self.failure_ratio += RATIO_GAIN * (weight - self.failure_ratio);
+        let was_trial = self.trial_since.take().is_some();
+        if outcome == SendOutcome::Good {
+            if was_trial {
+                self.failure_ratio = 0.0;
+            }
+            if self.failure_ratio < RATIO_GAIN {
+                self.ejections = 0;
+            }
+            self.ejected_until = self
+                .ejected_until
+                .filter(|&until| until > now && !was_trial);
+            return false;
+        }
+        let is_hard = outcome == SendOutcome::Unreachable;
+        let is_failed_trial = was_trial && outcome != SendOutcome::Refused;
+        let already = self.ejected_until.is_some_and(|until| until > now);
+        if already || !(is_hard || is_failed_trial || self.failure_ratio > EJECT_RATIO) {
+            return false;
+        }
+        self.eject(now);
+        true
+    }
+
+    /// Returns whether the target may get a request now; an ejected one gets a single trial after
+    /// its time.
+    #[must_use]
+    pub fn allows(&self, now: MilliTime) -> bool {
+        match self.ejected_until {
+            None => true,
+            Some(until) => until <= now && !self.trial_pending(now),
+        }
+    }
+
+    /// Notes that a request was placed; after an ejection it is the trial.
+    pub fn note_send(&mut self, now: MilliTime) {
+        if self.ejected_until.is_some_and(|until| until <= now) {
+            self.trial_since = Some(now);
+        }
+    }
+
+    /// Returns when the current ejection ends, if there is one.
+    #[must_use]
+    pub const fn ejected_until(&self) -> Option<MilliTime> {
+        self.ejected_until
+    }
+
+    /// Returns the moving average of failures, 0 to 1.
+    #[must_use]
+    pub const fn failure_ratio(&self) -> f32 {
+        self.failure_ratio
+    }
+
+    fn trial_pending(&self, now: MilliTime) -> bool {
+        let is_recent = |since: MilliTime| now.since(since) < FIRST_EJECTION;
+        self.trial_since.is_some_and(is_recent)
+    }
+
+    fn eject(&mut self, now: MilliTime) {
+        let doubled = FIRST_EJECTION.as_millis() << self.ejections.min(4);
+        let length = MilliDuration::from_millis(doubled.min(MAX_EJECTION.as_millis()));
+        self.ejected_until = Some(now + length);
+        self.ejections += 1;
+    }
+}
--- /dev/null
+++ b/crates/briarrail_dispatch/src/repeat_budget.rs
@@ -0,0 +1,83 @@
+//! The fleet's budget of repeats.
+//!
+//! Load pattern: targets fail while all routers are busy. Each repeat adds load, and the sum over
+//! the routers must stay below a part of the requests of a sliding window plus a fixed slack.
+
+use std::collections::VecDeque;
+
+use briarrail_model::{MilliDuration, MilliTime};
+
+/// Part of the budget that a router spends, so that uneven counts of live routers and arrivals
+/// that cross a window's edge stay within the fleet's total.
+const SPENT_PART: f64 = 0.7;
+/// Width of one count, a twentieth of the usual window of 10 s.
+const BUCKET: MilliDuration = MilliDuration::from_millis(500);
+
+/// Terms of the budget, from the settings.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetTerms {
+    /// Repeats for each request of a window.
+    pub ratio: f64,
+    /// Length of the sliding window.
+    pub window: MilliDuration,
+    /// Repeats in a window beyond the ratio, for the whole fleet.
+    pub slack: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct BucketCounts {
+    start: MilliTime,
+    requests: u32,
+    repeats: u32,
+}
+
+/// This router's part of the budget for one service.
+#[derive(Debug, Clone, Default)]
+pub struct RepeatBudget {
+    buckets: VecDeque<BucketCounts>,
+}
+
+impl RepeatBudget {
+    /// Counts a first send.
+    pub fn record_request(&mut self, now: MilliTime, terms: &BudgetTerms) {
+        self.bucket(now, terms).requests += 1;
+    }
+
+    /// Takes one repeat, or returns `false` when this router's part is spent.
+    ///
+    /// `routers` is the number of live routers that share the slack.
+    pub fn take_repeat(&mut self, now: MilliTime, terms: &BudgetTerms, routers: usize) -> bool {
+        self.bucket(now, terms);
+        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
+        let slack = terms.slack / routers.max(1) as f64;
+        let allowed = SPENT_PART * terms.ratio.mul_add(f64::from(requests), slack);
+        if f64::from(repeats) + 1.0 > allowed {
+            return false;
+        }
+        self.bucket(now, terms).repeats += 1;
+        true
+    }
+
+    fn bucket(&mut self, now: MilliTime, terms: &BudgetTerms) -> &mut BucketCounts {
+        let oldest = now - terms.window;
+        while self
+            .buckets
+            .front()
+            .is_some_and(|bucket| bucket.start < oldest)
+        {
+            self.buckets.pop_front();
+        }
+        let is_current =
+            |bucket: &BucketCounts| now.since(bucket.start).as_millis() < BUCKET.as_millis();
+        if !self.buckets.back().is_some_and(is_current) {
+            self.buckets.push_back(BucketCounts {
+                start: now,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        let last = self.buckets.len() - 1;
+        &mut self.buckets[last]
+    }
+}
--- /dev/null
+++ b/crates/briarrail_dispatch/src/target_board.rs
@@ -0,0 +1,206 @@
+//! What this router believes of each target.
+
+use std::collections::HashMap;
+
+use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{OutlierGuard, TargetPhase, TargetRow};
+
+new_key_type! {
+    /// Names a target of one [`TargetBoard`].
+    pub struct TargetKey;
+}
+
+/// Longest age of the other routers' counts; older ones say nothing of the present load.
+const PEER_COUNT_AGE: MilliDuration = MilliDuration::from_millis(1_500);
+/// Longest age of a load that a target told with an answer.
+const TOLD_LOAD_AGE: MilliDuration = MilliDuration::from_millis(400);
+
+/// A load that a target told with an answer.
+#[derive(Debug, Clone, Copy)]
+struct ToldLoad {
+    running: u32,
+    waiting: u32,
+    told_at: MilliTime,
+    own_then: u32,
+}
+
+/// State of one target.
+#[derive(Debug, Clone)]
+pub struct TargetState {
+    /// What the store lists.
+    pub row: TargetRow,
+    /// Hash of the identity, for rendezvous order.
+    pub hash: StableHash,
+    /// Ejection.
+    pub guard: OutlierGuard,
+    /// Requests of this router that the target works on.
+    own: u32,
+    /// Requests of the other routers, and when that was known.
+    peers: Option<(f32, MilliTime)>,
+    told: Option<ToldLoad>,
+    is_listed: bool,
+}
+
+impl TargetState {
+    /// Returns the requests of this router that the target works on.
+    #[must_use]
+    pub const fn own_requests(&self) -> u32 {
+        self.own
+    }
+
+    /// Returns the requests that the target is expected to hold now.
+    #[must_use]
+    pub fn expected_load(&self, now: MilliTime) -> f32 {
+        let is_fresh = |at: MilliTime| now.since(at) <= PEER_COUNT_AGE;
+        let peers = self.peers.filter(|&(_, at)| is_fresh(at));
+        let counted = self.own as f32 + peers.map_or(0.0, |(count, _)| count);
+        let told = self
+            .told
+            .filter(|told| now.since(told.told_at) <= TOLD_LOAD_AGE);
+        let Some(told) = told else {
+            return counted;
+        };
+        let since_then = self.own as f32 - told.own_then as f32;
+        let told_load = (told.running + told.waiting) as f32 + since_then;
+        counted.max(told_load)
+    }
+
+    /// Returns whether new requests may go to the target at all.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.is_listed && self.row.phase == TargetPhase::Ready
+    }
+
+    /// Returns the age of the other routers' counts, if they are known.
+    #[must_use]
+    pub fn peer_count_age(&self, now: MilliTime) -> Option<MilliDuration> {
+        self.peers.map(|(_, at)| now.since(at))
+    }
+}
+
+/// All targets, by key and by service.
+#[derive(Debug, Default)]
+pub struct TargetBoard {
+    targets: SlotMap<TargetKey, TargetState>,
+    by_id: HashMap<String, TargetKey>,
+    by_service: HashMap<String, Vec<TargetKey>>,
+}
+
+impl TargetBoard {
+    /// Adds a target or takes its new row.
+    pub fn put(&mut self, row: TargetRow) -> TargetKey {
+        if let Some(&key) = self.by_id.get(&row.id) {
+            let state = &mut self.targets[key];
+            let restarted = state.row.started_unix_ms != row.started_unix_ms
+                || state.row.address != row.address;
+            if restarted {
+                state.guard = OutlierGuard::default();
+                state.told = None;
+                state.peers = None;
+            }
+            state.row = row;
+            state.is_listed = true;
+            return key;
+        }
+        let (id, service) = (row.id.clone(), row.service.clone());
+        let key = self.targets.insert(TargetState {
+            hash: hash_bytes(id.as_bytes()),
+            row,
+            guard: OutlierGuard::default(),
+            own: 0,
+            peers: None,
+            told: None,
+            is_listed: true,
+        });
+        self.by_id.insert(id, key);
+        self.by_service.entry(service).or_default().push(key);
+        key
+    }
+
+    /// Takes a target off the list; its state goes with its last request.
+    pub fn remove(&mut self, id: &str) {
+        if let Some(&key) = self.by_id.get(id) {
+            self.targets[key].is_listed = false;
+            self.forget_if_idle(key);
+        }
+    }
+
+    /// Returns a target's key.
+    #[must_use]
+    pub fn key_of(&self, id: &str) -> Option<TargetKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns a target's state.
+    #[must_use]
+    pub fn get(&self, key: TargetKey) -> Option<&TargetState> {
+        self.targets.get(key)
+    }
+
+    /// Returns a target's state for changes.
+    pub fn get_mut(&mut self, key: TargetKey) -> Option<&mut TargetState> {
+        self.targets.get_mut(key)
+    }
+
+    /// Returns the targets of a service.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = (TargetKey, &TargetState)> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().map(|&key| (key, &self.targets[key]))
+    }
+
+    /// Returns all targets.
+    pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &TargetState)> {
+        self.targets.iter()
+    }
+
+    /// Counts a request that is placed at a target.
+    pub fn begin(&mut self, key: TargetKey, now: MilliTime) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.own += 1;
+            state.guard.note_send(now);
+        }
+    }
+
+    /// Counts the end of a request at a target.
+    pub fn end(&mut self, key: TargetKey) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.own = state.own.saturating_sub(1);
+            self.forget_if_idle(key);
+        }
+    }
+
+    /// Takes the requests that the other routers have at a target.
+    pub fn set_peer_count(&mut self, key: TargetKey, count: f32, as_of: MilliTime) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.peers = Some((count, as_of));
+        }
+    }
+
+    /// Takes a load that a target told with an answer.
+    pub fn note_told_load(&mut self, key: TargetKey, running: u32, waiting: u32, now: MilliTime) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.told = Some(ToldLoad {
+                running,
+                waiting,
+                told_at: now,
+                own_then: state.own,
+            });
+        }
+    }
+
+    fn forget_if_idle(&mut self, key: TargetKey) {
+        let state = &self.targets[key];
+        if state.is_listed || state.own > 0 {
+            return;
+        }
+        let Some(state) = self.targets.remove(key) else {
+            return;
+        };
+        self.by_id.remove(&state.row.id);
+        if let Some(keys) = self.by_service.get_mut(&state.row.service) {
+            keys.retain(|&other| other != key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -0,0 +1,153 @@
+//! Placement of a request over the targets of its service.
+//!
+//! Load pattern: a few large prompts are shared by many requests while small requests fill the
+//! rest. A prompt that moves is read again at its new target, which delays the streams there; a
+//! target that holds more than its part delays its own streams. Requests with much shared context
+//! stay at the first target of their rendezvous order up to a loose limit, and requests with
+//! little of it level the load.
+
+use briarrail_model::{MilliTime, StableHash, hash_pair};
+
+use crate::{TargetBoard, TargetKey, TargetState};
+
+/// Limits of placement.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlacementTerms {
+    /// Load over the mean of the service at which a target takes no more, as a multiple.
+    pub hard_ratio: f32,
+    /// Requests added to the multiple.
+    pub hard_slack: f32,
+}
+
+/// Part of the hard limit that is used, since counts of other routers are some 100 ms old.
+const GUARD_PART: f32 = 0.8;
+/// Shared tokens from which a prompt is worth the loose limit: about 50 ms of reading.
+const LARGE_PROMPT_TOKENS: u32 = 5_000;
+/// Limit for small prompts, as a multiple of the mean.
+const SMALL_RATIO: f32 = 1.15;
+/// Requests added to the limit for small prompts.
+const SMALL_SLACK: f32 = 1.5;
+/// Targets of the rendezvous order that are tried before the least loaded one.
+const HOME_TARGETS: usize = 3;
+/// Part of its slots up to which a target without a cache is filled, queue aside.
+const FULL_QUEUE_FACTOR: f32 = 3.0;
+
+/// What is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementAsk<'a> {
+    /// Service that takes the request.
+    pub service: &'a str,
+    /// Key of the shared context; none for plain services.
+    pub affinity: Option<StableHash>,
+    /// Tokens of the shared context.
+    pub shared_tokens: u32,
+    /// Targets that were tried before.
+    pub tried: &'a [TargetKey],
+    /// Seed that breaks ties between equals.
+    pub seed: StableHash,
+}
+
+struct Candidate {
+    key: TargetKey,
+    load: f32,
+    slots: f32,
+    order: u64,
+}
+
+impl TargetBoard {
+    /// Chooses the target of a request, or none when no target has room.
+    ///
+    /// When every target is ejected, the least loaded of them is tried rather than none.
+    #[must_use]
+    pub fn place(
+        &self,
+        ask: &PlacementAsk<'_>,
+        terms: &PlacementTerms,
+        now: MilliTime,
+    ) -> Option<TargetKey> {
+        let open = || {
+            let listed = self.of_service(ask.service);
+            listed.filter(|(key, state)| state.is_open() && !ask.tried.contains(key))
+        };
+        let mean = self.mean_load(ask.service, now);
+        let sound = open().filter(|(_, state)| state.guard.allows(now));
+        let mut candidates: Vec<Candidate> = sound
+            .map(|(key, state)| candidate(ask, key, state, now))
+            .collect();
+        if candidates.is_empty() {
+            candidates = open()
+                .map(|(key, state)| candidate(ask, key, state, now))
+                .collect();
+        }
+        candidates.retain(|candidate| candidate.load < candidate.slots * FULL_QUEUE_FACTOR);
+        match ask.affinity {
+            Some(_) => place_prompt(candidates, ask, terms, mean),
+            None => least_loaded(&candidates),
+        }
+    }
+
+    /// Returns whether a service has open targets.
+    #[must_use]
+    pub fn has_open_target(&self, service: &str) -> bool {
+        self.of_service(service).any(|(_, state)| state.is_open())
+    }
+
+    /// Returns the mean load of a service's open targets.
+    #[must_use]
+    pub fn mean_load(&self, service: &str, now: MilliTime) -> f32 {
+        let open = self
+            .of_service(service)
+            .filter(|(_, state)| state.is_open());
+        let (count, sum) = open.fold((0.0, 0.0), |(count, sum), (_, state)| {
+            (count + 1.0, sum + state.expected_load(now))
+        });
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+}
+
+fn candidate(
+    ask: &PlacementAsk<'_>,
+    key: TargetKey,
+    state: &TargetState,
+    now: MilliTime,
+) -> Candidate {
+    Candidate {
+        key,
+        load: state.expected_load(now),
+        slots: state.row.slots as f32,
+        order: hash_pair(ask.affinity.unwrap_or(ask.seed), state.hash).0,
+    }
+}
+
+fn place_prompt(
+    mut candidates: Vec<Candidate>,
+    ask: &PlacementAsk<'_>,
+    terms: &PlacementTerms,
+    mean: f32,
+) -> Option<TargetKey> {
+    candidates.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.order));
+    let loose = GUARD_PART * terms.hard_ratio.mul_add(mean, terms.hard_slack) - 1.0;
+    let tight = SMALL_RATIO.mul_add(mean, SMALL_SLACK);
+    let limit = if ask.shared_tokens >= LARGE_PROMPT_TOKENS {
+        loose
+    } else {
+        tight.min(loose)
+    };
+    let homes = candidates.iter().take(HOME_TARGETS);
+    let mut with_room = homes.filter(|candidate| candidate.load <= limit);
+    if let Some(home) = with_room.next() {
+        return Some(home.key);
+    }
+    least_loaded(&candidates)
+}
+
+fn least_loaded(candidates: &[Candidate]) -> Option<TargetKey> {
+    let by_load = |candidate: &&Candidate| {
+        let relative = candidate.load / candidate.slots.max(1.0);
+        ((relative * 1_000.0) as u64, candidate.order)
+    };
+    candidates
+        .iter()
+        .min_by_key(by_load)
+        .map(|candidate| candidate.key)
+}
--- /dev/null
+++ b/crates/briarrail_dispatch/src/target_roster.rs
@@ -0,0 +1,115 @@
+//! Which listed targets still count.
+//!
+//! Pattern: the store is away for seconds, and entries of targets lapse meanwhile although the
+//! targets live. When it is back, they register again within about two seconds.
+
+use std::collections::BTreeMap;
+
+use briarrail_model::{MilliDuration, MilliTime};
+
+use crate::{TargetPhase, TargetRow};
+
+/// Time after the store's return within which lapsed entries are back.
+const RETURN_GRACE: MilliDuration = MilliDuration::from_millis(2_200);
+
+#[derive(Debug, Clone)]
+struct RosterEntry {
+    row: TargetRow,
+    /// Set while the entry is missing from the store and the target is kept all the same.
+    missing_until: Option<MilliTime>,
+}
+
+/// What changed in the roster.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RosterChange {
+    /// A target appeared or its row changed.
+    Put(TargetRow),
+    /// A target is gone.
+    Gone(String),
+    /// A target's entry is missing, and the target is kept until the time given.
+    Kept(String, MilliTime),
+}
+
+/// The targets that this router counts on.
+#[derive(Debug, Clone, Default)]
+pub struct TargetRoster {
+    entries: BTreeMap<String, RosterEntry>,
+    /// When the store was last known to be away.
+    outage_end: Option<MilliTime>,
+}
+
+impl TargetRoster {
+    /// Notes that the store could not be read now.
+    pub fn note_outage(&mut self, now: MilliTime) {
+        self.outage_end = Some(now);
+    }
+
+    /// Takes an entry.
+    pub fn put(&mut self, row: TargetRow) -> Option<RosterChange> {
+        let known = self.entries.get_mut(&row.id);
+        if let Some(entry) = known {
+            entry.missing_until = None;
+            if entry.row == row {
+                return None;
+            }
+            entry.row = row.clone();
+        } else {
+            let entry = RosterEntry {
+                row: row.clone(),
+                missing_until: None,
+            };
+            self.entries.insert(row.id.clone(), entry);
+        }
+        Some(RosterChange::Put(row))
+    }
+
+    /// Takes the removal of an entry.
+    ///
+    /// Right after an outage a ready target is kept until its entry had time to come back.
+    pub fn remove(&mut self, id: &str, now: MilliTime) -> Option<RosterChange> {
+        let grace = self.outage_end.map(|end| end + RETURN_GRACE);
+        let entry = self.entries.get_mut(id)?;
+        let is_ready = entry.row.phase == TargetPhase::Ready;
+        if let Some(until) = grace.filter(|&until| is_ready && until > now) {
+            entry.missing_until = Some(until);
+            return Some(RosterChange::Kept(id.to_owned(), until));
+        }
+        self.entries.remove(id);
+        Some(RosterChange::Gone(id.to_owned()))
+    }
+
+    /// Takes a whole listing.
+    pub fn replace<R>(&mut self, rows: R, now: MilliTime) -> Vec<RosterChange>
+    where
+        R: IntoIterator<Item = TargetRow>,
+    {
+        let mut missing: Vec<String> = self.entries.keys().cloned().collect();
+        let mut changes = Vec::new();
+        for row in rows {
+            if let Ok(found) = missing.binary_search(&row.id) {
+                missing.remove(found);
+            }
+            changes.extend(self.put(row));
+        }
+        let is_kept = |roster: &Self, id: &String| roster.entries[id].missing_until.is_some();
+        missing.retain(|id| !is_kept(self, id));
+        changes.extend(missing.iter().filter_map(|id| self.remove(id, now)));
+        changes
+    }
+
+    /// Drops targets whose entries did not come back in time.
+    pub fn expire(&mut self, now: MilliTime) -> Vec<RosterChange> {
+        let is_late = |entry: &RosterEntry| entry.missing_until.is_some_and(|until| until <= now);
+        let late = self.entries.iter().filter(|(_, entry)| is_late(entry));
+        let ids: Vec<String> = late.map(|(id, _)| id.clone()).collect();
+        for id in &ids {
+            self.entries.remove(id);
+        }
+        ids.into_iter().map(RosterChange::Gone).collect()
+    }
+
+    /// Returns the rows that count now.
+    pub fn rows(&self) -> impl Iterator<Item = &TargetRow> {
+        self.entries.values().map(|entry| &entry.row)
+    }
+}
--- /dev/null
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -0,0 +1,200 @@
+//! The control thread.
+
+use std::cell::RefCell;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use briarrail_dispatch::TargetRoster;
+use briarrail_peer::{FrameCodec, KeyRing, SharedKey};
+use briarrail_settings::GatewaySettings;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
+
+use super::control_state::ControlState;
+use super::hub_server::serve_peers;
+use super::hub_sync::run_rounds;
+use super::local_server::serve_local;
+use super::roster_log::RosterLog;
+use super::store_follower::{follow_config, follow_routers, follow_targets};
+use crate::telemetry::GatewayMetrics;
+use crate::traffic::{ControlUpdate, SharedState, StopPhase};
+use crate::{ProcessClock, SiteStore, WireDialect};
+
+/// Time after SIGTERM for which requests are still taken: the balancer notices after two missed
+/// questions a second apart, and answers tell callers to connect elsewhere meanwhile.
+const LEAVING_TIME: Duration = Duration::from_millis(3_000);
+/// Time kept back from the stop's grace for the process to end by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(600);
+/// Time between two looks at the requests in flight during a stop.
+const STOP_POLL: Duration = Duration::from_millis(50);
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_POLL: Duration = Duration::from_millis(1_000);
+
+/// What the control thread starts with.
+pub(crate) struct ControlInputs<D> {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) settings_path: PathBuf,
+    pub(crate) dialect: D,
+    pub(crate) clock: ProcessClock,
+    pub(crate) shared: Arc<SharedState>,
+    pub(crate) metrics: Arc<GatewayMetrics>,
+    pub(crate) updates: UnboundedSender<ControlUpdate>,
+    pub(crate) stop: watch::Sender<StopPhase>,
+}
+
+/// Runs the control thread until the stop is complete.
+///
+/// # Errors
+///
+/// Fails when an address or a signal can't be had.
+pub(crate) async fn run_control<D, S>(inputs: ControlInputs<D>, store: S) -> std::io::Result<()>
+where
+    D: WireDialect,
+    S: SiteStore,
+{
+    let settings = &inputs.settings;
+    let peers = TcpListener::bind(settings.peers).await?;
+    let readiness = TcpListener::bind(settings.readiness).await?;
+    let metrics = TcpListener::bind(settings.metrics).await?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let state = Rc::new(RefCell::new(new_state(&inputs)));
+    let own = Rc::default();
+    tokio::task::spawn_local(serve_peers(Rc::clone(&state), Rc::clone(&own), peers));
+    tokio::task::spawn_local(run_rounds(Rc::clone(&state), own));
+    tokio::task::spawn_local(follow_config(Rc::clone(&state), store.clone()));
+    tokio::task::spawn_local(follow_targets(Rc::clone(&state), store.clone()));
+    tokio::task::spawn_local(follow_routers(Rc::clone(&state), store.clone()));
+    let ready_state = Rc::clone(&state);
+    let path = inputs.dialect.readiness_path();
+    tokio::task::spawn_local(serve_local(readiness, move |request| {
+        answer_readiness(&ready_state.borrow(), path, request)
+    }));
+    let gauges = Arc::clone(&inputs.metrics);
+    tokio::task::spawn_local(serve_local(metrics, move |_| {
+        Response::new(Full::new(Bytes::from(gauges.encode())))
+    }));
+    let mut polls = tokio::time::interval(SETTINGS_POLL);
+    let mut file_time = modified(&inputs.settings_path);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => {
+                reload(&inputs, "signal");
+                file_time = modified(&inputs.settings_path);
+            }
+            _ = polls.tick() => {
+                let found = modified(&inputs.settings_path);
+                if found != file_time {
+                    file_time = found;
+                    reload(&inputs, "file");
+                }
+            }
+        }
+    }
+    stop(&inputs, &store).await;
+    Ok(())
+}
+
+fn new_state<D>(inputs: &ControlInputs<D>) -> ControlState {
+    let settings = &inputs.settings;
+    let key = SharedKey::new(settings.exchange_key.reveal().as_bytes());
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    ControlState {
+        name: settings.name.clone(),
+        address: settings.peers,
+        incarnation: since_epoch.map_or(1, |time| time.as_micros() as u64),
+        clock: inputs.clock,
+        codec: FrameCodec::new(KeyRing::new(key)),
+        shared: Arc::clone(&inputs.shared),
+        metrics: Arc::clone(&inputs.metrics),
+        updates: inputs.updates.clone(),
+        roster: TargetRoster::default(),
+        log: RosterLog::default(),
+        config: None,
+        peers: std::collections::BTreeMap::new(),
+        hub_position: (0, 0),
+        config_seen_at: None,
+        targets_seen_at: None,
+        has_targets: false,
+    }
+}
+
+fn answer_readiness(
+    state: &ControlState,
+    path: &str,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let is_serving = state.shared.stop_phase() == StopPhase::Serving;
+    let status = if request.uri().path() != path {
+        StatusCode::NOT_FOUND
+    } else if is_serving && state.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+fn modified(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path)
+        .and_then(|data| data.modified())
+        .ok()
+}
+
+/// Takes the fleet's terms from the settings file; addresses hold until a restart.
+fn reload<D>(inputs: &ControlInputs<D>, cause: &'static str) {
+    match GatewaySettings::from_file(&inputs.settings_path) {
+        Ok(settings) => {
+            tracing::info!(event = "settings_reloaded", cause, terms = ?settings.fleet);
+            inputs.shared.terms.store(Arc::new(settings.fleet));
+        }
+        Err(errors) => tracing::error!(event = "settings_refused", cause, %errors),
+    }
+}
+
+/// Leaves the balancer, finishes what is in flight, and takes the router's entry back.
+async fn stop<D, S>(inputs: &ControlInputs<D>, store: &S)
+where
+    S: SiteStore,
+{
+    let in_flight = || inputs.shared.in_flight.load(Ordering::Relaxed);
+    let begun = tokio::time::Instant::now();
+    tracing::info!(event = "stopping", in_flight = in_flight());
+    set_phase(inputs, StopPhase::Leaving);
+    let name = inputs.settings.name.clone();
+    let removing = store.remove_router(&name);
+    match tokio::time::timeout(LEAVING_TIME, removing).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => tracing::warn!(event = "router_entry_kept", %error),
+        Err(_) => tracing::warn!(event = "router_entry_kept", error = "no reply in time"),
+    }
+    tokio::time::sleep_until(begun + LEAVING_TIME).await;
+    set_phase(inputs, StopPhase::Finishing);
+    let grace: Duration = inputs.shared.terms.load().stop_grace.into();
+    let end = begun + grace.saturating_sub(STOP_MARGIN);
+    while in_flight() > 0 && tokio::time::Instant::now() < end {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+    // The last answers are still on their way through the sockets.
+    tokio::time::sleep(STOP_POLL).await;
+    tracing::info!(event = "stopped", cut = in_flight());
+}
+
+fn set_phase<D>(inputs: &ControlInputs<D>, phase: StopPhase) {
+    inputs.shared.set_stop_phase(phase);
+    if inputs.stop.send(phase).is_err() {
+        tracing::debug!("the traffic thread has ended");
+    }
+}
--- /dev/null
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -0,0 +1,11 @@
+//! The control thread: the store, the other routers, readiness and metrics.
+
+mod control_loop;
+mod control_state;
+mod hub_server;
+mod hub_sync;
+mod local_server;
+mod roster_log;
+mod store_follower;
+
+pub(crate) use control_loop::{ControlInputs, run_control};
--- /dev/null
+++ b/crates/briarrail_gateway/src/control/roster_log.rs
@@ -0,0 +1,77 @@
+//! Roster changes by sequence, so that other routers can be told what they lack.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use briarrail_dispatch::{RosterChange, TargetRow};
+use briarrail_peer::RosterPart;
+use bytes::Bytes;
+
+/// Departures that are remembered; a router that lacks older ones gets the whole roster.
+const KEPT_DEPARTURES: usize = 256;
+
+/// The roster with the sequence of each row's last change.
+#[derive(Debug, Default)]
+pub(crate) struct RosterLog {
+    sequence: u64,
+    rows: BTreeMap<String, (u64, TargetRow)>,
+    departures: VecDeque<(u64, String)>,
+    /// Sequence up to which departures are forgotten.
+    forgotten: u64,
+}
+
+impl RosterLog {
+    /// Takes changes.
+    pub(crate) fn record(&mut self, changes: &[RosterChange]) {
+        for change in changes {
+            match change {
+                RosterChange::Put(row) => {
+                    self.sequence += 1;
+                    let entry = (self.sequence, row.clone());
+                    self.rows.insert(row.id.clone(), entry);
+                }
+                RosterChange::Gone(id) => {
+                    self.sequence += 1;
+                    self.rows.remove(id);
+                    self.departures.push_back((self.sequence, id.clone()));
+                }
+                RosterChange::Kept(..) => {}
+            }
+        }
+        while self.departures.len() > KEPT_DEPARTURES {
+            if let Some((sequence, _)) = self.departures.pop_front() {
+                self.forgotten = sequence;
+            }
+        }
+    }
+
+    /// Returns what changed since a router's sequence of an epoch; none when it has all.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the rows can't be encoded.
+    pub(crate) fn part_since(
+        &self,
+        own_epoch: u64,
+        epoch: u64,
+        sequence: u64,
+    ) -> Result<Option<RosterPart>, rmp_serde::encode::Error> {
+        let is_whole = epoch != own_epoch || sequence < self.forgotten || sequence > self.sequence;
+        if !is_whole && sequence == self.sequence {
+            return Ok(None);
+        }
+        let since = if is_whole { 0 } else { sequence };
+        let changed = self.rows.values().filter(|(at, _)| *at > since);
+        let rows: Vec<&TargetRow> = changed.map(|(_, row)| row).collect();
+        let gone = self
+            .departures
+            .iter()
+            .filter(|(at, _)| !is_whole && *at > since);
+        Ok(Some(RosterPart {
+            epoch: own_epoch,
+            sequence: self.sequence,
+            is_whole,
+            rows: Bytes::from(rmp_serde::to_vec_named(&rows)?),
+            gone: gone.map(|(_, id)| id.clone()).collect(),
+        }))
+    }
+}
--- /dev/null
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -0,0 +1,291 @@
+//! Follows the store while this router reads it.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use briarrail_dispatch::RosterChange;
+use briarrail_model::{HostName, MilliDuration, MilliTime};
+use briarrail_peer::SyncRouter;
+use briarrail_platform::{StoreError, StoreErrorKind};
+
+use super::control_state::{ControlState, VIEW_LIMIT};
+use crate::{ConfigRead, RouterRow, SiteStore, TargetEvent, WatchStep};
+
+/// Longest wait of a watch: a watch that went silent is noticed well within the time in which
+/// changes must be in force.
+const WATCH_WAIT: Duration = Duration::from_millis(600);
+/// Pause after a failed call; the store counts and charges refused calls too.
+const FAILURE_PAUSE: Duration = Duration::from_millis(300);
+/// Pause while another router reads the store.
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two lists of the routers.
+const ROUTERS_PAUSE: Duration = Duration::from_secs(2);
+/// Silence after which a router's entry is removed: far longer than a restart.
+const ENTRY_LIMIT: MilliDuration = MilliDuration::from_millis(30_000);
+
+type SharedControl = Rc<RefCell<ControlState>>;
+
+/// Returns whether this router reads the store now: it is the hub, or the hub's view is old.
+fn reads_store(state: &SharedControl) -> bool {
+    let state = state.borrow();
+    let now = state.clock.now();
+    let is_old = state.view_age(now).is_none_or(|age| age > VIEW_LIMIT);
+    is_old || state.choose_hub(now).is_none()
+}
+
+/// Tells dependency changes once, and counts every call.
+struct StoreHealth {
+    call: &'static str,
+    is_lost: bool,
+}
+
+impl StoreHealth {
+    fn record<T>(&mut self, state: &SharedControl, outcome: &Result<T, StoreError>) {
+        let text = outcome.as_ref().map_or("failed", |_| "good");
+        state.borrow().metrics.count_store_call(self.call, text);
+        match outcome {
+            Ok(_) if self.is_lost => tracing::info!(event = "store_regained", call = self.call),
+            Err(error) if !self.is_lost => {
+                tracing::warn!(event = "store_lost", call = self.call, %error);
+            }
+            Ok(_) | Err(_) => {}
+        }
+        self.is_lost = outcome.is_err();
+    }
+}
+
+/// Follows the configuration, for ever.
+pub(crate) async fn follow_config<S>(state: SharedControl, store: S)
+where
+    S: SiteStore,
+{
+    let mut health = StoreHealth {
+        call: "config",
+        is_lost: false,
+    };
+    let mut revision = None;
+    loop {
+        if !reads_store(&state) {
+            revision = None;
+            tokio::time::sleep(FOLLOWER_PAUSE).await;
+            continue;
+        }
+        let asked_at = state.borrow().clock.now();
+        let outcome = match revision {
+            None => store.read_config().await.map(|read| {
+                let revision = read.as_ref().map(|read| read.revision);
+                (read.into_iter().collect(), revision)
+            }),
+            Some(known) => {
+                let watched = store.watch_config(known, WATCH_WAIT).await;
+                watched.map(|step| match step {
+                    WatchStep::Changes { changes, revision } => (changes, Some(revision)),
+                    WatchStep::HistoryGone => (Vec::new(), None),
+                })
+            }
+        };
+        health.record(&state, &outcome);
+        match outcome {
+            Ok((reads, next)) => {
+                take_configs(&state, reads, revision, next, asked_at);
+                let is_absent = revision.is_none() && next.is_none();
+                revision = next;
+                if is_absent {
+                    tokio::time::sleep(FOLLOWER_PAUSE).await;
+                }
+            }
+            Err(error) => {
+                if error.kind == StoreErrorKind::Invalid {
+                    revision = None;
+                }
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_configs(
+    state: &SharedControl,
+    reads: Vec<ConfigRead>,
+    revision: Option<u64>,
+    next: Option<u64>,
+    asked_at: MilliTime,
+) {
+    let mut state = state.borrow_mut();
+    for read in reads {
+        state.adopt_config(read, "store");
+    }
+    if next.is_some() {
+        // A watch was current when it ended, a read only when it was asked.
+        let seen = revision.map_or(asked_at, |_| state.clock.now());
+        state.config_seen_at = state.config_seen_at.max(Some(seen));
+    }
+}
+
+/// Follows the targets, for ever.
+pub(crate) async fn follow_targets<S>(state: SharedControl, store: S)
+where
+    S: SiteStore,
+{
+    let mut health = StoreHealth {
+        call: "targets",
+        is_lost: false,
+    };
+    let mut revision = None;
+    loop {
+        expire_kept(&state);
+        if !reads_store(&state) {
+            revision = None;
+            tokio::time::sleep(FOLLOWER_PAUSE).await;
+            continue;
+        }
+        let outcome = match revision {
+            None => list_targets(&state, &store).await,
+            Some(known) => watch_targets(&state, &store, known).await,
+        };
+        health.record(&state, &outcome);
+        match outcome {
+            Ok(next) => revision = next,
+            Err(_) => {
+                {
+                    let mut state = state.borrow_mut();
+                    let now = state.clock.now();
+                    state.roster.note_outage(now);
+                }
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn list_targets<S>(state: &SharedControl, store: &S) -> Result<Option<u64>, StoreError>
+where
+    S: SiteStore,
+{
+    let asked_at = state.borrow().clock.now();
+    let listing = store.list_targets().await?;
+    let mut state = state.borrow_mut();
+    for name in &listing.unreadable {
+        tracing::warn!(event = "target_unreadable", target_id = name);
+    }
+    let now = state.clock.now();
+    let changes = state.roster.replace(listing.rows, now);
+    state.apply_roster(changes, "store");
+    state.has_targets = true;
+    state.targets_seen_at = state.targets_seen_at.max(Some(asked_at));
+    Ok(Some(listing.revision))
+}
+
+async fn watch_targets<S>(
+    state: &SharedControl,
+    store: &S,
+    revision: u64,
+) -> Result<Option<u64>, StoreError>
+where
+    S: SiteStore,
+{
+    let step = store.watch_targets(revision, WATCH_WAIT).await?;
+    let mut state = state.borrow_mut();
+    let now = state.clock.now();
+    let WatchStep::Changes { changes, revision } = step else {
+        tracing::info!(event = "watch_history_gone", call = "targets");
+        return Ok(None);
+    };
+    let mut roster_changes = Vec::new();
+    for change in changes {
+        roster_changes.extend(match change {
+            TargetEvent::Put(row) => state.roster.put(row),
+            TargetEvent::Removed(id) => state.roster.remove(&id, now),
+        });
+    }
+    state.apply_roster(roster_changes, "store");
+    state.targets_seen_at = state.targets_seen_at.max(Some(now));
+    Ok(Some(revision))
+}
+
+fn expire_kept(state: &SharedControl) {
+    let mut state = state.borrow_mut();
+    let now = state.clock.now();
+    let late: Vec<RosterChange> = state.roster.expire(now);
+    state.apply_roster(late, "expired");
+}
+
+/// Keeps this router's entry in the store and the list of the others, for ever.
+pub(crate) async fn follow_routers<S>(state: SharedControl, store: S)
+where
+    S: SiteStore,
+{
+    let mut health = StoreHealth {
+        call: "routers",
+        is_lost: false,
+    };
+    let mut is_entered = false;
+    let mut is_listed = false;
+    loop {
+        if !is_entered {
+            let row = {
+                let state = state.borrow();
+                RouterRow {
+                    name: state.name.clone(),
+                    address: state.address,
+                }
+            };
+            let outcome = store.put_router(&row).await;
+            health.record(&state, &outcome);
+            is_entered = outcome.is_ok();
+        }
+        if !is_listed || reads_store(&state) {
+            let outcome = store.list_routers().await;
+            health.record(&state, &outcome);
+            if let Ok(rows) = outcome {
+                is_listed = true;
+                let own = state.borrow().name.clone();
+                is_entered = rows.iter().any(|row| row.name == own) || !is_entered;
+                take_routers(&state, &store, rows).await;
+            }
+        }
+        let is_done = is_entered && is_listed;
+        let pause = if is_done {
+            ROUTERS_PAUSE
+        } else {
+            FAILURE_PAUSE
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Takes the listed routers, and removes entries of those that were silent for long.
+async fn take_routers<S>(state: &SharedControl, store: &S, rows: Vec<RouterRow>)
+where
+    S: SiteStore,
+{
+    let listed: BTreeSet<HostName> = rows.iter().map(|row| row.name.clone()).collect();
+    let gone: Vec<HostName> = {
+        let mut state = state.borrow_mut();
+        let now = state.clock.now();
+        for row in rows {
+            let router = SyncRouter {
+                name: row.name,
+                address: row.address,
+            };
+            state.note_router(&router, None);
+        }
+        state.peers.retain(|name, peer| {
+            let heard = peer.heard_at.is_some_and(|at| now.since(at) < ENTRY_LIMIT);
+            heard || listed.contains(name)
+        });
+        let is_gone = |at: Option<_>| at.is_some_and(|at| now.since(at) >= ENTRY_LIMIT);
+        let peers = state.peers.iter();
+        let silent = peers.filter(|(_, peer)| is_gone(peer.heard_at));
+        silent.map(|(name, _)| name.clone()).collect()
+    };
+    for name in gone {
+        match store.remove_router(&name).await {
+            Ok(()) => tracing::info!(event = "router_entry_removed", router = %name),
+            Err(error) => tracing::warn!(event = "router_entry_kept", router = %name, %error),
+        }
+        state.borrow_mut().peers.remove(&name);
+    }
+}
--- /dev/null
+++ b/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
@@ -0,0 +1,126 @@
+//! Counters and histograms of the gateway.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use briarrail_model::MilliDuration;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+const METER_NAME: &str = "briarrail_gateway";
+/// Bounds in seconds: around the objectives of plain calls and of first events.
+const SECONDS_BUCKETS: [f64; 12] = [
+    0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// Every instrument of the gateway, and the registry that scrapers read.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    sends: Counter<u64>,
+    ejections: Counter<u64>,
+    store_calls: Counter<u64>,
+    syncs: Counter<u64>,
+    request_seconds: Histogram<f64>,
+    first_event_seconds: Histogram<f64>,
+    dropped_lines: Arc<AtomicU64>,
+}
+
+impl GatewayMetrics {
+    /// Makes the instruments; `dropped_lines` counts log lines that were not written.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exporter refuses the registry.
+    pub fn new(dropped_lines: Arc<AtomicU64>) -> Result<Self, String> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|error| error.to_string())?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter(METER_NAME);
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let seconds = |name: &'static str, text: &'static str| {
+            let histogram = meter.f64_histogram(name).with_description(text);
+            histogram.with_boundaries(SECONDS_BUCKETS.to_vec()).build()
+        };
+        Ok(Self {
+            requests: counter("briarrail_requests", "Requests by service and outcome"),
+            sends: counter("briarrail_sends", "Sends to targets by service and outcome"),
+            ejections: counter("briarrail_ejections", "Ejections of targets by service"),
+            store_calls: counter("briarrail_store_calls", "Calls to the store by outcome"),
+            syncs: counter("briarrail_syncs", "Rounds with the hub by outcome"),
+            request_seconds: seconds("briarrail_request_seconds", "Time to the whole answer"),
+            first_event_seconds: seconds("briarrail_first_event_seconds", "Time to first event"),
+            registry,
+            _provider: provider,
+            dropped_lines,
+        })
+    }
+
+    /// Counts a finished request.
+    pub(crate) fn count_request(&self, service: &str, outcome: &'static str, took: MilliDuration) {
+        let labels = [service_label(service), KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+        self.request_seconds.record(took.as_secs_f64(), &labels);
+    }
+
+    /// Records the time to the first event of a stream.
+    pub(crate) fn record_first_event(&self, service: &str, took: MilliDuration) {
+        let labels = [service_label(service)];
+        self.first_event_seconds.record(took.as_secs_f64(), &labels);
+    }
+
+    /// Counts a send to a target.
+    pub(crate) fn count_send(&self, service: &str, outcome: &'static str) {
+        let labels = [service_label(service), KeyValue::new("outcome", outcome)];
+        self.sends.add(1, &labels);
+    }
+
+    /// Counts an ejection.
+    pub(crate) fn count_ejection(&self, service: &str) {
+        self.ejections.add(1, &[service_label(service)]);
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn count_store_call(&self, call: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("call", call),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.store_calls.add(1, &labels);
+    }
+
+    /// Counts a round with the hub.
+    pub(crate) fn count_sync(&self, outcome: &'static str) {
+        self.syncs.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Writes all metrics in the text format of the usual scrapers.
+    pub(crate) fn encode(&self) -> String {
+        let families = self.registry.gather();
+        let mut text = match TextEncoder::new().encode_to_string(&families) {
+            Ok(text) => text,
+            Err(error) => {
+                tracing::warn!(%error, "metrics could not be written");
+                String::new()
+            }
+        };
+        let dropped = self.dropped_lines.load(Ordering::Relaxed);
+        text.push_str("# TYPE briarrail_log_lines_dropped_total counter\n");
+        text.push_str(&format!("briarrail_log_lines_dropped_total {dropped}\n"));
+        text
+    }
+}
+
+fn service_label(service: &str) -> KeyValue {
+    KeyValue::new("service", service.to_owned())
+}
--- /dev/null
+++ b/crates/briarrail_gateway/src/traffic/request_trace.rs
@@ -0,0 +1,130 @@
+//! The log line and the counts of one request.
+
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+
+use briarrail_model::{MilliDuration, MilliTime};
+use bytes::Bytes;
+
+use super::traffic_state::TrafficState;
+
+/// Collects what decided a request, and writes it as one line when the request ends.
+///
+/// A request whose caller leaves is dropped wherever it stands, so the line is written on drop.
+#[derive(Debug)]
+pub(crate) struct RequestTrace<D> {
+    state: Rc<TrafficState<D>>,
+    arrived_at: MilliTime,
+    request_id: Bytes,
+    pub(crate) route: String,
+    pub(crate) service: String,
+    pub(crate) customer: Option<String>,
+    pub(crate) config_version: u64,
+    pub(crate) target: String,
+    /// Expected load of the target and mean of its service when it was chosen.
+    pub(crate) target_load: f32,
+    pub(crate) mean_load: f32,
+    /// Age of the other routers' counts when the target was chosen.
+    pub(crate) counts_age: Option<MilliDuration>,
+    pub(crate) sends: u32,
+    pub(crate) events: u64,
+    pub(crate) first_event: Option<MilliDuration>,
+    pub(crate) status: u16,
+    pub(crate) outcome: &'static str,
+    pub(crate) reason: &'static str,
+}
+
+impl<D> RequestTrace<D> {
+    pub(crate) fn new(state: &Rc<TrafficState<D>>, arrived_at: MilliTime) -> Self {
+        state.shared.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self {
+            state: Rc::clone(state),
+            arrived_at,
+            request_id: Bytes::new(),
+            route: String::new(),
+            service: String::new(),
+            customer: None,
+            config_version: 0,
+            target: String::new(),
+            target_load: 0.0,
+            mean_load: 0.0,
+            counts_age: None,
+            sends: 0,
+            events: 0,
+            first_event: None,
+            status: 0,
+            outcome: "caller_left",
+            reason: "",
+        }
+    }
+
+    pub(crate) fn set_request_id(&mut self, id: &Bytes) {
+        self.request_id = id.clone();
+    }
+
+    pub(crate) fn request_id(&self) -> &Bytes {
+        &self.request_id
+    }
+
+    /// Sets how the request ended.
+    pub(crate) const fn end(&mut self, outcome: &'static str, reason: &'static str, status: u16) {
+        self.outcome = outcome;
+        self.reason = reason;
+        self.status = status;
+    }
+
+    /// Logs that a send did not lead to an answer.
+    pub(crate) fn log_failed_send(&self, cause: &'static str, detail: &str) {
+        tracing::info!(
+            event = "send_failed",
+            request_id = %String::from_utf8_lossy(&self.request_id),
+            target_id = self.target,
+            send = self.sends,
+            cause,
+            detail,
+            elapsed_ms = self.elapsed().as_millis(),
+        );
+    }
+
+    /// Records the first event of a stream.
+    pub(crate) fn note_first_event(&mut self) {
+        if self.first_event.is_none() {
+            let took = self.elapsed();
+            self.first_event = Some(took);
+            self.state.metrics.record_first_event(&self.service, took);
+        }
+    }
+
+    pub(crate) fn elapsed(&self) -> MilliDuration {
+        self.state.clock.now().since(self.arrived_at)
+    }
+}
+
+impl<D> Drop for RequestTrace<D> {
+    fn drop(&mut self) {
+        self.state.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let elapsed = self.elapsed();
+        self.state
+            .metrics
+            .count_request(&self.service, self.outcome, elapsed);
+        tracing::info!(
+            event = "request",
+            request_id = %String::from_utf8_lossy(&self.request_id),
+            route = self.route,
+            service = self.service,
+            customer = self.customer,
+            config_version = self.config_version,
+            target_id = self.target,
+            target_load = self.target_load,
+            mean_load = self.mean_load,
+            counts_age_ms = self.counts_age.map(MilliDuration::as_millis),
+            sends = self.sends,
+            events = self.events,
+            first_event_ms = self.first_event.map(MilliDuration::as_millis),
+            elapsed_ms = elapsed.as_millis(),
+            status = self.status,
+            outcome = self.outcome,
+            reason = self.reason,
+        );
+    }
+}
--- /dev/null
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -0,0 +1,245 @@
+//! State of the traffic thread, and what it shares with the control thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use briarrail_dispatch::{
+    BudgetTerms, PlacementTerms, RepeatBudget, RosterChange, RoutingTable, SendOutcome,
+    TargetBoard, TargetKey,
+};
+use briarrail_model::MilliTime;
+use briarrail_peer::TargetCount;
+use briarrail_settings::FleetTerms;
+use tokio::sync::oneshot;
+
+use super::link_pool::LinkPool;
+use crate::ProcessClock;
+use crate::telemetry::GatewayMetrics;
+
+/// Requests added to the multiple of the mean load, the same for every fleet.
+const LOAD_SLACK: f32 = 3.0;
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub(crate) enum StopPhase {
+    /// The router serves.
+    Serving,
+    /// The router serves what still comes, and asks callers to connect elsewhere.
+    Leaving,
+    /// The router takes no more requests and finishes those in flight.
+    Finishing,
+}
+
+/// What both threads read.
+#[derive(Debug)]
+pub(crate) struct SharedState {
+    /// The configuration in force; none before the first.
+    pub(crate) routing: ArcSwapOption<RoutingTable>,
+    /// Terms of the fleet, from the settings.
+    pub(crate) terms: ArcSwap<FleetTerms>,
+    /// Live routers, this one included.
+    pub(crate) routers: AtomicUsize,
+    /// Requests in flight.
+    pub(crate) in_flight: AtomicUsize,
+    stop: AtomicU8,
+}
+
+impl SharedState {
+    pub(crate) fn new(terms: FleetTerms) -> Self {
+        Self {
+            routing: ArcSwapOption::empty(),
+            terms: ArcSwap::from_pointee(terms),
+            routers: AtomicUsize::new(1),
+            in_flight: AtomicUsize::new(0),
+            stop: AtomicU8::new(StopPhase::Serving as u8),
+        }
+    }
+
+    pub(crate) fn stop_phase(&self) -> StopPhase {
+        match self.stop.load(Ordering::Relaxed) {
+            0 => StopPhase::Serving,
+            1 => StopPhase::Leaving,
+            _ => StopPhase::Finishing,
+        }
+    }
+
+    pub(crate) fn set_stop_phase(&self, phase: StopPhase) {
+        self.stop.store(phase as u8, Ordering::Relaxed);
+    }
+}
+
+/// What the control thread tells the traffic thread.
+#[derive(Debug)]
+pub(crate) enum ControlUpdate {
+    /// The roster of targets changed.
+    Roster(Vec<RosterChange>),
+    /// Requests of the other routers, as of now.
+    PeerCounts(Vec<TargetCount>),
+    /// The control thread asks for this router's own requests.
+    OwnCounts(oneshot::Sender<Vec<TargetCount>>),
+}
+
+/// State of the traffic thread.
+#[derive(Debug)]
+pub(crate) struct TrafficState<D> {
+    pub(crate) dialect: D,
+    pub(crate) clock: ProcessClock,
+    pub(crate) shared: Arc<SharedState>,
+    pub(crate) metrics: Arc<GatewayMetrics>,
+    pub(crate) board: RefCell<TargetBoard>,
+    pub(crate) links: RefCell<LinkPool>,
+    pub(crate) open_callers: Cell<usize>,
+    budgets: RefCell<HashMap<String, RepeatBudget>>,
+}
+
+impl<D> TrafficState<D> {
+    pub(crate) fn new(
+        dialect: D,
+        clock: ProcessClock,
+        shared: Arc<SharedState>,
+        metrics: Arc<GatewayMetrics>,
+    ) -> Self {
+        Self {
+            dialect,
+            clock,
+            shared,
+            metrics,
+            board: RefCell::default(),
+            links: RefCell::default(),
+            open_callers: Cell::new(0),
+            budgets: RefCell::default(),
+        }
+    }
+
+    /// Returns the limits of placement.
+    pub(crate) fn placement_terms(&self) -> PlacementTerms {
+        PlacementTerms {
+            hard_ratio: self.shared.terms.load().load_ratio as f32,
+            hard_slack: LOAD_SLACK,
+        }
+    }
+
+    /// Counts a first send to a service.
+    pub(crate) fn record_first_send(&self, service: &str) {
+        let terms = self.budget_terms();
+        let mut budgets = self.budgets.borrow_mut();
+        if !budgets.contains_key(service) {
+            budgets.insert(service.to_owned(), RepeatBudget::default());
+        }
+        if let Some(budget) = budgets.get_mut(service) {
+            budget.record_request(self.clock.now(), &terms);
+        }
+    }
+
+    /// Takes a repeat to a service out of this router's part of the budget.
+    pub(crate) fn take_repeat(&self, service: &str) -> bool {
+        let terms = self.budget_terms();
+        let routers = self.shared.routers.load(Ordering::Relaxed);
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.take_repeat(self.clock.now(), &terms, routers)
+    }
+
+    /// Records how a send ended, and logs the ejection that it may cause.
+    pub(crate) fn record_outcome(&self, key: TargetKey, outcome: SendOutcome) {
+        let now = self.clock.now();
+        let mut board = self.board.borrow_mut();
+        let Some(target) = board.get_mut(key) else {
+            return;
+        };
+        let was_ejected = target.guard.ejected_until().is_some();
+        if target.guard.record(outcome, now) {
+            self.links.borrow_mut().forget(key);
+            self.metrics.count_ejection(&target.row.service);
+            tracing::info!(
+                event = "target_ejected",
+                target_id = target.row.id,
+                service = target.row.service,
+                cause = ?outcome,
+                failure_ratio = target.guard.failure_ratio(),
+                for_ms = target.guard.ejected_until().map(|until| until.since(now).as_millis()),
+            );
+        } else if was_ejected && target.guard.ejected_until().is_none() {
+            tracing::info!(
+                event = "target_restored",
+                target_id = target.row.id,
+                service = target.row.service,
+            );
+        }
+    }
+
+    /// Takes what the control thread tells.
+    pub(crate) fn apply(&self, update: ControlUpdate) {
+        match update {
+            ControlUpdate::Roster(changes) => {
+                changes.into_iter().for_each(|c| self.apply_roster(c));
+            }
+            ControlUpdate::PeerCounts(counts) => self.apply_counts(&counts, self.clock.now()),
+            ControlUpdate::OwnCounts(reply) => {
+                if reply.send(self.own_counts()).is_err() {
+                    tracing::debug!("the control thread no longer waits for counts");
+                }
+            }
+        }
+    }
+
+    fn apply_roster(&self, change: RosterChange) {
+        match change {
+            RosterChange::Put(row) => {
+                let key = self.board.borrow_mut().put(row);
+                // A draining target's connections close as they fall idle.
+                let board = self.board.borrow();
+                if board.get(key).is_none_or(|target| !target.is_open()) {
+                    self.links.borrow_mut().forget(key);
+                }
+            }
+            RosterChange::Gone(id) => {
+                let key = self.board.borrow().key_of(&id);
+                if let Some(key) = key {
+                    self.links.borrow_mut().forget(key);
+                    self.board.borrow_mut().remove(&id);
+                }
+            }
+            RosterChange::Kept(..) => {}
+        }
+    }
+
+    fn apply_counts(&self, counts: &[TargetCount], now: MilliTime) {
+        let by_target: HashMap<u32, u32> = counts
+            .iter()
+            .map(|count| (count.target, count.requests))
+            .collect();
+        let mut board = self.board.borrow_mut();
+        let keys: Vec<(TargetKey, u32)> = board
+            .iter()
+            .map(|(key, target)| (key, target.hash.0 as u32))
+            .collect();
+        for (key, hash) in keys {
+            let requests = by_target.get(&hash).copied().unwrap_or(0);
+            board.set_peer_count(key, requests as f32, now);
+        }
+    }
+
+    fn own_counts(&self) -> Vec<TargetCount> {
+        let board = self.board.borrow();
+        let busy = board.iter().filter(|(_, target)| target.own_requests() > 0);
+        let count = |(_, target): (TargetKey, &briarrail_dispatch::TargetState)| TargetCount {
+            target: target.hash.0 as u32,
+            requests: target.own_requests(),
+        };
+        busy.map(count).collect()
+    }
+
+    fn budget_terms(&self) -> BudgetTerms {
+        let terms = self.shared.terms.load();
+        BudgetTerms {
+            ratio: terms.retry_ratio,
+            window: terms.retry_window,
+            slack: terms.retry_slack,
+        }
+    }
+}
--- a/crates/briarrail_outcome/src/retry_machine.rs
+++ b/crates/briarrail_outcome/src/retry_machine.rs
@@ -3,7 +3,8 @@
 use briarrail_model::{CallSemantics, MilliTime};
 
 use crate::{
-    AttemptEvent, NotRunReason, RequestOutcome, RetryAllowance, RetryPlan, RetryStep, UnknownReason,
+    AttemptEvent, FreeAllowance, NotRunReason, RequestOutcome, RetryAllowance, RetryPlan,
+    RetryStep, UnknownReason,
 };
 
 /// Decides the attempts of one request, and its outcome.
@@ -30,6 +31,8 @@
 pub struct RetryMachine {
     plan: RetryPlan,
     attempt: u32,
+    /// Moves after which no target had run the request.
+    free_moves: u32,
     /// Whether an attempt is under way, so that bytes of it may have left the router.
     in_flight: bool,
     /// Whether a target may have run the request, without a proof against it.
@@ -49,6 +52,7 @@
         Self {
             plan,
             attempt: 0,
+            free_moves: 0,
             in_flight: false,
             may_have_run: false,
             has_begun: false,
@@ -117,6 +121,9 @@
         A: RetryAllowance,
     {
         self.last_refusal = NotRunReason::Unreachable;
+        if let Some(step) = self.move_freely(now, &mut FreeAllowance) {
+            return step;
+        }
         self.move_on(UnknownReason::ConnectionLost, now, allowance)
     }
 
@@ -125,6 +132,9 @@
         A: RetryAllowance,
     {
         self.last_refusal = NotRunReason::TargetRefused;
+        if let Some(step) = self.move_freely(now, allowance) {
+            return step;
+        }
         if self.plan.semantics == CallSemantics::AtMostOnce {
             return self.fail(UnknownReason::TargetFailed);
         }
@@ -174,6 +184,20 @@
         }
     }
 
+    /// Moves to another target without counting an attempt, while the plan has free moves.
+    fn move_freely<A>(&mut self, now: MilliTime, allowance: &mut A) -> Option<RetryStep>
+    where
+        A: RetryAllowance,
+    {
+        let may = now < self.plan.deadline && self.free_moves < self.plan.free_moves;
+        if !may || (self.has_begun && self.resumed_at.is_none()) || !allowance.take_retry() {
+            return None;
+        }
+        self.free_moves += 1;
+        self.in_flight = true;
+        Some(self.next_send())
+    }
+
     /// Moves to another target, or resumes elsewhere when the answer has begun.
     fn move_on<A>(&mut self, reason: UnknownReason, now: MilliTime, allowance: &mut A) -> RetryStep
     where
@@ -185,6 +209,10 @@
         if !self.take_attempt(now, allowance) {
             return self.fail(reason);
         }
+        self.next_send()
+    }
+
+    const fn next_send(&self) -> RetryStep {
         match self.resumed_at {
             Some(offset) => RetryStep::Resume {
                 attempt: self.attempt,
--- a/crates/briarrail_outcome/src/retry_plan.rs
+++ b/crates/briarrail_outcome/src/retry_plan.rs
@@ -11,6 +11,9 @@
     pub max_attempts: u32,
     /// Time at which the request ends.
     pub deadline: MilliTime,
+    /// Most moves to another target after one provably did not run the request; they don't count
+    /// as attempts.
+    pub free_moves: u32,
 }
 
 impl RetryPlan {
@@ -21,6 +24,7 @@
             semantics,
             max_attempts: 1,
             deadline,
+            free_moves: 0,
         }
     }
 
@@ -30,4 +34,13 @@
         self.max_attempts = if attempts == 0 { 1 } else { attempts };
         self
     }
+
+    /// Sets the most moves after a target provably did not run the request.
+    ///
+    /// With any, an at-most-once call moves on after a proved refusal too.
+    #[must_use]
+    pub const fn with_free_moves(mut self, moves: u32) -> Self {
+        self.free_moves = moves;
+        self
+    }
 }
--- a/crates/briarrail_outcome/src/stream_checker.rs
+++ b/crates/briarrail_outcome/src/stream_checker.rs
@@ -46,6 +46,10 @@
     is_complete: bool,
     /// Events that were dropped since the start.
     dropped: u64,
+    /// Whether the end of the body, and no event, ends the answer.
+    ends_with_body: bool,
+    /// Whether the first event sets where the ids begin.
+    learns_start: bool,
 }
 
 impl Default for StreamChecker {
@@ -65,6 +69,22 @@
             has_ids: None,
             is_complete: false,
             dropped: 0,
+            ends_with_body: false,
+            learns_start: false,
+        }
+    }
+
+    /// Makes the checker of an answer that ends with its body, without a terminal event.
+    ///
+    /// Ids count from after `last_id`, or from the first event's when the request names none. No
+    /// event is read for its meaning: whatever it holds is the answer's.
+    #[must_use]
+    pub fn for_body(last_id: Option<u64>) -> Self {
+        Self {
+            next_id: last_id.map_or(0, |id| id + 1),
+            ends_with_body: true,
+            learns_start: last_id.is_none(),
+            ..Self::new()
         }
     }
 
@@ -122,7 +142,8 @@
     ///
     /// Fails with [`StreamFault::Unfinished`] when the terminal event was not seen.
     pub fn finish(&self) -> Result<(), StreamFault> {
-        if self.is_complete {
+        let ended = self.ends_with_body && self.partial.is_empty();
+        if self.is_complete || ended {
             Ok(())
         } else {
             Err(StreamFault::Unfinished)
@@ -209,6 +230,11 @@
             return Err(self.too_large());
         }
         let event = StreamEvent::parse(text)?;
+        if self.ends_with_body {
+            let is_new = event.id.is_none() || self.accept_id(event.id)?;
+            self.dropped += u64::from(!is_new);
+            return Ok(is_new);
+        }
         if event.is_error {
             return Err(StreamFault::TargetError);
         }
@@ -234,6 +260,9 @@
         let Some(found) = id else {
             return Ok(true);
         };
+        if std::mem::take(&mut self.learns_start) {
+            self.next_id = found;
+        }
         let expected = self.next_id;
         if found > expected {
             return Err(StreamFault::MissingEvents { expected, found });
--- a/crates/briarrail_peer/src/lib.rs
+++ b/crates/briarrail_peer/src/lib.rs
@@ -15,6 +15,7 @@
 mod message_kind;
 mod peer_envelope;
 mod pull_request;
+mod sync_message;
 
 pub use byte_budget::{ByteBudget, REPLY_HEADER_BYTES, REQUEST_HEADER_BYTES};
 pub use claim_message::{
@@ -30,3 +31,4 @@
 pub use message_kind::MessageKind;
 pub use peer_envelope::Envelope;
 pub use pull_request::PullRequest;
+pub use sync_message::{ConfigPart, RosterPart, SyncReply, SyncRequest, SyncRouter, TargetCount};
--- a/crates/briarrail_peer/src/message_kind.rs
+++ b/crates/briarrail_peer/src/message_kind.rs
@@ -16,6 +16,10 @@
     ClaimReport,
     /// A [`ReportReply`](crate::ReportReply).
     ReportReply,
+    /// A [`SyncRequest`](crate::SyncRequest).
+    SyncRequest,
+    /// A [`SyncReply`](crate::SyncReply).
+    SyncReply,
 }
 
 impl MessageKind {
@@ -29,6 +33,8 @@
             Self::ClaimReply => 4,
             Self::ClaimReport => 5,
             Self::ReportReply => 6,
+            Self::SyncRequest => 7,
+            Self::SyncReply => 8,
         }
     }
 }
--- a/crates/briarrail_settings/src/daemon_settings.rs
+++ b/crates/briarrail_settings/src/daemon_settings.rs
@@ -73,12 +73,7 @@
     ///
     /// Returns every mistake in the text, or the first one when the text can't be parsed.
     pub fn from_text(text: &str) -> Result<Self, SettingsErrors> {
-        let log = ErrorLog::new(text);
-        let settings = parse_root(text, &log).and_then(|root| Self::read(&log, &root));
-        match (log.into_errors(), settings) {
-            (None, Some(settings)) => Ok(settings),
-            (errors, _) => Err(errors.unwrap_or(SettingsErrors(Vec::new()))),
-        }
+        read_text(text, Self::read)
     }
 
     /// Reads and checks a settings file.
@@ -87,14 +82,7 @@
     ///
     /// Fails as [`from_text`](Self::from_text) does, and when the file can't be read.
     pub fn from_file(path: &Path) -> Result<Self, SettingsErrors> {
-        let text = std::fs::read_to_string(path).map_err(|error| {
-            let log = ErrorLog::new("");
-            let shown = path.display().to_string();
-            let kind = SettingsErrorKind::Unreadable;
-            log.add(kind, Range::new(0, 0), "file", &shown, &error.to_string());
-            log.into_errors().unwrap_or(SettingsErrors(Vec::new()))
-        })?;
-        Self::from_text(&text)
+        Self::from_text(&read_file(path)?)
     }
 
     fn read(log: &ErrorLog<'_>, root: &Value<'_>) -> Option<Self> {
@@ -130,6 +118,30 @@
     }
 }
 
+/// Reads a settings file as text.
+pub(crate) fn read_file(path: &Path) -> Result<String, SettingsErrors> {
+    std::fs::read_to_string(path).map_err(|error| {
+        let log = ErrorLog::new("");
+        let shown = path.display().to_string();
+        let kind = SettingsErrorKind::Unreadable;
+        log.add(kind, Range::new(0, 0), "file", &shown, &error.to_string());
+        log.into_errors().unwrap_or(SettingsErrors(Vec::new()))
+    })
+}
+
+/// Parses settings and reads them with `read`, collecting every mistake.
+pub(crate) fn read_text<T, R>(text: &str, read: R) -> Result<T, SettingsErrors>
+where
+    R: FnOnce(&ErrorLog<'_>, &Value<'_>) -> Option<T>,
+{
+    let log = ErrorLog::new(text);
+    let settings = parse_root(text, &log).and_then(|root| read(&log, &root));
+    match (log.into_errors(), settings) {
+        (None, Some(settings)) => Ok(settings),
+        (errors, _) => Err(errors.unwrap_or(SettingsErrors(Vec::new()))),
+    }
+}
+
 fn parse_root<'t>(text: &'t str, log: &ErrorLog<'t>) -> Option<Value<'t>> {
     match jsonc_parser::parse_to_ast(text, &Default::default(), &parse_options()) {
         Ok(result) => {
--- a/crates/briarrail_settings/src/setting_value.rs
+++ b/crates/briarrail_settings/src/setting_value.rs
@@ -31,6 +31,15 @@
     };
 }
 
+impl SettingValue for f64 {
+    const FORM: &'static str = "write a number, such as 0.2";
+
+    fn from_node(node: &Value<'_>) -> Option<Self> {
+        let number: Self = node.as_number_lit()?.value.parse().ok()?;
+        (number.is_finite() && number >= 0.0).then_some(number)
+    }
+}
+
 text_value!(String, "write text in quotes", |text| Some(text.to_owned()));
 text_value!(HostName, "write the host's name in quotes", |text| Some(
     text.into()
