--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -86,6 +86,26 @@
         }
     }
 
+    /// Returns the target that most likely keeps the shared context of a request placed at
+    /// `chosen`, if `chosen` may lack it.
+    ///
+    /// Targets that drain still hand out what they keep. The first target of the rendezvous order
+    /// apart from the chosen one is the home that it stands in for, or the home before it joined.
+    #[must_use]
+    pub fn context_source(
+        &self,
+        ask: &PlacementAsk<'_>,
+        chosen: TargetKey,
+        now: MilliTime,
+    ) -> Option<TargetKey> {
+        let affinity = ask.affinity?;
+        let others = self.of_service(ask.service).filter(|(key, state)| {
+            *key != chosen && state.guard.allows(now) && !ask.tried.contains(key)
+        });
+        let first = others.max_by_key(|(_, state)| hash_pair(affinity, state.hash).0);
+        first.map(|(key, _)| key)
+    }
+
     /// Returns whether a service has open targets.
     #[must_use]
     pub fn has_open_target(&self, service: &str) -> bool {
--- a/crates/briarrail_gateway/src/dialect.rs
+++ b/crates/briarrail_gateway/src/dialect.rs
@@ -51,6 +51,8 @@
     pub priority: Option<u8>,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
+    /// Target from which shared context may be fetched instead of being read again.
+    pub context_source: Option<SocketAddr>,
 }
 
 /// What a target's head says, in the product's own terms.
--- a/crates/briarrail_gateway/src/traffic/request_context.rs
+++ b/crates/briarrail_gateway/src/traffic/request_context.rs
@@ -1,5 +1,6 @@
 //! What stays the same over all sends of one request.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use briarrail_dispatch::{RepeatRule, RouteRules, RoutingTable};
@@ -89,6 +90,7 @@
         dialect: &D,
         target: &str,
         last_event: Option<u64>,
+        context_source: Option<SocketAddr>,
         clock: ProcessClock,
     ) -> Request<Full<Bytes>>
     where
@@ -104,6 +106,7 @@
             remaining: Some(self.ends_at.since(clock.now())),
             priority: self.caches_prompts.then_some(self.priority),
             last_event,
+            context_source,
         };
         dialect.mark_send(request.headers_mut(), &marks);
         request
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -1,5 +1,6 @@
 //! One send of a request to one target, up to the head of its answer.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 
@@ -71,7 +72,7 @@
     if context.remaining(now).is_none() {
         return SendEnd::Failed(AttemptEvent::DeadlinePassed);
     }
-    let Some(key) = choose_target(state, context, tried, trace) else {
+    let Some((key, context_source)) = choose_target(state, context, tried, trace) else {
         return SendEnd::Failed(AttemptEvent::NoTarget);
     };
     tried.0.push(key);
@@ -89,7 +90,13 @@
             );
         }
     };
-    let request = context.target_request(&state.dialect, &trace.target, last_event, state.clock);
+    let request = context.target_request(
+        &state.dialect,
+        &trace.target,
+        last_event,
+        context_source,
+        state.clock,
+    );
     trace.sends += 1;
     let answer = {
         let sending = link.send(request);
@@ -176,7 +183,7 @@
     context: &RequestContext,
     tried: &TriedTargets,
     trace: &mut RequestTrace<D>,
-) -> Option<TargetKey> {
+) -> Option<(TargetKey, Option<SocketAddr>)> {
     let now = state.clock.now();
     let board = state.board.borrow();
     let affinity = context.caller.prompt.affinity();
@@ -194,7 +201,11 @@
         trace.counts_age = target.peer_count_age(now);
         trace.mean_load = board.mean_load(&context.service, now);
     }
-    Some(key)
+    let source = board.context_source(&ask, key, now);
+    let address = source
+        .and_then(|source| board.get(source))
+        .map(|source| source.row.address);
+    Some((key, address))
 }
 
 /// Returns when a silent target is given up for another, if the request may be repeated.
