--- a/crates/briarrail_dispatch/src/target_roster.rs
+++ b/crates/briarrail_dispatch/src/target_roster.rs
@@ -44,6 +44,11 @@
         self.outage_end = Some(now);
     }
 
+    /// Notes that the view went on through another reader of the store.
+    pub fn forget_outage(&mut self) {
+        self.outage_end = None;
+    }
+
     /// Takes an entry.
     pub fn put(&mut self, row: TargetRow) -> Option<RosterChange> {
         let known = self.entries.get_mut(&row.id);
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -125,6 +125,9 @@
         hub_position: (0, 0),
         config_seen_at: None,
         targets_seen_at: None,
+        config_read_at: None,
+        targets_read_at: None,
+        own_avoided_until: None,
         has_targets: false,
     }
 }
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -54,6 +54,11 @@
     /// When the view of the store was last known to be current, its parts apart.
     pub(crate) config_seen_at: Option<MilliTime>,
     pub(crate) targets_seen_at: Option<MilliTime>,
+    /// The same by this router's own reads, which alone are passed on as current.
+    pub(crate) config_read_at: Option<MilliTime>,
+    pub(crate) targets_read_at: Option<MilliTime>,
+    /// Until when this router follows another one, after the store failed it.
+    pub(crate) own_avoided_until: Option<MilliTime>,
     /// Whether the targets were listed at all.
     pub(crate) has_targets: bool,
 }
@@ -65,6 +70,24 @@
         Some(now.since(oldest))
     }
 
+    /// Returns the age of this router's own reads; none before the first whole ones.
+    pub(crate) fn read_age(&self, now: MilliTime) -> Option<MilliDuration> {
+        let oldest = self.config_read_at?.min(self.targets_read_at?);
+        Some(now.since(oldest))
+    }
+
+    /// Notes that the configuration was current at a time, by an own read.
+    pub(crate) fn note_config_read(&mut self, at: MilliTime) {
+        self.config_read_at = self.config_read_at.max(Some(at));
+        self.config_seen_at = self.config_seen_at.max(Some(at));
+    }
+
+    /// Notes that the targets were current at a time, by an own read.
+    pub(crate) fn note_targets_read(&mut self, at: MilliTime) {
+        self.targets_read_at = self.targets_read_at.max(Some(at));
+        self.targets_seen_at = self.targets_seen_at.max(Some(at));
+    }
+
     /// Returns whether the router can serve.
     pub(crate) const fn is_ready(&self) -> bool {
         self.config.is_some() && self.has_targets
@@ -197,7 +220,7 @@
     pub(crate) fn choose_hub(&self, now: MilliTime) -> Option<(HostName, SocketAddr)> {
         let own = HubCandidate {
             name: self.name.clone(),
-            avoided_until: None,
+            avoided_until: self.own_avoided_until,
         };
         let others = self.peers.iter().map(|(name, peer)| HubCandidate {
             name: name.clone(),
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -124,7 +124,7 @@
     });
     let reply = SyncReply {
         view_age_ms: state
-            .view_age(now)
+            .read_age(now)
             .map(briarrail_model::MilliDuration::as_millis),
         routers: state.live_routers(now),
         counts: state.counts_without(&envelope.from, own, now),
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -177,6 +177,8 @@
             Err(error) => tracing::error!(event = "hub_roster_unreadable", %error),
         }
     }
+    // The view went on without this router's own reads, so what lapsed meanwhile is gone.
+    state.roster.forget_outage();
     let seen_at = now - age;
     state.config_seen_at = state.config_seen_at.max(Some(seen_at));
     state.targets_seen_at = state.targets_seen_at.max(Some(seen_at));
--- a/crates/briarrail_gateway/src/control/store_follower.rs
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -25,6 +25,9 @@
 /// Silence after which a router's entry is removed: far longer than a restart.
 const ENTRY_LIMIT: MilliDuration = MilliDuration::from_millis(30_000);
 
+/// How long a router that the store failed follows another one, if one can read it.
+const OWN_AVOIDANCE: MilliDuration = MilliDuration::from_millis(1_000);
+
 type SharedControl = Rc<RefCell<ControlState>>;
 
 /// Returns whether this router reads the store now: it is the hub, or the hub's view is old.
@@ -53,6 +56,10 @@
             Ok(_) | Err(_) => {}
         }
         self.is_lost = outcome.is_err();
+        if self.is_lost {
+            let mut state = state.borrow_mut();
+            state.own_avoided_until = Some(state.clock.now() + OWN_AVOIDANCE);
+        }
     }
 }
 
@@ -120,7 +127,7 @@
     if next.is_some() {
         // A watch was current when it ended, a read only when it was asked.
         let seen = revision.map_or(asked_at, |_| state.clock.now());
-        state.config_seen_at = state.config_seen_at.max(Some(seen));
+        state.note_config_read(seen);
     }
 }
 
@@ -174,7 +181,7 @@
     let changes = state.roster.replace(listing.rows, now);
     state.apply_roster(changes, "store");
     state.has_targets = true;
-    state.targets_seen_at = state.targets_seen_at.max(Some(asked_at));
+    state.note_targets_read(asked_at);
     Ok(Some(listing.revision))
 }
 
@@ -201,7 +208,7 @@
         });
     }
     state.apply_roster(roster_changes, "store");
-    state.targets_seen_at = state.targets_seen_at.max(Some(now));
+    state.note_targets_read(now);
     Ok(Some(revision))
 }
 
