--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -28,6 +28,6 @@
     CallerLimits, CustomerRow, RepeatRule, RouteRules, ServiceRules, ServiceShare, SiteConfig,
 };
 pub use target_board::{TargetBoard, TargetKey, TargetState};
-pub use target_placement::{PlacementAsk, PlacementTerms};
+pub use target_placement::{Placement, PlacementAsk, PlacementTerms};
 pub use target_roster::{RosterChange, TargetRoster};
 pub use target_row::{TargetPhase, TargetRow};
--- a/crates/briarrail_dispatch/src/target_board.rs
+++ b/crates/briarrail_dispatch/src/target_board.rs
@@ -14,6 +14,8 @@
 
 /// Longest age of the other routers' counts; older ones say nothing of the present load.
 const PEER_COUNT_AGE: MilliDuration = MilliDuration::from_millis(1_500);
+/// Time for which a target that left without draining still serves; the shortest drain of a site.
+const GONE_MEMORY: MilliDuration = MilliDuration::from_millis(1_500);
 /// Longest age of a load that a target told with an answer.
 const TOLD_LOAD_AGE: MilliDuration = MilliDuration::from_millis(400);
 
@@ -40,7 +42,8 @@
     /// Requests of the other routers, and when that was known.
     peers: Option<(f32, MilliTime)>,
     told: Option<ToldLoad>,
-    is_listed: bool,
+    /// When the target went off the list.
+    gone_at: Option<MilliTime>,
 }
 
 impl TargetState {
@@ -70,7 +73,19 @@
     /// Returns whether new requests may go to the target at all.
     #[must_use]
     pub fn is_open(&self) -> bool {
-        self.is_listed && self.row.phase == TargetPhase::Ready
+        self.gone_at.is_none() && self.row.phase == TargetPhase::Ready
+    }
+
+    /// Returns whether the target can hand out the context that it keeps.
+    ///
+    /// One that drained before it left is down; one that left at once goes on for a while. A
+    /// target that is down would delay the request by a time limit of the fetching target.
+    #[must_use]
+    pub fn hands_out_context(&self, now: MilliTime) -> bool {
+        let is_up = self
+            .gone_at
+            .is_none_or(|at| self.row.phase == TargetPhase::Ready && now.since(at) <= GONE_MEMORY);
+        is_up && self.guard.ejected_until().is_none()
     }
 
     /// Returns the age of the other routers' counts, if they are known.
@@ -101,7 +116,7 @@
                 state.peers = None;
             }
             state.row = row;
-            state.is_listed = true;
+            state.gone_at = None;
             return key;
         }
         let (id, service) = (row.id.clone(), row.service.clone());
@@ -112,18 +127,30 @@
             own: 0,
             peers: None,
             told: None,
-            is_listed: true,
+            gone_at: None,
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
         key
     }
 
-    /// Takes a target off the list; its state goes with its last request.
-    pub fn remove(&mut self, id: &str) {
+    /// Takes a target off the list; its state goes some time after its last request.
+    pub fn remove(&mut self, id: &str, now: MilliTime) {
         if let Some(&key) = self.by_id.get(id) {
-            self.targets[key].is_listed = false;
-            self.forget_if_idle(key);
+            self.targets[key].gone_at = Some(now);
+        }
+    }
+
+    /// Forgets targets that are long gone and have no requests of this router.
+    pub fn forget_gone(&mut self, now: MilliTime) {
+        let is_over = |state: &TargetState| {
+            let gone_long = |at: MilliTime| now.since(at) > GONE_MEMORY;
+            state.own == 0 && state.gone_at.is_some_and(gone_long)
+        };
+        let over = self.targets.iter().filter(|(_, state)| is_over(state));
+        let keys: Vec<TargetKey> = over.map(|(key, _)| key).collect();
+        for key in keys {
+            self.forget(key);
         }
     }
 
@@ -167,7 +194,6 @@
     pub fn end(&mut self, key: TargetKey) {
         if let Some(state) = self.targets.get_mut(key) {
             state.own = state.own.saturating_sub(1);
-            self.forget_if_idle(key);
         }
     }
 
@@ -190,11 +216,7 @@
         }
     }
 
-    fn forget_if_idle(&mut self, key: TargetKey) {
-        let state = &self.targets[key];
-        if state.is_listed || state.own > 0 {
-            return;
-        }
+    fn forget(&mut self, key: TargetKey) {
         let Some(state) = self.targets.remove(key) else {
             return;
         };
--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -24,14 +24,26 @@
 /// Shared tokens from which a prompt is worth the loose limit: about 50 ms of reading.
 const LARGE_PROMPT_TOKENS: u32 = 5_000;
 /// Limit for small prompts, as a multiple of the mean.
-const SMALL_RATIO: f32 = 1.15;
+const SMALL_RATIO: f32 = 1.4;
 /// Requests added to the limit for small prompts.
-const SMALL_SLACK: f32 = 1.5;
+const SMALL_SLACK: f32 = 2.0;
 /// Targets of the rendezvous order that are tried before the least loaded one.
 const HOME_TARGETS: usize = 3;
 /// Part of its slots up to which a target without a cache is filled, queue aside.
 const FULL_QUEUE_FACTOR: f32 = 3.0;
 
+/// Where a request goes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Placement {
+    /// The target.
+    pub target: TargetKey,
+    /// Place of the target in the request's rendezvous order, 0 first; none without shared
+    /// context.
+    pub rank: Option<usize>,
+    /// Load above which targets of the order were passed over.
+    pub limit: f32,
+}
+
 /// What is to be placed.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementAsk<'a> {
@@ -64,7 +76,7 @@
         ask: &PlacementAsk<'_>,
         terms: &PlacementTerms,
         now: MilliTime,
-    ) -> Option<TargetKey> {
+    ) -> Option<Placement> {
         let open = || {
             let listed = self.of_service(ask.service);
             listed.filter(|(key, state)| state.is_open() && !ask.tried.contains(key))
@@ -82,7 +94,11 @@
         candidates.retain(|candidate| candidate.load < candidate.slots * FULL_QUEUE_FACTOR);
         match ask.affinity {
             Some(_) => place_prompt(candidates, ask, terms, mean),
-            None => least_loaded(&candidates),
+            None => least_loaded(&candidates).map(|index| Placement {
+                target: candidates[index].key,
+                rank: None,
+                limit: f32::INFINITY,
+            }),
         }
     }
 
@@ -100,7 +116,7 @@
     ) -> Option<TargetKey> {
         let affinity = ask.affinity?;
         let others = self.of_service(ask.service).filter(|(key, state)| {
-            *key != chosen && state.guard.allows(now) && !ask.tried.contains(key)
+            *key != chosen && state.hands_out_context(now) && !ask.tried.contains(key)
         });
         let first = others.max_by_key(|(_, state)| hash_pair(affinity, state.hash).0);
         first.map(|(key, _)| key)
@@ -144,7 +160,7 @@
     ask: &PlacementAsk<'_>,
     terms: &PlacementTerms,
     mean: f32,
-) -> Option<TargetKey> {
+) -> Option<Placement> {
     candidates.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.order));
     let loose = GUARD_PART * terms.hard_ratio.mul_add(mean, terms.hard_slack) - 1.0;
     let tight = SMALL_RATIO.mul_add(mean, SMALL_SLACK);
@@ -153,21 +169,22 @@
     } else {
         tight.min(loose)
     };
-    let homes = candidates.iter().take(HOME_TARGETS);
-    let mut with_room = homes.filter(|candidate| candidate.load <= limit);
-    if let Some(home) = with_room.next() {
-        return Some(home.key);
-    }
-    least_loaded(&candidates)
+    let mut homes = candidates.iter().take(HOME_TARGETS);
+    let home = homes.position(|candidate| candidate.load <= limit);
+    let index = home.or_else(|| least_loaded(&candidates))?;
+    Some(Placement {
+        target: candidates[index].key,
+        rank: Some(index),
+        limit,
+    })
 }
 
-fn least_loaded(candidates: &[Candidate]) -> Option<TargetKey> {
-    let by_load = |candidate: &&Candidate| {
+/// Returns the index of the candidate with the least load for its slots.
+fn least_loaded(candidates: &[Candidate]) -> Option<usize> {
+    let by_load = |&index: &usize| {
+        let candidate = &candidates[index];
         let relative = candidate.load / candidate.slots.max(1.0);
         ((relative * 1_000.0) as u64, candidate.order)
     };
-    candidates
-        .iter()
-        .min_by_key(by_load)
-        .map(|candidate| candidate.key)
+    (0..candidates.len()).min_by_key(by_load)
 }
--- a/crates/briarrail_gateway/src/traffic/request_run.rs
+++ b/crates/briarrail_gateway/src/traffic/request_run.rs
@@ -110,6 +110,7 @@
         .read_caller(&head.headers)
         .map_err(|_| Refusal::new(StatusCode::BAD_REQUEST, "unreadable request head"))?;
     trace.set_request_id(&caller.request_id);
+    trace.shared_tokens = caller.prompt.shared_tokens();
     let seed = briarrail_model::hash_bytes(&caller.request_id);
     let elsewhere = |reason| Refusal {
         retry_after: Some(retry_after(RefusalCause::WrongRouter, seed)),
--- a/crates/briarrail_gateway/src/traffic/request_trace.rs
+++ b/crates/briarrail_gateway/src/traffic/request_trace.rs
@@ -21,6 +21,12 @@
     pub(crate) customer: Option<String>,
     pub(crate) config_version: u64,
     pub(crate) target: String,
+    /// Place of the target in the request's rendezvous order.
+    pub(crate) rank: Option<usize>,
+    /// Load above which targets of the order were passed over.
+    pub(crate) load_limit: f32,
+    /// Tokens of the prompt's shared parts.
+    pub(crate) shared_tokens: u32,
     /// Expected load of the target and mean of its service when it was chosen.
     pub(crate) target_load: f32,
     pub(crate) mean_load: f32,
@@ -46,6 +52,9 @@
             customer: None,
             config_version: 0,
             target: String::new(),
+            rank: None,
+            load_limit: 0.0,
+            shared_tokens: 0,
             target_load: 0.0,
             mean_load: 0.0,
             counts_age: None,
@@ -115,6 +124,9 @@
             customer = self.customer,
             config_version = self.config_version,
             target_id = self.target,
+            rank = self.rank,
+            load_limit = self.load_limit,
+            shared_tokens = self.shared_tokens,
             target_load = self.target_load,
             mean_load = self.mean_load,
             counts_age_ms = self.counts_age.map(MilliDuration::as_millis),
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -194,7 +194,10 @@
         tried: &tried.0,
         seed: context.seed(),
     };
-    let key = board.place(&ask, &state.placement_terms(), now)?;
+    let placement = board.place(&ask, &state.placement_terms(), now)?;
+    let key = placement.target;
+    trace.rank = placement.rank;
+    trace.load_limit = placement.limit;
     if let Some(target) = board.get(key) {
         trace.target.clone_from(&target.row.id);
         trace.target_load = target.expected_load(now);
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -201,7 +201,7 @@
                 let key = self.board.borrow().key_of(&id);
                 if let Some(key) = key {
                     self.links.borrow_mut().forget(key);
-                    self.board.borrow_mut().remove(&id);
+                    self.board.borrow_mut().remove(&id, self.clock.now());
                 }
             }
             RosterChange::Kept(..) => {}
@@ -218,6 +218,7 @@
             .iter()
             .map(|(key, target)| (key, target.hash.0 as u32))
             .collect();
+        board.forget_gone(now);
         for (key, hash) in keys {
             let requests = by_target.get(&hash).copied().unwrap_or(0);
             board.set_peer_count(key, requests as f32, now);
