--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -18,7 +18,7 @@
 mod target_roster;
 mod target_row;
 
-pub use hub_choice::{HubCandidate, choose_hub};
+pub use hub_choice::{HubCandidate, choose_hub, choose_view_source};
 pub use outlier_guard::{OutlierGuard, SendOutcome};
 pub use prompt_facts::PromptFacts;
 pub use refusal_timing::{RefusalCause, retry_after};
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use briarrail_dispatch::TargetRoster;
-use briarrail_peer::{FrameCodec, KeyRing, SharedKey};
+use briarrail_peer::{FrameCodec, KeyRing, SharedKey, SyncRouter};
 use briarrail_settings::GatewaySettings;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -36,6 +36,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(600);
 /// Time between two looks at the requests in flight during a stop.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Bandwidth that a whole core can feed to other routers, in Mbit/s, by the cost of a round.
+const MBPS_PER_CORE: f64 = 400.0;
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_POLL: Duration = Duration::from_millis(1_000);
 
@@ -68,9 +70,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let state = Rc::new(RefCell::new(new_state(&inputs)));
-    let own = Rc::default();
-    tokio::task::spawn_local(serve_peers(Rc::clone(&state), Rc::clone(&own), peers));
-    tokio::task::spawn_local(run_rounds(Rc::clone(&state), own));
+    tokio::task::spawn_local(serve_peers(Rc::clone(&state), peers));
+    tokio::task::spawn_local(run_rounds(Rc::clone(&state)));
     tokio::task::spawn_local(follow_config(Rc::clone(&state), store.clone()));
     tokio::task::spawn_local(follow_targets(Rc::clone(&state), store.clone()));
     tokio::task::spawn_local(follow_routers(Rc::clone(&state), store.clone()));
@@ -105,13 +106,23 @@
     Ok(())
 }
 
+/// Returns what the host can carry, in steps of a factor of two.
+fn host_capacity(settings: &GatewaySettings) -> u8 {
+    let by_core = settings.core_share * MBPS_PER_CORE;
+    settings.link_mbps.min(by_core).max(1.0).log2() as u8
+}
+
 fn new_state<D>(inputs: &ControlInputs<D>) -> ControlState {
     let settings = &inputs.settings;
     let key = SharedKey::new(settings.exchange_key.reveal().as_bytes());
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     ControlState {
-        name: settings.name.clone(),
-        address: settings.peers,
+        own: SyncRouter {
+            name: settings.name.clone(),
+            address: settings.peers,
+            data_centre: settings.data_centre.clone(),
+            capacity: host_capacity(settings),
+        },
         incarnation: since_epoch.map_or(1, |time| time.as_micros() as u64),
         clock: inputs.clock,
         codec: FrameCodec::new(KeyRing::new(key)),
@@ -122,13 +133,15 @@
         log: RosterLog::default(),
         config: None,
         peers: std::collections::BTreeMap::new(),
+        hub_view: None,
+        hub_waited_at: None,
         hub_position: (0, 0),
         config_seen_at: None,
         targets_seen_at: None,
-        config_read_at: None,
-        targets_read_at: None,
-        own_avoided_until: None,
+        failing_reads: std::collections::BTreeSet::new(),
+        view_wanted_at: None,
         has_targets: false,
+        own_counts: Vec::new(),
     }
 }
 
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use briarrail_model::MilliDuration;
 use briarrail_peer::{
     ConfigPart, Envelope, FrameError, MAX_FRAME_BYTES, MessageKind, SyncReply, SyncRequest,
-    SyncRouter, TargetCount,
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -23,18 +23,21 @@
 /// Idle time after which another router's connection is closed; many rounds.
 const PEER_IDLE: Duration = Duration::from_secs(10);
 
+/// Shortest time between a follower's rounds: counts stay fresher than a short request lasts.
+pub(crate) const MIN_ROUND_MS: u32 = 200;
+/// Longest time between a follower's rounds: targets that leave must be known within seconds.
+const MAX_ROUND_MS: u32 = 600;
+/// Time that one follower adds, about ten times what its round costs a small host.
+const ROUND_MS_PER_FOLLOWER: u32 = 6;
+
+/// How long a router that stops is not followed; it is gone by then.
+const STOP_AVOIDANCE: MilliDuration = MilliDuration::from_millis(10_000);
+
 /// Path at which routers ask for what they lack.
 pub(crate) const SYNC_PATH: &str = "/sync";
 
-/// This router's own counts, as of its last round.
-pub(crate) type OwnCounts = Rc<RefCell<Vec<TargetCount>>>;
-
 /// Serves the other routers.
-pub(crate) async fn serve_peers(
-    state: Rc<RefCell<ControlState>>,
-    own: OwnCounts,
-    listener: TcpListener,
-) {
+pub(crate) async fn serve_peers(state: Rc<RefCell<ControlState>>, listener: TcpListener) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -47,9 +50,9 @@
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "no-delay could not be set");
         }
-        let (state, own) = (Rc::clone(&state), Rc::clone(&own));
+        let state = Rc::clone(&state);
         tokio::task::spawn_local(async move {
-            let service = service_fn(|request| answer(Rc::clone(&state), Rc::clone(&own), request));
+            let service = service_fn(|request| answer(Rc::clone(&state), request));
             let served = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(PEER_IDLE)
@@ -64,7 +67,6 @@
 
 async fn answer(
     state: Rc<RefCell<ControlState>>,
-    own: OwnCounts,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let with_status = |status| {
@@ -81,7 +83,7 @@
     else {
         return Ok(with_status(StatusCode::PAYLOAD_TOO_LARGE));
     };
-    let reply = answer_frame(&mut state.borrow_mut(), &own.borrow(), &frame.to_bytes());
+    let reply = answer_frame(&mut state.borrow_mut(), &frame.to_bytes());
     Ok(match reply {
         Ok(reply) => Response::new(Full::new(reply)),
         Err(error) => {
@@ -91,25 +93,20 @@
     })
 }
 
-fn answer_frame(
-    state: &mut ControlState,
-    own: &[TargetCount],
-    frame: &[u8],
-) -> Result<Bytes, FrameError> {
+fn answer_frame(state: &mut ControlState, frame: &[u8]) -> Result<Bytes, FrameError> {
     let now = state.clock.now();
-    let name = state.name.clone();
+    let name = state.own.name.clone();
     let envelope: Envelope<SyncRequest> =
         state.codec.open(MessageKind::SyncRequest, &name, frame)?;
-    let sender = SyncRouter {
-        name: envelope.from.clone(),
-        address: envelope.body.address,
-    };
-    state.note_router(&sender, Some(now));
     let request = envelope.body;
-    if let Some(peer) = state.peers.get_mut(&envelope.from) {
-        peer.counts = request.counts;
-        peer.counts_at = Some(now);
-        peer.is_stopping = request.is_stopping;
+    state.note_router(request.sender);
+    if request.is_stopping {
+        state.avoid(&envelope.from, now + STOP_AVOIDANCE);
+    }
+    if request.wants_view {
+        state.view_wanted_at = Some(now);
+    } else {
+        state.take_counts(&envelope.from, request.counts, request.covered, now);
     }
     let config = state.config.as_ref();
     let newer = config.filter(|(revision, _)| *revision > request.config_revision);
@@ -122,12 +119,14 @@
         tracing::error!(event = "roster_not_encoded", %error);
         None
     });
+    let has_routers = request.routers_digest == state.routers_digest();
     let reply = SyncReply {
-        view_age_ms: state
-            .read_age(now)
-            .map(briarrail_model::MilliDuration::as_millis),
-        routers: state.live_routers(now),
-        counts: state.counts_without(&envelope.from, own, now),
+        view_age_ms: state.view_age(now).map(MilliDuration::as_millis),
+        is_cut: state.is_cut(),
+        routers: (!has_routers).then(|| state.known_routers()),
+        live: state.live_routers(now),
+        next_round_ms: next_round_ms(state.follower_count(now)),
+        counts: state.counts_for(&envelope.from, now),
         config: newer.map(|(revision, body)| ConfigPart {
             revision: *revision,
             body: body.clone(),
@@ -142,3 +141,9 @@
     };
     state.codec.seal(MessageKind::SyncReply, &envelope)
 }
+
+/// Returns the time between a follower's rounds, so that many followers don't outrun this host.
+fn next_round_ms(followers: usize) -> u32 {
+    let wished = followers as u32 * ROUND_MS_PER_FOLLOWER;
+    wished.clamp(MIN_ROUND_MS, MAX_ROUND_MS)
+}
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -1,91 +1,112 @@
-//! Rounds with the router that reads the store.
+//! Rounds with the router that this one follows.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use briarrail_dispatch::{RosterChange, SiteConfig, TargetRow};
+use briarrail_dispatch::{RosterChange, TargetRow};
 use briarrail_model::{HostName, MilliDuration};
-use briarrail_peer::{Envelope, MessageKind, SyncReply, SyncRequest};
+use briarrail_peer::{
+    ConfigPart, Envelope, MessageKind, RosterPart, SyncReply, SyncRequest, SyncRouter,
+};
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
-use super::control_state::{ControlState, VIEW_LIMIT};
-use super::hub_server::{OwnCounts, SYNC_PATH};
+use super::config_codec::decode_config;
+use super::control_state::{ControlState, HubView, VIEW_LIMIT};
+use super::hub_server::{MIN_ROUND_MS, SYNC_PATH};
 use crate::traffic::{ControlUpdate, StopPhase};
 use crate::{CallClient, ConfigRead};
 
-/// Time between two rounds: counts of other routers stay fresher than a short request lasts.
-const ROUND_INTERVAL: Duration = Duration::from_millis(200);
-/// Longest round; several round trips within a site.
-const ROUND_LIMIT: Duration = Duration::from_millis(400);
-/// How long a silent router is passed over; it is asked again soon after a restart.
-const SILENT_AVOIDANCE: MilliDuration = MilliDuration::from_millis(3_000);
-/// How long a router with an old view is passed over.
+/// Longest round; several round trips within a site, with a configuration in the reply.
+const ROUND_LIMIT: Duration = Duration::from_millis(500);
+/// How long a router that the store fails as well is not asked for its view.
 const STALE_AVOIDANCE: MilliDuration = MilliDuration::from_millis(1_000);
 /// Longest wait for the traffic thread's counts.
 const COUNTS_LIMIT: Duration = Duration::from_millis(100);
 
-/// Asks the hub in rounds, for ever.
-pub(crate) async fn run_rounds(state: Rc<RefCell<ControlState>>, own: OwnCounts) {
-    let mut clients: HashMap<SocketAddr, CallClient> = HashMap::new();
-    let mut rounds = tokio::time::interval(ROUND_INTERVAL);
-    rounds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+type SharedControl = Rc<RefCell<ControlState>>;
+
+/// Follows the chosen router in rounds, for ever.
+pub(crate) async fn run_rounds(state: SharedControl) {
+    let mut client: Option<(SyncRouter, CallClient)> = None;
     loop {
-        rounds.tick().await;
-        read_own_counts(&state, &own).await;
-        let now = state.borrow().clock.now();
-        state.borrow().publish_router_count(now);
-        let hub = state.borrow().choose_hub(now);
-        let Some((name, address)) = hub else {
-            // This router is the hub; the counts that the others told it are its own to use.
-            let (counts, updates) = {
-                let state = state.borrow();
-                let counts = state.counts_without(&state.name, &own.borrow(), now);
-                (counts, state.updates.clone())
-            };
-            if updates.send(ControlUpdate::PeerCounts(counts)).is_err() {
-                return;
+        read_own_counts(&state).await;
+        let (now, hub) = {
+            let state = state.borrow();
+            let now = state.clock.now();
+            state.publish_router_count(now);
+            (now, state.choose_hub(now))
+        };
+        let is_root = hub.is_none();
+        // A router without another to follow asks for a view only when the store fails it.
+        let asked = hub.or_else(|| {
+            let state = state.borrow();
+            let is_cut = state.is_cut();
+            state.choose_view_source(now).filter(|_| is_cut)
+        });
+        let round = match asked {
+            Some(asked) => {
+                if client.as_ref().is_none_or(|(known, _)| *known != asked) {
+                    tracing::info!(event = "following", hub = %asked.name, is_root);
+                    client = Some((asked.clone(), CallClient::new(asked.address)));
+                }
+                match &client {
+                    Some((_, client)) => ask_hub(&state, client, &asked.name, is_root).await,
+                    None => MIN_ROUND_MS,
+                }
+            }
+            None => {
+                if client.take().is_some() {
+                    tracing::info!(event = "reading_store");
+                }
+                MIN_ROUND_MS
             }
-            continue;
         };
-        clients.retain(|known, _| *known == address);
-        let client = clients
-            .entry(address)
-            .or_insert_with(|| CallClient::new(address));
-        ask_hub(&state, client, &name, &own).await;
+        if is_root {
+            state.borrow_mut().hub_view = None;
+        }
+        {
+            let state = state.borrow();
+            let counts = state.peer_counts(now);
+            state.tell_traffic(ControlUpdate::PeerCounts(counts));
+        }
+        tokio::time::sleep(Duration::from_millis(u64::from(round))).await;
     }
 }
 
-async fn read_own_counts(state: &Rc<RefCell<ControlState>>, own: &OwnCounts) {
+async fn read_own_counts(state: &SharedControl) {
     let (reply, counts) = oneshot::channel();
     state.borrow().tell_traffic(ControlUpdate::OwnCounts(reply));
     match tokio::time::timeout(COUNTS_LIMIT, counts).await {
-        Ok(Ok(counts)) => *own.borrow_mut() = counts,
+        Ok(Ok(counts)) => state.borrow_mut().own_counts = counts,
         Ok(Err(_)) | Err(_) => tracing::debug!("no counts from the traffic thread"),
     }
 }
 
+/// Asks the followed router, and returns the milliseconds until the next round.
 async fn ask_hub(
-    state: &Rc<RefCell<ControlState>>,
+    state: &SharedControl,
     client: &CallClient,
     name: &HostName,
-    own: &OwnCounts,
-) {
+    wants_view: bool,
+) -> u32 {
     let frame = {
         let state = state.borrow();
+        let now = state.clock.now();
         let envelope = Envelope {
-            from: state.name.clone(),
+            from: state.own.name.clone(),
             incarnation: state.incarnation,
             to: name.clone(),
             body: SyncRequest {
-                address: state.address,
+                sender: state.own.clone(),
                 config_revision: state.config.as_ref().map_or(0, |(revision, _)| *revision),
                 roster_epoch: state.hub_position.0,
                 roster_sequence: state.hub_position.1,
-                counts: own.borrow().clone(),
+                counts: state.covered_counts(None, now),
+                covered: state.covered_routers(now),
+                routers_digest: state.routers_digest(),
+                wants_view,
                 is_stopping: state.shared.stop_phase() != StopPhase::Serving,
             },
         };
@@ -95,24 +116,29 @@
         Ok(frame) => frame,
         Err(error) => {
             tracing::error!(event = "sync_not_encoded", %error);
-            return;
+            return MIN_ROUND_MS;
         }
     };
     let outcome = call_hub(state, client, frame).await;
     let mut state = state.borrow_mut();
-    let now = state.clock.now();
     match outcome {
-        Ok(envelope) => take_reply(&mut state, name, envelope),
+        Ok(envelope) => {
+            let next = envelope.body.next_round_ms;
+            take_reply(&mut state, name, envelope.body, wants_view);
+            next
+        }
         Err(error) => {
+            let now = state.clock.now();
             state.metrics.count_sync("failed");
             tracing::info!(event = "hub_lost", hub = %name, error);
-            state.avoid(name, now + SILENT_AVOIDANCE);
+            state.avoid_silent(name, now);
+            0
         }
     }
 }
 
 async fn call_hub(
-    state: &Rc<RefCell<ControlState>>,
+    state: &SharedControl,
     client: &CallClient,
     frame: Bytes,
 ) -> Result<Envelope<SyncReply>, String> {
@@ -127,60 +153,79 @@
     let state = state.borrow();
     state
         .codec
-        .open(MessageKind::SyncReply, &state.name, &reply.body)
+        .open(MessageKind::SyncReply, &state.own.name, &reply.body)
         .map_err(|error| error.to_string())
 }
 
-fn take_reply(state: &mut ControlState, hub: &HostName, envelope: Envelope<SyncReply>) {
+fn take_reply(state: &mut ControlState, hub: &HostName, reply: SyncReply, wants_view: bool) {
     let now = state.clock.now();
-    let reply = envelope.body;
-    for router in &reply.routers {
-        state.note_router(router, Some(now));
+    state.note_answer(hub, now);
+    state.hub_view = Some(HubView {
+        counts: reply.counts,
+        live: reply.live,
+        told_at: now,
+    });
+    if let Some(routers) = reply.routers {
+        state.replace_routers(routers, now);
     }
-    let age = reply.view_age_ms.map(MilliDuration::from_millis);
-    let fresh = age.filter(|age| *age <= VIEW_LIMIT);
-    state.tell_traffic(ControlUpdate::PeerCounts(reply.counts));
     if let Some(part) = reply.config {
-        match rmp_serde::from_slice::<SiteConfig>(&part.body) {
-            Ok(config) => state.adopt_config(
-                ConfigRead {
-                    revision: part.revision,
-                    config,
-                },
-                "hub",
-            ),
-            Err(error) => tracing::error!(event = "hub_config_unreadable", %error),
-        }
+        take_config(state, &part);
     }
-    let Some(age) = fresh else {
+    let age = reply.view_age_ms.map(MilliDuration::from_millis);
+    if age.is_none() && !reply.is_cut && !wants_view {
+        state.hub_waited_at = Some(now);
+        return;
+    }
+    let Some(age) = age.filter(|age| *age <= VIEW_LIMIT) else {
         state.metrics.count_sync("stale");
-        tracing::info!(event = "hub_view_old", hub = %hub, age_ms = age.map(MilliDuration::as_millis));
-        state.avoid(hub, now + STALE_AVOIDANCE);
+        tracing::debug!(event = "hub_view_old", hub = %hub, is_cut = reply.is_cut);
+        if wants_view && reply.is_cut {
+            state.avoid_view(hub, now + STALE_AVOIDANCE);
+        }
         return;
     };
     if let Some(part) = reply.roster {
-        match rmp_serde::from_slice::<Vec<TargetRow>>(&part.rows) {
-            Ok(rows) => {
-                let changes: Vec<RosterChange> = if part.is_whole {
-                    state.roster.replace(rows, now)
-                } else {
-                    let puts = rows.into_iter().filter_map(|row| state.roster.put(row));
-                    let mut changes: Vec<_> = puts.collect();
-                    let gone = part.gone.iter();
-                    changes.extend(gone.filter_map(|id| state.roster.remove(id, now)));
-                    changes
-                };
-                state.apply_roster(changes, "hub");
-                state.hub_position = (part.epoch, part.sequence);
-                state.has_targets = true;
-            }
-            Err(error) => tracing::error!(event = "hub_roster_unreadable", %error),
-        }
+        take_roster(state, part);
     }
     // The view went on without this router's own reads, so what lapsed meanwhile is gone.
     state.roster.forget_outage();
-    let seen_at = now - age;
-    state.config_seen_at = state.config_seen_at.max(Some(seen_at));
-    state.targets_seen_at = state.targets_seen_at.max(Some(seen_at));
+    state.note_config_seen(now - age);
+    state.note_targets_seen(now - age);
     state.metrics.count_sync("good");
 }
+
+fn take_config(state: &mut ControlState, part: &ConfigPart) {
+    match decode_config(&part.body) {
+        Ok(config) => state.adopt_config(
+            ConfigRead {
+                revision: part.revision,
+                config,
+            },
+            "hub",
+        ),
+        Err(error) => tracing::error!(event = "hub_config_unreadable", %error),
+    }
+}
+
+fn take_roster(state: &mut ControlState, part: RosterPart) {
+    let now = state.clock.now();
+    let rows = match rmp_serde::from_slice::<Vec<TargetRow>>(&part.rows) {
+        Ok(rows) => rows,
+        Err(error) => {
+            tracing::error!(event = "hub_roster_unreadable", %error);
+            return;
+        }
+    };
+    let changes: Vec<RosterChange> = if part.is_whole {
+        state.roster.replace(rows, now)
+    } else {
+        let puts = rows.into_iter().filter_map(|row| state.roster.put(row));
+        let mut changes: Vec<_> = puts.collect();
+        let gone = part.gone.iter();
+        changes.extend(gone.filter_map(|id| state.roster.remove(id, now)));
+        changes
+    };
+    state.apply_roster(changes, "hub");
+    state.hub_position = (part.epoch, part.sequence);
+    state.has_targets = true;
+}
--- a/crates/briarrail_gateway/src/control/mod.rs
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread: the store, the other routers, readiness and metrics.
 
+mod config_codec;
 mod control_loop;
 mod control_state;
 mod hub_server;
--- a/crates/briarrail_gateway/src/control/store_follower.rs
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -10,7 +10,7 @@
 use briarrail_peer::SyncRouter;
 use briarrail_platform::{StoreError, StoreErrorKind};
 
-use super::control_state::{ControlState, VIEW_LIMIT};
+use super::control_state::ControlState;
 use crate::{ConfigRead, RouterRow, SiteStore, TargetEvent, WatchStep};
 
 /// Longest wait of a watch: a watch that went silent is noticed well within the time in which
@@ -18,6 +18,8 @@
 const WATCH_WAIT: Duration = Duration::from_millis(600);
 /// Pause after a failed call; the store counts and charges refused calls too.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
+/// Doublings of that pause while calls keep failing.
+const MAX_DOUBLINGS: u32 = 2;
 /// Pause while another router reads the store.
 const FOLLOWER_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between two lists of the routers.
@@ -25,40 +27,65 @@
 /// Silence after which a router's entry is removed: far longer than a restart.
 const ENTRY_LIMIT: MilliDuration = MilliDuration::from_millis(30_000);
 
-/// How long a router that the store failed follows another one, if one can read it.
-const OWN_AVOIDANCE: MilliDuration = MilliDuration::from_millis(1_000);
+/// Age of a followed view from which a router reads the store itself: by then the followed router
+/// has tried several others.
+const FOLLOWED_LIMIT: MilliDuration = MilliDuration::from_millis(3_000);
 
 type SharedControl = Rc<RefCell<ControlState>>;
 
-/// Returns whether this router reads the store now: it is the hub, or the hub's view is old.
-fn reads_store(state: &SharedControl) -> bool {
+/// Returns whether this router reads the store now: it follows no other router, another one asked
+/// for its view, or what it follows is old for long.
+///
+/// Load pattern: all routers start at once, before there is a configuration, or lose the store at
+/// once. Each reads once to be ready soon, and leaves the waiting to the one that it follows.
+fn reads_store(state: &SharedControl, has_read: bool) -> bool {
     let state = state.borrow();
     let now = state.clock.now();
-    let is_old = state.view_age(now).is_none_or(|age| age > VIEW_LIMIT);
-    is_old || state.choose_hub(now).is_none()
+    let no_view = || now.since(state.hub_waited_at.unwrap_or_default());
+    let is_old = state.view_age(now).unwrap_or_else(no_view) > FOLLOWED_LIMIT;
+    !has_read || is_old || state.is_view_wanted(now) || state.choose_hub(now).is_none()
 }
 
 /// Tells dependency changes once, and counts every call.
 struct StoreHealth {
     call: &'static str,
-    is_lost: bool,
+    /// Failures in a row.
+    failures: u32,
 }
 
 impl StoreHealth {
+    const fn new(call: &'static str) -> Self {
+        Self { call, failures: 0 }
+    }
+
+    /// Waits after a failure, longer each time.
+    async fn pause(&self) {
+        let doublings = self.failures.saturating_sub(1).min(MAX_DOUBLINGS);
+        tokio::time::sleep(FAILURE_PAUSE * (1 << doublings)).await;
+    }
+
     fn record<T>(&mut self, state: &SharedControl, outcome: &Result<T, StoreError>) {
         let text = outcome.as_ref().map_or("failed", |_| "good");
         state.borrow().metrics.count_store_call(self.call, text);
         match outcome {
-            Ok(_) if self.is_lost => tracing::info!(event = "store_regained", call = self.call),
-            Err(error) if !self.is_lost => {
+            Ok(_) if self.failures > 0 => {
+                tracing::info!(event = "store_regained", call = self.call)
+            }
+            Err(error) if self.failures == 0 => {
                 tracing::warn!(event = "store_lost", call = self.call, %error);
             }
             Ok(_) | Err(_) => {}
         }
-        self.is_lost = outcome.is_err();
-        if self.is_lost {
-            let mut state = state.borrow_mut();
-            state.own_avoided_until = Some(state.clock.now() + OWN_AVOIDANCE);
+        self.failures = if outcome.is_ok() {
+            0
+        } else {
+            self.failures + 1
+        };
+        let mut state = state.borrow_mut();
+        if outcome.is_err() {
+            state.failing_reads.insert(self.call);
+        } else {
+            state.failing_reads.remove(self.call);
         }
     }
 }
@@ -68,17 +95,16 @@
 where
     S: SiteStore,
 {
-    let mut health = StoreHealth {
-        call: "config",
-        is_lost: false,
-    };
+    let mut health = StoreHealth::new("config");
     let mut revision = None;
+    let mut has_read = false;
     loop {
-        if !reads_store(&state) {
+        if !reads_store(&state, has_read) {
             revision = None;
             tokio::time::sleep(FOLLOWER_PAUSE).await;
             continue;
         }
+        has_read = true;
         let asked_at = state.borrow().clock.now();
         let outcome = match revision {
             None => store.read_config().await.map(|read| {
@@ -107,7 +133,7 @@
                 if error.kind == StoreErrorKind::Invalid {
                     revision = None;
                 }
-                tokio::time::sleep(FAILURE_PAUSE).await;
+                health.pause().await;
             }
         }
     }
@@ -127,7 +153,7 @@
     if next.is_some() {
         // A watch was current when it ended, a read only when it was asked.
         let seen = revision.map_or(asked_at, |_| state.clock.now());
-        state.note_config_read(seen);
+        state.note_config_seen(seen);
     }
 }
 
@@ -136,18 +162,17 @@
 where
     S: SiteStore,
 {
-    let mut health = StoreHealth {
-        call: "targets",
-        is_lost: false,
-    };
+    let mut health = StoreHealth::new("targets");
     let mut revision = None;
+    let mut has_read = false;
     loop {
         expire_kept(&state);
-        if !reads_store(&state) {
+        if !reads_store(&state, has_read) {
             revision = None;
             tokio::time::sleep(FOLLOWER_PAUSE).await;
             continue;
         }
+        has_read = true;
         let outcome = match revision {
             None => list_targets(&state, &store).await,
             Some(known) => watch_targets(&state, &store, known).await,
@@ -161,7 +186,7 @@
                     let now = state.clock.now();
                     state.roster.note_outage(now);
                 }
-                tokio::time::sleep(FAILURE_PAUSE).await;
+                health.pause().await;
             }
         }
     }
@@ -181,7 +206,7 @@
     let changes = state.roster.replace(listing.rows, now);
     state.apply_roster(changes, "store");
     state.has_targets = true;
-    state.note_targets_read(asked_at);
+    state.note_targets_seen(asked_at);
     Ok(Some(listing.revision))
 }
 
@@ -208,7 +233,7 @@
         });
     }
     state.apply_roster(roster_changes, "store");
-    state.note_targets_read(now);
+    state.note_targets_seen(now);
     Ok(Some(revision))
 }
 
@@ -224,31 +249,30 @@
 where
     S: SiteStore,
 {
-    let mut health = StoreHealth {
-        call: "routers",
-        is_lost: false,
-    };
+    let mut health = StoreHealth::new("routers");
     let mut is_entered = false;
     let mut is_listed = false;
     loop {
         if !is_entered {
             let row = {
-                let state = state.borrow();
+                let own = &state.borrow().own;
                 RouterRow {
-                    name: state.name.clone(),
-                    address: state.address,
+                    name: own.name.clone(),
+                    address: own.address,
+                    data_centre: own.data_centre.clone(),
+                    capacity: own.capacity,
                 }
             };
             let outcome = store.put_router(&row).await;
             health.record(&state, &outcome);
             is_entered = outcome.is_ok();
         }
-        if !is_listed || reads_store(&state) {
+        if !is_listed || reads_store(&state, true) {
             let outcome = store.list_routers().await;
             health.record(&state, &outcome);
             if let Ok(rows) = outcome {
                 is_listed = true;
-                let own = state.borrow().name.clone();
+                let own = state.borrow().own.name.clone();
                 is_entered = rows.iter().any(|row| row.name == own) || !is_entered;
                 take_routers(&state, &store, rows).await;
             }
@@ -276,8 +300,10 @@
             let router = SyncRouter {
                 name: row.name,
                 address: row.address,
+                data_centre: row.data_centre,
+                capacity: row.capacity,
             };
-            state.note_router(&router, None);
+            state.note_router(router);
         }
         state.peers.retain(|name, peer| {
             let heard = peer.heard_at.is_some_and(|at| now.since(at) < ENTRY_LIMIT);
--- a/crates/briarrail_gateway/src/site_store.rs
+++ b/crates/briarrail_gateway/src/site_store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use briarrail_dispatch::{SiteConfig, TargetRow};
-use briarrail_model::HostName;
+use briarrail_model::{DataCentre, HostName};
 use briarrail_platform::StoreError;
 
 /// The configuration and where it stands.
@@ -58,6 +58,10 @@
     pub name: HostName,
     /// Address at which it takes messages of other routers.
     pub address: SocketAddr,
+    /// Data centre that it stands in.
+    pub data_centre: DataCentre,
+    /// What its host can carry, in steps of a factor of two.
+    pub capacity: u8,
 }
 
 /// The platform's store, as the gateway uses it.
--- a/crates/briarrail_peer/src/sync_message.rs
+++ b/crates/briarrail_peer/src/sync_message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use briarrail_model::HostName;
+use briarrail_model::{DataCentre, HostName};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -17,12 +17,12 @@
     pub requests: u32,
 }
 
-/// What a router tells the hub, and what it has.
+/// What a router tells the router that it follows, and what it has.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncRequest {
-    /// Address at which the sender takes messages.
+    /// The sender.
     #[serde(rename = "a")]
-    pub address: SocketAddr,
+    pub sender: SyncRouter,
     /// Store revision of the sender's configuration; 0 when it has none.
     #[serde(rename = "c")]
     pub config_revision: u64,
@@ -32,9 +32,18 @@
     /// Last roster change that the sender has.
     #[serde(rename = "s")]
     pub roster_sequence: u64,
-    /// The sender's own requests; targets without any are left out.
+    /// Requests of the sender and of those that follow it; targets without any are left out.
     #[serde(rename = "n")]
     pub counts: Vec<TargetCount>,
+    /// Live routers that the counts cover, the sender included.
+    #[serde(rename = "w")]
+    pub covered: u32,
+    /// Digest of the sender's list of routers.
+    #[serde(rename = "d")]
+    pub routers_digest: u64,
+    /// Whether the store fails the sender, so that it asks for a view only.
+    #[serde(rename = "v", default)]
+    pub wants_view: bool,
     /// Whether the sender stops.
     #[serde(rename = "x", default)]
     pub is_stopping: bool,
@@ -71,7 +80,7 @@
     pub gone: Vec<String>,
 }
 
-/// A live router.
+/// A router that others can follow.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncRouter {
     /// Its name.
@@ -80,18 +89,33 @@
     /// Address at which it takes messages.
     #[serde(rename = "a")]
     pub address: SocketAddr,
+    /// Data centre that it stands in.
+    #[serde(rename = "z")]
+    pub data_centre: DataCentre,
+    /// What its host can carry, in steps of a factor of two.
+    #[serde(rename = "c")]
+    pub capacity: u8,
 }
 
-/// The hub's reply.
+/// The reply of a router that is followed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncReply {
-    /// Age of the hub's view of the store, in milliseconds; none when it never had one.
+    /// Age of the sender's view of the store, in milliseconds; none when it never had one.
     #[serde(rename = "o")]
     pub view_age_ms: Option<u64>,
-    /// Routers that the hub heard of lately, itself included.
+    /// Whether the store failed the sender's own last read of it.
+    #[serde(rename = "x", default)]
+    pub is_cut: bool,
+    /// All routers, if the requester's list differs.
     #[serde(rename = "l")]
-    pub routers: Vec<SyncRouter>,
-    /// Requests of all routers but the requester.
+    pub routers: Option<Vec<SyncRouter>>,
+    /// Live routers of the fleet.
+    #[serde(rename = "w")]
+    pub live: u32,
+    /// Time until the requester's next round, in milliseconds.
+    #[serde(rename = "i")]
+    pub next_round_ms: u32,
+    /// Requests of all routers but those that the requester's counts cover.
     #[serde(rename = "n")]
     pub counts: Vec<TargetCount>,
     /// The configuration, if the requester's is older.
--- a/crates/briarrail_settings/src/gateway_settings.rs
+++ b/crates/briarrail_settings/src/gateway_settings.rs
@@ -61,6 +61,10 @@
     pub store: SocketAddr,
     /// Key that authenticates messages between routers.
     pub exchange_key: SecretText,
+    /// Bandwidth of the host's link, in Mbit/s.
+    pub link_mbps: f64,
+    /// Part of a core that the process gets, times the speed of the core.
+    pub core_share: f64,
     /// File descriptors that the process may open.
     pub max_descriptors: u64,
     /// What the operators promise for the whole fleet.
@@ -109,6 +113,8 @@
         store.finish();
         let exchange_key = root.required("exchange_key");
         let max_descriptors = root.number("max_descriptors", 1_024, 64..=10_000_000);
+        let link_mbps = root.or("link_mbps", 1_000.0);
+        let core_share = root.or("core_share", 1.0);
         let fleet = read_fleet(root.section("fleet"));
         let logs = LogSettings::read(root.section("logs"));
         root.finish();
@@ -121,6 +127,8 @@
             metrics: metrics?,
             store: store_address?,
             exchange_key: exchange_key?,
+            link_mbps,
+            core_share,
             max_descriptors,
             fleet,
             logs,
