--- /dev/null
+++ b/crates/briarrail_dispatch/tests/suite/context_source.rs
@@ -0,0 +1,73 @@
+//! Where a target fetches shared context from.
+
+use briarrail_dispatch::{SendOutcome, TargetBoard, TargetPhase};
+
+use crate::fixtures::{TERMS, ask, at, prompt, target};
+
+fn board() -> TargetBoard {
+    let mut board = TargetBoard::default();
+    for index in 0..6 {
+        board.put(target(&format!("t{index}")));
+    }
+    board
+}
+
+/// Load pattern: targets are replaced one after the other, and each takes the context of many
+/// subjects with it.
+#[test]
+fn a_draining_home_hands_its_context_to_the_next() {
+    let mut board = board();
+    let prompt = prompt(1, 10_000);
+    let home = board.place(&ask(&prompt), &TERMS, at(0)).unwrap().target;
+    let mut row = board.get(home).unwrap().row.clone();
+    row.phase = TargetPhase::Draining;
+    board.put(row);
+    let next = board.place(&ask(&prompt), &TERMS, at(0)).unwrap().target;
+    assert_ne!(next, home);
+    assert_eq!(board.context_source(&ask(&prompt), next, at(0)), Some(home));
+}
+
+#[test]
+fn a_target_that_left_without_draining_is_a_source_for_a_moment() {
+    let mut board = board();
+    let prompt = prompt(1, 10_000);
+    let home = board.place(&ask(&prompt), &TERMS, at(0)).unwrap().target;
+    let id = board.get(home).unwrap().row.id.clone();
+    board.remove(&id, at(1_000));
+    let next = board
+        .place(&ask(&prompt), &TERMS, at(1_000))
+        .unwrap()
+        .target;
+    let source = |millis| board.context_source(&ask(&prompt), next, at(millis));
+    assert_eq!(source(2_000), Some(home));
+    assert_ne!(source(2_600), Some(home));
+}
+
+/// Seen on a bench day: a fetch from a target that was down delayed each request by 300 ms.
+#[test]
+fn targets_that_are_down_are_no_source() {
+    let mut board = board();
+    let prompt = prompt(1, 10_000);
+    let home = board.place(&ask(&prompt), &TERMS, at(0)).unwrap().target;
+    let guard = &mut board.get_mut(home).unwrap().guard;
+    assert!(guard.record(SendOutcome::Unreachable, at(0)));
+    for millis in [0, 900, 1_100, 5_000] {
+        let next = board.place(&ask(&prompt), &TERMS, at(0)).unwrap().target;
+        assert_ne!(
+            board.context_source(&ask(&prompt), next, at(millis)),
+            Some(home)
+        );
+    }
+    let mut drained = board.get(home).unwrap().row.clone();
+    drained.phase = TargetPhase::Draining;
+    board.put(drained.clone());
+    board.remove(&drained.id, at(6_000));
+    let next = board
+        .place(&ask(&prompt), &TERMS, at(6_000))
+        .unwrap()
+        .target;
+    assert_ne!(
+        board.context_source(&ask(&prompt), next, at(6_001)),
+        Some(home)
+    );
+}
--- /dev/null
+++ b/crates/briarrail_dispatch/tests/suite/fixtures.rs
@@ -0,0 +1,46 @@
+//! Shared inputs.
+
+use briarrail_dispatch::{PlacementAsk, PlacementTerms, PromptFacts, TargetPhase, TargetRow};
+use briarrail_model::{MilliTime, StableHash, hash_bytes};
+
+pub(crate) const TERMS: PlacementTerms = PlacementTerms {
+    hard_ratio: 2.0,
+    hard_slack: 3.0,
+};
+
+pub(crate) fn at(millis: u64) -> MilliTime {
+    MilliTime::from_millis(millis)
+}
+
+pub(crate) fn target(id: &str) -> TargetRow {
+    TargetRow {
+        id: id.to_owned(),
+        service: "model".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "a".into(),
+        slots: 64,
+        phase: TargetPhase::Ready,
+        started_unix_ms: 1,
+    }
+}
+
+pub(crate) fn prompt(subject: u32, shared_tokens: u32) -> PromptFacts {
+    let part = |name: String, tokens| (hash_bytes(name.as_bytes()), tokens);
+    PromptFacts {
+        parts: vec![
+            part("system".into(), 100),
+            part(format!("subject {subject}"), shared_tokens - 100),
+            part("own".into(), 50),
+        ],
+    }
+}
+
+pub(crate) fn ask(prompt: &PromptFacts) -> PlacementAsk<'_> {
+    PlacementAsk {
+        service: "model",
+        affinity: prompt.affinity(),
+        shared_tokens: prompt.shared_tokens(),
+        tried: &[],
+        seed: StableHash(1),
+    }
+}
--- /dev/null
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the gateway's decisions, in virtual time, each on the load pattern it answers.
+
+mod budget;
+mod context_source;
+mod ejection;
+mod fixtures;
+mod hubs;
+mod placement;
+mod refusals;
+mod roster;
+mod routing;
--- a/crates/briarrail_gateway/src/control/store_follower.rs
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -11,6 +11,7 @@
 use briarrail_platform::{StoreError, StoreErrorKind};
 
 use super::control_state::ControlState;
+use crate::traffic::StopPhase;
 use crate::{ConfigRead, RouterRow, SiteStore, TargetEvent, WatchStep};
 
 /// Longest wait of a watch: a watch that went silent is noticed well within the time in which
@@ -253,6 +254,9 @@
     let mut is_entered = false;
     let mut is_listed = false;
     loop {
+        if state.borrow().shared.stop_phase() != StopPhase::Serving {
+            return;
+        }
         if !is_entered {
             let row = {
                 let own = &state.borrow().own;
