--- a/crates/briarrail_dispatch/tests/suite/ejection.rs
+++ b/crates/briarrail_dispatch/tests/suite/ejection.rs
@@ -12,7 +12,9 @@
         let allowed = guard.allows(at(millis));
         guard.note_send(at(millis));
         let ejected = guard.record(outcome, at(millis));
-        let until = guard.ejected_until().map(|until| until.as_millis());
+        let until = guard
+            .ejected_until()
+            .map(briarrail_model::MilliTime::as_millis);
         format!("{millis} ms, allowed {allowed}: {outcome:?} -> ejected {ejected}, until {until:?}")
     });
     lines.collect::<Vec<_>>().join("\n")
--- a/crates/briarrail_gateway/src/control/store_follower.rs
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -70,7 +70,7 @@
         state.borrow().metrics.count_store_call(self.call, text);
         match outcome {
             Ok(_) if self.failures > 0 => {
-                tracing::info!(event = "store_regained", call = self.call)
+                tracing::info!(event = "store_regained", call = self.call);
             }
             Err(error) if self.failures == 0 => {
                 tracing::warn!(event = "store_lost", call = self.call, %error);
