--- a/crates/briarctl/src/commands/check_command.rs
+++ b/crates/briarctl/src/commands/check_command.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use briarrail_settings::DaemonSettings;
+use briarrail_settings::{DaemonSettings, GatewaySettings, SettingsErrors};
 use getopts::Options;
 
 use super::parse;
@@ -24,6 +24,13 @@
     options: no_options,
 };
 
+const GATEWAY: CommandSpec = CommandSpec {
+    words: "check gateway",
+    operands: "FILE...",
+    summary: "Checks settings of the gateway, and reports every mistake with its line.",
+    options: no_options,
+};
+
 fn no_options(_: &mut Options) {}
 
 /// Checks tables.
@@ -42,6 +49,14 @@
     run(&SETTINGS, arguments, context, check_settings)
 }
 
+/// Checks settings of the gateway.
+pub(crate) fn run_gateway(
+    arguments: &[String],
+    context: &RunContext,
+) -> Result<CommandOutput, CtlError> {
+    run(&GATEWAY, arguments, context, check_gateway)
+}
+
 fn run(
     spec: &CommandSpec,
     arguments: &[String],
@@ -78,10 +93,23 @@
 
 fn check_settings(file: &str) -> Result<(), FileErrors> {
     let checked = DaemonSettings::from_file(Path::new(file));
-    checked.map(drop).map_err(|errors| FileErrors {
+    checked
+        .map(drop)
+        .map_err(|errors| file_errors(file, &errors))
+}
+
+fn check_gateway(file: &str) -> Result<(), FileErrors> {
+    let checked = GatewaySettings::from_file(Path::new(file));
+    checked
+        .map(drop)
+        .map_err(|errors| file_errors(file, &errors))
+}
+
+fn file_errors(file: &str, errors: &SettingsErrors) -> FileErrors {
+    FileErrors {
         file: file.to_owned(),
         errors: errors.0.iter().map(settings_error).collect(),
-    })
+    }
 }
 
 fn settings_error(error: &briarrail_settings::SettingsError) -> FileError {
--- a/crates/briarctl/src/commands/mod.rs
+++ b/crates/briarctl/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod status_report;
 mod table_commands;
 mod table_edits;
+mod trace_command;
 
 use crate::arguments::{CommandArguments, CommandSpec};
 use crate::table_row::TableName;
@@ -30,6 +31,8 @@
 Without contacting anything:
   check tables FILE...     check tables
   check settings FILE...   check settings of the daemon
+  check gateway FILE...    check settings of the gateway
+  trace --id ID FILE...    show what routers logged about a request
 
 Routers:
   status                   configuration, targets, load, reuse, control traffic
@@ -69,6 +72,8 @@
         ["burn", ..] => burn_command::run(&arguments[1..], context).await,
         ["edits", "find"] => edits_command::run(&arguments[2..], context).await,
         ["check", "tables"] => check_command::run_tables(&arguments[2..], context),
+        ["check", "gateway"] => check_command::run_gateway(&arguments[2..], context),
+        ["trace", ..] => trace_command::run(&arguments[1..], context),
         ["check", "settings"] => check_command::run_settings(&arguments[2..], context),
         [table, verb] => {
             let scope = table_scope(table).ok_or_else(|| unknown_command(&words))?;
--- a/crates/briarctl/tests/suite/check.rs
+++ b/crates/briarctl/tests/suite/check.rs
@@ -70,6 +70,14 @@
     }
 }
 
+#[tokio::test]
+async fn the_example_of_the_gateway_is_good() {
+    let directory = format!("{}/../../examples/gateway", env!("CARGO_MANIFEST_DIR"));
+    let line = format!("check gateway '{directory}/settings.jsonc'");
+    let output = run(&words(&line), &offline()).await;
+    assert_eq!(output.exit, ExitStatus::Done, "{}", output.stdout);
+}
+
 #[tokio::test]
 async fn bad_settings_exit_with_invalid() {
     let file = temporary_file("bad-settings.jsonc", "{\n  \"host\": 1\n}");
--- a/crates/briarctl/tests/suite/help.rs
+++ b/crates/briarctl/tests/suite/help.rs
@@ -4,7 +4,7 @@
 
 use crate::site::{offline, words};
 
-const COMMANDS: [&str; 11] = [
+const COMMANDS: [&str; 13] = [
     "routes list",
     "pools get",
     "tables apply",
@@ -14,6 +14,8 @@
     "edits find",
     "check tables",
     "check settings",
+    "check gateway",
+    "trace",
     "status",
     "burn",
 ];
@@ -43,6 +45,7 @@
         "status --router 127.0.0.1:1 --timeout-ms soon",
         "edits find 12 --store http://127.0.0.1:1",
         "check tables",
+        "trace x.log",
     ];
     let mut texts = Vec::new();
     for line in lines {
--- a/crates/briarctl/tests/suite/main.rs
+++ b/crates/briarctl/tests/suite/main.rs
@@ -8,3 +8,4 @@
 mod routers;
 mod site;
 mod tables;
+mod trace;
