--- a/crates/briarrail_gateway/src/traffic/request_run.rs
+++ b/crates/briarrail_gateway/src/traffic/request_run.rs
@@ -110,6 +110,8 @@
         .read_caller(&head.headers)
         .map_err(|_| Refusal::new(StatusCode::BAD_REQUEST, "unreadable request head"))?;
     trace.set_request_id(&caller.request_id);
+    let affinity = caller.prompt.affinity();
+    trace.context = affinity.map(|key| key.0 as u32);
     trace.shared_tokens = caller.prompt.shared_tokens();
     let seed = briarrail_model::hash_bytes(&caller.request_id);
     let elsewhere = |reason| Refusal {
--- a/crates/briarrail_gateway/src/traffic/request_trace.rs
+++ b/crates/briarrail_gateway/src/traffic/request_trace.rs
@@ -25,6 +25,8 @@
     pub(crate) rank: Option<usize>,
     /// Load above which targets of the order were passed over.
     pub(crate) load_limit: f32,
+    /// Short form of the key of the shared context.
+    pub(crate) context: Option<u32>,
     /// Tokens of the prompt's shared parts.
     pub(crate) shared_tokens: u32,
     /// Expected load of the target and mean of its service when it was chosen.
@@ -54,6 +56,7 @@
             target: String::new(),
             rank: None,
             load_limit: 0.0,
+            context: None,
             shared_tokens: 0,
             target_load: 0.0,
             mean_load: 0.0,
@@ -126,6 +129,7 @@
             target_id = self.target,
             rank = self.rank,
             load_limit = self.load_limit,
+            context = self.context,
             shared_tokens = self.shared_tokens,
             target_load = self.target_load,
             mean_load = self.mean_load,
