--- /dev/null
+++ b/crates/briarrail_dispatch/src/answer_patience.rs
@@ -0,0 +1,49 @@
+//! How long a silent target is waited for.
+//!
+//! Load pattern: some targets take requests and never answer. A request that may be repeated can
+//! still be in time at another target if it leaves early; leaving too early under load repeats work
+//! that was about to be answered. A prompt is worth more patience than a plain call, since another
+//! target has to read it again.
+
+use briarrail_model::MilliDuration;
+
+/// Weight of the newest answer in the averages.
+const GAIN: f32 = 0.05;
+/// Deviations above the mean that an answer may take.
+const DEVIATIONS: f32 = 5.0;
+/// Least patience as a part of the objective, so that a repeat has the rest.
+const MIN_PART: f32 = 0.5;
+/// Most patience as a multiple of the objective.
+const MAX_PART: f32 = 2.0;
+
+/// Usual times to the first bytes of answers of one kind.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct AnswerPatience {
+    mean: f32,
+    deviation: f32,
+    answers: u32,
+}
+
+impl AnswerPatience {
+    /// Takes the time that an answer took.
+    pub fn record(&mut self, took: MilliDuration) {
+        let took = took.as_millis() as f32;
+        let gain = GAIN.max(1.0 / (self.answers + 1) as f32);
+        let error = took - self.mean;
+        self.mean += gain * error;
+        self.deviation += gain * (error.abs() - self.deviation);
+        self.answers = self.answers.saturating_add(1);
+    }
+
+    /// Returns the silence after which a request goes to another target.
+    #[must_use]
+    pub fn limit(&self, objective: MilliDuration, has_prompt: bool) -> MilliDuration {
+        let objective = objective.as_millis() as f32;
+        if has_prompt {
+            return MilliDuration::from_millis((objective * MAX_PART) as u64);
+        }
+        let usual = DEVIATIONS.mul_add(self.deviation, self.mean);
+        let wished = usual.clamp(objective * MIN_PART, objective * MAX_PART);
+        MilliDuration::from_millis(wished as u64)
+    }
+}
--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -6,6 +6,8 @@
 //! listed targets still count while the store is away, and [`choose_hub`] says which router reads
 //! the store for the others.
 
+mod answer_patience;
+mod fleet_evidence;
 mod hub_choice;
 mod outlier_guard;
 mod prompt_facts;
@@ -18,6 +20,8 @@
 mod target_roster;
 mod target_row;
 
+pub use answer_patience::AnswerPatience;
+pub use fleet_evidence::{OutcomeUnits, OutcomeWindow};
 pub use hub_choice::{HubCandidate, choose_hub, choose_view_source};
 pub use outlier_guard::{OutlierGuard, SendOutcome};
 pub use prompt_facts::PromptFacts;
--- a/crates/briarrail_dispatch/src/outlier_guard.rs
+++ b/crates/briarrail_dispatch/src/outlier_guard.rs
@@ -15,6 +15,8 @@
     Unreachable,
     /// The connection broke, the answer was spoilt, or none came in time.
     Broken,
+    /// The target was given up for another before it answered; it may only be slow.
+    Slow,
     /// The target answered with a failure of its own.
     Failed,
     /// The target refused because it is full.
@@ -25,6 +27,10 @@
 const FIRST_EJECTION: MilliDuration = MilliDuration::from_millis(1_000);
 /// Longest ejection; bounds the time that a recovered target stays without work.
 const MAX_EJECTION: MilliDuration = MilliDuration::from_millis(4_000);
+/// Time without an ejection after which the next one is short again.
+const RECOVERY: MilliDuration = MilliDuration::from_millis(5_000);
+/// Time after a good trial in which older failures don't eject.
+const FRESH_START: MilliDuration = MilliDuration::from_millis(1_500);
 /// Weight of the newest outcome in the failure ratio.
 const RATIO_GAIN: f32 = 0.3;
 /// Failure ratio that ejects; plain services fail up to a seventh of their calls in good health.
@@ -40,10 +46,14 @@
     /// Moving average of failures, 0 to 1.
     failure_ratio: f32,
     ejected_until: Option<MilliTime>,
+    /// Whether the last ejection was for a target that could not be reached.
+    is_unreachable: bool,
     /// Ejections since the last recovery.
     ejections: u32,
     /// When the trial after an ejection began.
     trial_since: Option<MilliTime>,
+    /// When a trial last went well.
+    recovered_at: Option<MilliTime>,
 }
 
 impl OutlierGuard {
@@ -52,7 +62,7 @@
         let weight = match outcome {
             SendOutcome::Good => 0.0,
             SendOutcome::Refused => REFUSAL_WEIGHT,
-            SendOutcome::Failed => FAILURE_WEIGHT,
+            SendOutcome::Failed | SendOutcome::Slow => FAILURE_WEIGHT,
             SendOutcome::Unreachable | SendOutcome::Broken => 1.0,
         };
         self.failure_ratio += RATIO_GAIN * (weight - self.failure_ratio);
@@ -60,13 +70,13 @@
         if outcome == SendOutcome::Good {
             if was_trial {
                 self.failure_ratio = 0.0;
+                self.recovered_at = Some(now);
+                self.ejected_until = None;
             }
-            if self.failure_ratio < RATIO_GAIN {
+            let is_sound = |at: MilliTime| now.since(at) >= RECOVERY;
+            if self.recovered_at.is_some_and(is_sound) {
                 self.ejections = 0;
             }
-            self.ejected_until = self
-                .ejected_until
-                .filter(|&until| until > now && !was_trial);
             return false;
         }
         let is_hard = outcome == SendOutcome::Unreachable;
@@ -75,10 +85,30 @@
         if already || !(is_hard || is_failed_trial || self.failure_ratio > EJECT_RATIO) {
             return false;
         }
+        self.is_unreachable = is_hard;
         self.eject(now);
         true
     }
 
+    /// Ejects the target on what all routers know; returns whether it did.
+    ///
+    /// Right after a trial went well, what they know is from before.
+    pub fn eject_by_evidence(&mut self, now: MilliTime) -> bool {
+        let is_recent = |at: MilliTime| now.since(at) < FRESH_START;
+        if self.ejected_until.is_some() || self.recovered_at.is_some_and(is_recent) {
+            return false;
+        }
+        self.is_unreachable = false;
+        self.eject(now);
+        true
+    }
+
+    /// Returns whether the target is ejected because it could not be reached.
+    #[must_use]
+    pub fn is_unreachable(&self, now: MilliTime) -> bool {
+        self.is_unreachable && !self.allows(now)
+    }
+
     /// Returns whether the target may get a request now; an ejected one gets a single trial after
     /// its time.
     #[must_use]
@@ -117,6 +147,7 @@
         let doubled = FIRST_EJECTION.as_millis() << self.ejections.min(4);
         let length = MilliDuration::from_millis(doubled.min(MAX_EJECTION.as_millis()));
         self.ejected_until = Some(now + length);
+        self.recovered_at = None;
         self.ejections += 1;
     }
 }
--- a/crates/briarrail_dispatch/src/target_board.rs
+++ b/crates/briarrail_dispatch/src/target_board.rs
@@ -5,7 +5,7 @@
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes};
 use slotmap::{SlotMap, new_key_type};
 
-use crate::{OutlierGuard, TargetPhase, TargetRow};
+use crate::{OutcomeUnits, OutcomeWindow, OutlierGuard, SendOutcome, TargetPhase, TargetRow};
 
 new_key_type! {
     /// Names a target of one [`TargetBoard`].
@@ -42,6 +42,9 @@
     /// Requests of the other routers, and when that was known.
     peers: Option<(f32, MilliTime)>,
     told: Option<ToldLoad>,
+    /// Outcomes of this router's sends, and of the other routers'.
+    outcomes: OutcomeWindow,
+    peer_outcomes: OutcomeUnits,
     /// When the target went off the list.
     gone_at: Option<MilliTime>,
 }
@@ -127,6 +130,8 @@
             own: 0,
             peers: None,
             told: None,
+            outcomes: OutcomeWindow::default(),
+            peer_outcomes: OutcomeUnits::default(),
             gone_at: None,
         });
         self.by_id.insert(id, key);
@@ -197,13 +202,68 @@
         }
     }
 
-    /// Takes the requests that the other routers have at a target.
-    pub fn set_peer_count(&mut self, key: TargetKey, count: f32, as_of: MilliTime) {
+    /// Takes the requests that the other routers have at a target, and how theirs ended.
+    pub fn set_peer_state(
+        &mut self,
+        key: TargetKey,
+        count: f32,
+        outcomes: OutcomeUnits,
+        as_of: MilliTime,
+    ) {
         if let Some(state) = self.targets.get_mut(key) {
             state.peers = Some((count, as_of));
+            state.peer_outcomes = outcomes;
         }
     }
 
+    /// Records how a send ended; returns whether that ejected the target.
+    pub fn record(&mut self, key: TargetKey, outcome: SendOutcome, now: MilliTime) -> bool {
+        let Some(state) = self.targets.get_mut(key) else {
+            return false;
+        };
+        state.outcomes.record(outcome, now);
+        let was_ejected = state.guard.ejected_until().is_some();
+        let is_ejected = state.guard.record(outcome, now);
+        if was_ejected && state.guard.ejected_until().is_none() {
+            state.outcomes.clear();
+        }
+        is_ejected
+    }
+
+    /// Returns how this router's sends to a target ended lately.
+    pub fn own_outcomes(&mut self, key: TargetKey, now: MilliTime) -> OutcomeUnits {
+        let state = self.targets.get_mut(key);
+        state.map_or_else(OutcomeUnits::default, |state| state.outcomes.sum(now))
+    }
+
+    /// Ejects targets that stand out from their service by what all routers know, and returns them.
+    ///
+    /// Where every target fails alike, none is ejected.
+    pub fn eject_outliers(&mut self, now: MilliTime) -> Vec<(TargetKey, OutcomeUnits)> {
+        let keys: Vec<TargetKey> = self.targets.keys().collect();
+        let mut of_service: HashMap<String, OutcomeUnits> = HashMap::new();
+        let mut of_target = Vec::with_capacity(keys.len());
+        for key in keys {
+            let state = &mut self.targets[key];
+            let units = state.outcomes.sum(now).plus(state.peer_outcomes);
+            if state.is_open() {
+                let sum = of_service.entry(state.row.service.clone()).or_default();
+                *sum = sum.plus(units);
+                of_target.push((key, units));
+            }
+        }
+        of_target.retain(|&(key, units)| {
+            let state = &mut self.targets[key];
+            let all = of_service[&state.row.service];
+            let others = OutcomeUnits {
+                good: all.good - units.good,
+                failed: all.failed - units.failed,
+            };
+            units.stands_out(others) && state.guard.eject_by_evidence(now)
+        });
+        of_target
+    }
+
     /// Takes a load that a target told with an answer.
     pub fn note_told_load(&mut self, key: TargetKey, running: u32, waiting: u32, now: MilliTime) {
         if let Some(state) = self.targets.get_mut(key) {
--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -82,14 +82,17 @@
             listed.filter(|(key, state)| state.is_open() && !ask.tried.contains(key))
         };
         let mean = self.mean_load(ask.service, now);
+        let weigh = |(key, state)| candidate(ask, key, state, now);
         let sound = open().filter(|(_, state)| state.guard.allows(now));
-        let mut candidates: Vec<Candidate> = sound
-            .map(|(key, state)| candidate(ask, key, state, now))
-            .collect();
+        let mut candidates: Vec<Candidate> = sound.map(weigh).collect();
+        let listed = open().count();
+        if candidates.len() * 2 < listed {
+            // So many failures have a common cause; only targets that are down are passed over.
+            let up = open().filter(|(_, state)| !state.guard.is_unreachable(now));
+            candidates = up.map(weigh).collect();
+        }
         if candidates.is_empty() {
-            candidates = open()
-                .map(|(key, state)| candidate(ask, key, state, now))
-                .collect();
+            candidates = open().map(weigh).collect();
         }
         candidates.retain(|candidate| candidate.load < candidate.slots * FULL_QUEUE_FACTOR);
         match ask.affinity {
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -3,8 +3,10 @@
 mod budget;
 mod context_source;
 mod ejection;
+mod evidence;
 mod fixtures;
 mod hubs;
+mod patience;
 mod placement;
 mod refusals;
 mod roster;
--- a/crates/briarrail_dispatch/tests/suite/placement.rs
+++ b/crates/briarrail_dispatch/tests/suite/placement.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use briarrail_dispatch::{TargetBoard, TargetKey, TargetPhase};
+use briarrail_dispatch::{OutcomeUnits, SendOutcome, TargetBoard, TargetKey, TargetPhase};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -119,8 +119,28 @@
 fn counts_of_other_routers_hold_for_a_while_only() {
     let mut board = board(1);
     let key = board.key_of("t0").unwrap();
-    board.set_peer_count(key, 9.0, at(1_000));
+    board.set_peer_state(key, 9.0, OutcomeUnits::default(), at(1_000));
     board.begin(key, at(1_000));
     let load = |millis| board.get(key).unwrap().expected_load(at(millis));
     assert_eq!([load(1_000), load(2_400), load(2_600)], [10.0, 10.0, 1.0]);
 }
+
+/// Load pattern: all targets fail alike, so that more than half would be passed over.
+#[test]
+fn failures_with_a_common_cause_do_not_empty_a_service() {
+    let mut board = board(6);
+    let keys: Vec<TargetKey> = (0..6)
+        .map(|index| board.key_of(&format!("t{index}")).unwrap())
+        .collect();
+    for &key in &keys[..5] {
+        for _ in 0..3 {
+            board.record(key, SendOutcome::Broken, at(0));
+        }
+    }
+    board.record(keys[5], SendOutcome::Unreachable, at(0));
+    let used: std::collections::HashSet<TargetKey> = (0..200)
+        .map(|subject| place(&board, subject, 700))
+        .collect();
+    assert_eq!(used.len(), 5);
+    assert!(!used.contains(&keys[5]));
+}
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -411,10 +411,13 @@
 where
     I: Iterator<Item = &'c [TargetCount]>,
 {
-    let mut sums: BTreeMap<u32, u32> = BTreeMap::new();
+    let mut sums: BTreeMap<u32, TargetCount> = BTreeMap::new();
     for count in lists.flatten() {
-        *sums.entry(count.target).or_default() += count.requests;
+        let sum = sums.entry(count.target).or_default();
+        sum.target = count.target;
+        sum.requests += count.requests;
+        sum.good += count.good;
+        sum.failed += count.failed;
     }
-    let count = |(target, requests)| TargetCount { target, requests };
-    sums.into_iter().map(count).collect()
+    sums.into_values().collect()
 }
--- a/crates/briarrail_gateway/src/traffic/request_context.rs
+++ b/crates/briarrail_gateway/src/traffic/request_context.rs
@@ -35,6 +35,7 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) route: String,
     pub(crate) service: String,
     pub(crate) customer: Option<String>,
     pub(crate) priority: u8,
@@ -58,6 +59,7 @@
         route: &RouteRules,
         arrived_at: MilliTime,
     ) {
+        self.route.clone_from(&route.name);
         self.repeat = route.repeat;
         self.objective = route.objective;
         self.event_gap = route.event_gap;
--- a/crates/briarrail_gateway/src/traffic/request_run.rs
+++ b/crates/briarrail_gateway/src/traffic/request_run.rs
@@ -20,7 +20,7 @@
 use super::request_context::{RequestContext, forwarded_headers, strip_connection_headers};
 use super::request_trace::RequestTrace;
 use super::stream_pump::{BodyPart, StreamPump, next_part, unknown_text};
-use super::target_send::{SendEnd, SentRequest, TriedTargets, patience, send_to_target};
+use super::target_send::{SendEnd, SentRequest, TriedTargets, send_to_target};
 use super::traffic_state::{StopPhase, TrafficState};
 use crate::{CallerHead, WireDialect};
 
@@ -170,6 +170,7 @@
         method: head.method.clone(),
         uri: path.map_or_else(|| Uri::from_static("/"), Uri::from),
         body: Bytes::new(),
+        route: String::new(),
         service: service.to_owned(),
         customer: None,
         priority: 0,
@@ -295,7 +296,12 @@
 
     /// Records that an answer was lost before it began towards the caller.
     fn lose(&mut self, mut sent: SentRequest<D>, lost: LostAnswer) -> RetryStep {
-        sent.guard.record(SendOutcome::Broken);
+        let outcome = if lost.prepaid {
+            SendOutcome::Slow
+        } else {
+            SendOutcome::Broken
+        };
+        sent.guard.record(outcome);
         self.trace.log_failed_send("answer_lost", "");
         self.state
             .metrics
@@ -315,7 +321,8 @@
             prepaid: false,
         };
         let is_repeatable = self.machine_may_repeat();
-        let hurry = self.state.clock.now() + patience(&self.context);
+        let patience = self.state.patience(&self.context);
+        let hurry = self.state.clock.now() + patience;
         let mut silent_at = is_repeatable.then_some(hurry);
         loop {
             let ends_at = self.context.ends_at;
@@ -364,6 +371,8 @@
         let begun = AttemptEvent::HeadReceived;
         self.machine.handle(begun, now, &mut || false);
         sent.guard.record(SendOutcome::Good);
+        let took = sent.guard.elapsed();
+        self.state.record_answer_time(&self.context.route, took);
         self.trace.note_first_event();
         self.trace.events += first.len() as u64;
         let (output, chunks) = mpsc::channel(STREAM_CHUNKS);
@@ -389,6 +398,8 @@
             Err(lost) => return RunStep::Next(self.lose(sent, lost)),
         };
         sent.guard.record(SendOutcome::Good);
+        let took = sent.guard.elapsed();
+        self.state.record_answer_time(&self.context.route, took);
         self.state.metrics.count_send(&self.context.service, "good");
         let response = relayed(&sent.head, RelayBody::whole(body));
         self.keep_link(sent);
--- a/crates/briarrail_gateway/src/traffic/send_guard.rs
+++ b/crates/briarrail_gateway/src/traffic/send_guard.rs
@@ -40,6 +40,11 @@
         self.key
     }
 
+    /// Returns the time since the send began.
+    pub(crate) fn elapsed(&self) -> MilliDuration {
+        self.state.clock.now().since(self.sent_at)
+    }
+
     /// Records how the send ended; later calls count too, since a stream can break after a good
     /// start.
     pub(crate) fn record(&mut self, outcome: SendOutcome) {
@@ -55,7 +60,7 @@
 
 impl<D> Drop for SendGuard<D> {
     fn drop(&mut self) {
-        let waited = self.state.clock.now().since(self.sent_at);
+        let waited = self.elapsed();
         if !self.is_recorded && waited >= self.patience {
             self.state.record_outcome(self.key, SendOutcome::Broken);
         }
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -18,11 +18,10 @@
 use crate::WireDialect;
 use crate::net::{HttpLink, SendFault};
 
-/// Least silence before a request that may be repeated goes to another target; above the usual
-/// spread of service times.
-const MIN_PATIENCE: MilliDuration = MilliDuration::from_millis(400);
-/// Silence before that, as a multiple of the route's objective.
-const PATIENCE_FACTOR: u64 = 2;
+/// Least silence after which a caller that leaves speaks against a target.
+const MIN_SILENCE: MilliDuration = MilliDuration::from_millis(400);
+/// That silence as a multiple of the route's objective.
+const SILENCE_FACTOR: u64 = 2;
 /// Part of a target's connections that all routers together open, since others may be idle.
 const CONNECTION_PART: f64 = 0.8;
 
@@ -51,10 +50,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct TriedTargets(pub(crate) Vec<TargetKey>);
 
-/// Returns the silence after which a request goes to another target.
-pub(crate) fn patience(context: &RequestContext) -> MilliDuration {
-    let wished = context.objective.as_millis() * PATIENCE_FACTOR;
-    MilliDuration::from_millis(wished.max(MIN_PATIENCE.as_millis()))
+/// Returns the silence after which a caller that leaves speaks against a target.
+fn telling_silence(context: &RequestContext) -> MilliDuration {
+    let wished = context.objective.as_millis() * SILENCE_FACTOR;
+    MilliDuration::from_millis(wished.max(MIN_SILENCE.as_millis()))
 }
 
 /// Chooses a target, sends the request and waits for the head of its answer.
@@ -76,7 +75,7 @@
         return SendEnd::Failed(AttemptEvent::NoTarget);
     };
     tried.0.push(key);
-    let mut guard = SendGuard::begin(state, key, patience(context));
+    let mut guard = SendGuard::begin(state, key, telling_silence(context));
     let mut link = match take_link(state, context, key).await {
         Ok(link) => link,
         Err(error) => {
@@ -111,7 +110,7 @@
                 () = tokio::time::sleep_until(state.clock.instant(hurry)), if hurry_at.is_some() => {
                     hurry_at = None;
                     if state.take_repeat(&context.service) {
-                        guard.record(SendOutcome::Broken);
+                        guard.record(SendOutcome::Slow);
                         trace.log_failed_send("no_answer_in_time", "");
                         state.metrics.count_send(&context.service, "silent");
                         return SendEnd::Silent;
@@ -223,7 +222,7 @@
     let board = state.board.borrow();
     let mut others = board.of_service(&context.service);
     let has_other = others.any(|(other, target)| other != key && target.is_open());
-    let at = state.clock.now() + patience(context);
+    let at = state.clock.now() + state.patience(context);
     (may_repeat && has_other && at < context.ends_at).then_some(at)
 }
 
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -7,15 +7,16 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use briarrail_dispatch::{
-    BudgetTerms, PlacementTerms, RepeatBudget, RosterChange, RoutingTable, SendOutcome,
-    TargetBoard, TargetKey,
+    AnswerPatience, BudgetTerms, OutcomeUnits, PlacementTerms, RepeatBudget, RosterChange,
+    RoutingTable, SendOutcome, TargetBoard, TargetKey, TargetState,
 };
-use briarrail_model::MilliTime;
+use briarrail_model::{MilliDuration, MilliTime};
 use briarrail_peer::TargetCount;
 use briarrail_settings::FleetTerms;
 use tokio::sync::oneshot;
 
 use super::link_pool::LinkPool;
+use super::request_context::RequestContext;
 use crate::ProcessClock;
 use crate::telemetry::GatewayMetrics;
 
@@ -94,6 +95,8 @@
     pub(crate) links: RefCell<LinkPool>,
     pub(crate) open_callers: Cell<usize>,
     budgets: RefCell<HashMap<String, RepeatBudget>>,
+    /// Usual times to the first bytes, by route.
+    patience: RefCell<HashMap<String, AnswerPatience>>,
 }
 
 impl<D> TrafficState<D> {
@@ -112,6 +115,7 @@
             links: RefCell::default(),
             open_callers: Cell::new(0),
             budgets: RefCell::default(),
+            patience: RefCell::default(),
         }
     }
 
@@ -123,6 +127,26 @@
         }
     }
 
+    /// Returns how long a silent target is waited for.
+    pub(crate) fn patience(&self, context: &RequestContext) -> MilliDuration {
+        let known = self.patience.borrow().get(&context.route).copied();
+        let has_prompt = context.caller.prompt.total_tokens() > 0;
+        known
+            .unwrap_or_default()
+            .limit(context.objective, has_prompt)
+    }
+
+    /// Takes the time to the first bytes of an answer of a route.
+    pub(crate) fn record_answer_time(&self, route: &str, took: MilliDuration) {
+        let mut patience = self.patience.borrow_mut();
+        if !patience.contains_key(route) {
+            patience.insert(route.to_owned(), AnswerPatience::default());
+        }
+        if let Some(known) = patience.get_mut(route) {
+            known.record(took);
+        }
+    }
+
     /// Counts a first send to a service.
     pub(crate) fn record_first_send(&self, service: &str) {
         let terms = self.budget_terms();
@@ -148,21 +172,15 @@
     pub(crate) fn record_outcome(&self, key: TargetKey, outcome: SendOutcome) {
         let now = self.clock.now();
         let mut board = self.board.borrow_mut();
-        let Some(target) = board.get_mut(key) else {
+        let was_ejected = board
+            .get(key)
+            .is_some_and(|t| t.guard.ejected_until().is_some());
+        let is_ejected = board.record(key, outcome, now);
+        let Some(target) = board.get(key) else {
             return;
         };
-        let was_ejected = target.guard.ejected_until().is_some();
-        if target.guard.record(outcome, now) {
-            self.links.borrow_mut().forget(key);
-            self.metrics.count_ejection(&target.row.service);
-            tracing::info!(
-                event = "target_ejected",
-                target_id = target.row.id,
-                service = target.row.service,
-                cause = ?outcome,
-                failure_ratio = target.guard.failure_ratio(),
-                for_ms = target.guard.ejected_until().map(|until| until.since(now).as_millis()),
-            );
+        if is_ejected {
+            self.note_ejection(key, target, outcome_text(outcome), now);
         } else if was_ejected && target.guard.ejected_until().is_none() {
             tracing::info!(
                 event = "target_restored",
@@ -172,6 +190,28 @@
         }
     }
 
+    fn note_ejection(
+        &self,
+        key: TargetKey,
+        target: &TargetState,
+        cause: &'static str,
+        now: MilliTime,
+    ) {
+        self.links.borrow_mut().forget(key);
+        self.metrics.count_ejection(&target.row.service);
+        tracing::info!(
+            event = "target_ejected",
+            target_id = target.row.id,
+            service = target.row.service,
+            cause,
+            failure_ratio = target.guard.failure_ratio(),
+            for_ms = target
+                .guard
+                .ejected_until()
+                .map(|until| until.since(now).as_millis()),
+        );
+    }
+
     /// Takes what the control thread tells.
     pub(crate) fn apply(&self, update: ControlUpdate) {
         match update {
@@ -209,30 +249,46 @@
     }
 
     fn apply_counts(&self, counts: &[TargetCount], now: MilliTime) {
-        let by_target: HashMap<u32, u32> = counts
-            .iter()
-            .map(|count| (count.target, count.requests))
-            .collect();
+        let by_target: HashMap<u32, &TargetCount> =
+            counts.iter().map(|count| (count.target, count)).collect();
         let mut board = self.board.borrow_mut();
+        board.forget_gone(now);
         let keys: Vec<(TargetKey, u32)> = board
             .iter()
             .map(|(key, target)| (key, target.hash.0 as u32))
             .collect();
-        board.forget_gone(now);
         for (key, hash) in keys {
-            let requests = by_target.get(&hash).copied().unwrap_or(0);
-            board.set_peer_count(key, requests as f32, now);
+            let told = by_target.get(&hash).copied().copied().unwrap_or_default();
+            let outcomes = OutcomeUnits {
+                good: told.good,
+                failed: told.failed,
+            };
+            board.set_peer_state(key, told.requests as f32, outcomes, now);
+        }
+        for (key, units) in board.eject_outliers(now) {
+            if let Some(target) = board.get(key) {
+                self.note_ejection(key, target, "outlier of all routers", now);
+                tracing::debug!(good = units.good, failed = units.failed);
+            }
         }
     }
 
     fn own_counts(&self) -> Vec<TargetCount> {
-        let board = self.board.borrow();
-        let busy = board.iter().filter(|(_, target)| target.own_requests() > 0);
-        let count = |(_, target): (TargetKey, &briarrail_dispatch::TargetState)| TargetCount {
-            target: target.hash.0 as u32,
-            requests: target.own_requests(),
-        };
-        busy.map(count).collect()
+        let now = self.clock.now();
+        let mut board = self.board.borrow_mut();
+        let keys: Vec<TargetKey> = board.iter().map(|(key, _)| key).collect();
+        let counts = keys.into_iter().filter_map(|key| {
+            let outcomes = board.own_outcomes(key, now);
+            let target = board.get(key)?;
+            Some(TargetCount {
+                target: target.hash.0 as u32,
+                requests: target.own_requests(),
+                good: outcomes.good,
+                failed: outcomes.failed,
+            })
+        });
+        let is_told = |count: &TargetCount| count.requests + count.good + count.failed > 0;
+        counts.filter(is_told).collect()
     }
 
     fn budget_terms(&self) -> BudgetTerms {
@@ -244,3 +300,14 @@
         }
     }
 }
+
+const fn outcome_text(outcome: SendOutcome) -> &'static str {
+    match outcome {
+        SendOutcome::Good => "good",
+        SendOutcome::Unreachable => "unreachable",
+        SendOutcome::Broken => "broken",
+        SendOutcome::Slow => "slow",
+        SendOutcome::Failed => "failed",
+        SendOutcome::Refused => "refused",
+    }
+}
--- a/crates/briarrail_peer/src/sync_message.rs
+++ b/crates/briarrail_peer/src/sync_message.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-/// Requests at one target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// Requests at one target, and how those of the last seconds ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetCount {
     /// Low half of the hash of the target's identity.
     #[serde(rename = "t")]
@@ -15,6 +15,16 @@
     /// Requests that it works on.
     #[serde(rename = "n")]
     pub requests: u32,
+    /// Units of good outcomes.
+    #[serde(rename = "g", default, skip_serializing_if = "is_zero")]
+    pub good: u32,
+    /// Units of failures.
+    #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
+    pub failed: u32,
+}
+
+const fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 /// What a router tells the router that it follows, and what it has.
