--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -29,6 +29,7 @@
 const SMALL_SLACK: f32 = 2.0;
 /// Targets of the rendezvous order that are tried before the least loaded one.
 const HOME_TARGETS: usize = 3;
+const DRAW_SALT: StableHash = StableHash(0x6472_6177);
 /// Part of its slots up to which a target without a cache is filled, queue aside.
 const FULL_QUEUE_FACTOR: f32 = 3.0;
 
@@ -97,7 +98,7 @@
         candidates.retain(|candidate| candidate.load < candidate.slots * FULL_QUEUE_FACTOR);
         match ask.affinity {
             Some(_) => place_prompt(candidates, ask, terms, mean),
-            None => least_loaded(&candidates).map(|index| Placement {
+            None => draw_by_room(&candidates, ask.seed).map(|index| Placement {
                 target: candidates[index].key,
                 rank: None,
                 limit: f32::INFINITY,
@@ -191,3 +192,25 @@
     };
     (0..candidates.len()).min_by_key(by_load)
 }
+
+/// Draws a candidate, those with more room more often, and returns its index.
+///
+/// Load pattern: calls last some 30 ms while counts of other routers are some 300 ms old. If every
+/// router took the target that looks least loaded, all would meet at the same one until the next
+/// counts.
+fn draw_by_room(candidates: &[Candidate], seed: StableHash) -> Option<usize> {
+    let room = |candidate: &Candidate| {
+        let part = candidate.slots / (candidate.slots + candidate.load);
+        part * part
+    };
+    let total: f32 = candidates.iter().map(room).sum();
+    let unit = (hash_pair(seed, DRAW_SALT).0 >> 40) as f32 / (1_u64 << 24) as f32;
+    let mut rest = unit * total;
+    for (index, candidate) in candidates.iter().enumerate() {
+        rest -= room(candidate);
+        if rest < 0.0 {
+            return Some(index);
+        }
+    }
+    candidates.len().checked_sub(1)
+}
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod hubs;
 mod patience;
 mod placement;
+mod plain_calls;
 mod refusals;
 mod roster;
 mod routing;
