--- a/crates/briarrail_gateway/src/control/store_follower.rs
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -32,6 +32,9 @@
 /// has tried several others.
 const FOLLOWED_LIMIT: MilliDuration = MilliDuration::from_millis(3_000);
 
+/// Name of the reads of targets in logs and metrics.
+const TARGET_READS: &str = "targets";
+
 type SharedControl = Rc<RefCell<ControlState>>;
 
 /// Returns whether this router reads the store now: it follows no other router, another one asked
@@ -163,7 +166,7 @@
 where
     S: SiteStore,
 {
-    let mut health = StoreHealth::new("targets");
+    let mut health = StoreHealth::new(TARGET_READS);
     let mut revision = None;
     let mut has_read = false;
     loop {
@@ -204,6 +207,7 @@
         tracing::warn!(event = "target_unreadable", target_id = name);
     }
     let now = state.clock.now();
+    note_return(&mut state, now);
     let changes = state.roster.replace(listing.rows, now);
     state.apply_roster(changes, "store");
     state.has_targets = true;
@@ -222,6 +226,7 @@
     let step = store.watch_targets(revision, WATCH_WAIT).await?;
     let mut state = state.borrow_mut();
     let now = state.clock.now();
+    note_return(&mut state, now);
     let WatchStep::Changes { changes, revision } = step else {
         tracing::info!(event = "watch_history_gone", call = "targets");
         return Ok(None);
@@ -238,6 +243,13 @@
     Ok(Some(revision))
 }
 
+/// Counts the time that lapsed entries have to come back from the store's return.
+fn note_return(state: &mut ControlState, now: MilliTime) {
+    if state.failing_reads.contains(TARGET_READS) {
+        state.roster.note_outage(now);
+    }
+}
+
 fn expire_kept(state: &SharedControl) {
     let mut state = state.borrow_mut();
     let now = state.clock.now();
