--- a/crates/briarrail_dispatch/src/target_roster.rs
+++ b/crates/briarrail_dispatch/src/target_roster.rs
@@ -11,6 +11,9 @@
 
 /// Time after the store's return within which lapsed entries are back.
 const RETURN_GRACE: MilliDuration = MilliDuration::from_millis(2_200);
+/// Age up to which a view that is renewed counts as never broken; far below the time in which
+/// entries lapse.
+const CURRENT_LIMIT: MilliDuration = MilliDuration::from_millis(2_500);
 
 #[derive(Debug, Clone)]
 struct RosterEntry {
@@ -39,14 +42,22 @@
 }
 
 impl TargetRoster {
-    /// Notes that the store could not be read now.
-    pub fn note_outage(&mut self, now: MilliTime) {
-        self.outage_end = Some(now);
+    /// Notes that this router could not read the store, or reads it again after that.
+    ///
+    /// A view that goes on through another router, of the age given, misses nothing that lapses.
+    pub fn note_failed_read(&mut self, now: MilliTime, view_age: Option<MilliDuration>) {
+        if view_age.is_none_or(|age| age > CURRENT_LIMIT) {
+            self.outage_end = Some(now);
+        }
     }
 
-    /// Notes that the view went on through another reader of the store.
-    pub fn forget_outage(&mut self) {
+    /// Notes that another router's view came, after this router's own was of the age given.
+    ///
+    /// The other router has given lapsed targets their time. After a view that broke, this
+    /// router's own reads give it to them once more.
+    pub fn note_followed_view(&mut self, now: MilliTime, age_before: Option<MilliDuration>) {
         self.outage_end = None;
+        self.note_failed_read(now, age_before);
     }
 
     /// Takes an entry.
--- a/crates/briarrail_dispatch/tests/suite/roster.rs
+++ b/crates/briarrail_dispatch/tests/suite/roster.rs
@@ -2,6 +2,8 @@
 
 use briarrail_dispatch::{RosterChange, TargetPhase, TargetRoster};
 
+use briarrail_model::MilliDuration;
+
 use crate::fixtures::{at, target};
 
 fn roster() -> TargetRoster {
@@ -29,7 +31,7 @@
 #[test]
 fn entries_that_lapsed_during_an_outage_have_time_to_come_back() {
     let mut roster = roster();
-    roster.note_outage(at(1_000));
+    roster.note_failed_read(at(1_000), None);
     let changes = roster.replace([target("b")], at(1_300));
     assert_eq!(changes, [RosterChange::Kept("a".into(), at(3_200))]);
     assert_eq!(ids(&roster), ["a", "b"]);
@@ -41,7 +43,7 @@
 #[test]
 fn an_entry_that_stays_missing_is_gone() {
     let mut roster = roster();
-    roster.note_outage(at(1_000));
+    roster.note_failed_read(at(1_000), None);
     roster.replace([target("b")], at(1_300));
     assert_eq!(roster.expire(at(3_199)), []);
     assert_eq!(roster.expire(at(3_200)), [RosterChange::Gone("a".into())]);
@@ -53,7 +55,7 @@
     let mut leaving = target("a");
     leaving.phase = TargetPhase::Draining;
     roster.put(leaving);
-    roster.note_outage(at(1_000));
+    roster.note_failed_read(at(1_000), None);
     assert_eq!(
         roster.remove("a", at(1_001)),
         Some(RosterChange::Gone("a".into()))
@@ -65,10 +67,37 @@
 #[test]
 fn an_outage_of_this_router_alone_grants_no_grace() {
     let mut roster = roster();
-    roster.note_outage(at(1_000));
-    roster.forget_outage();
+    roster.note_failed_read(at(1_000), None);
+    roster.note_followed_view(at(1_200), Some(MilliDuration::from_millis(800)));
     assert_eq!(
         roster.remove("a", at(1_300)),
         Some(RosterChange::Gone("a".into()))
     );
 }
+
+/// hunt-8228-39 of saltlog-ke: the reader was cut from the store and got its view from another router;
+/// its own failing reads made it keep a target that had left, for 2.5 s.
+#[test]
+fn failing_reads_grant_no_grace_while_the_view_goes_on() {
+    let mut roster = roster();
+    let age = Some(MilliDuration::from_millis(300));
+    roster.note_followed_view(at(1_000), age);
+    roster.note_failed_read(at(1_100), age);
+    assert_eq!(
+        roster.remove("a", at(1_200)),
+        Some(RosterChange::Gone("a".into()))
+    );
+}
+
+/// deploy/days/store-trouble.toml: after an outage of all, the view of a router that the store
+/// served again a moment sooner was taken for proof that it had been there all the while.
+#[test]
+fn a_view_that_broke_leaves_lapsed_entries_their_time() {
+    let mut roster = roster();
+    roster.note_failed_read(at(5_000), Some(MilliDuration::from_millis(4_000)));
+    roster.note_followed_view(at(5_200), Some(MilliDuration::from_millis(4_200)));
+    assert_eq!(
+        roster.remove("a", at(5_300)),
+        Some(RosterChange::Kept("a".into(), at(7_400)))
+    );
+}
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -22,9 +22,6 @@
 const ROUND_LIMIT: Duration = Duration::from_millis(500);
 /// How long a router that the store fails as well is not asked for its view.
 const STALE_AVOIDANCE: MilliDuration = MilliDuration::from_millis(1_000);
-/// Age up to which a view that is renewed counts as never broken; far below the time in which
-/// entries lapse.
-const CONTINUOUS_LIMIT: MilliDuration = MilliDuration::from_millis(2_500);
 /// Longest wait for the traffic thread's counts.
 const COUNTS_LIMIT: Duration = Duration::from_millis(100);
 
@@ -187,18 +184,11 @@
         }
         return;
     };
-    let was_current = state
-        .view_age(now)
-        .is_some_and(|age| age <= CONTINUOUS_LIMIT);
+    let age_before = state.view_age(now);
+    state.roster.note_followed_view(now, age_before);
     if let Some(part) = reply.roster {
         take_roster(state, part);
     }
-    if was_current {
-        // The view went on without this router's own reads, so what lapsed meanwhile is gone.
-        state.roster.forget_outage();
-    } else {
-        state.roster.note_outage(now);
-    }
     state.note_config_seen(now - age);
     state.note_targets_seen(now - age);
     state.metrics.count_sync("good");
--- a/crates/briarrail_gateway/src/control/store_follower.rs
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -188,7 +188,8 @@
                 {
                     let mut state = state.borrow_mut();
                     let now = state.clock.now();
-                    state.roster.note_outage(now);
+                    let age = state.view_age(now);
+                    state.roster.note_failed_read(now, age);
                 }
                 health.pause().await;
             }
@@ -246,7 +247,8 @@
 /// Counts the time that lapsed entries have to come back from the store's return.
 fn note_return(state: &mut ControlState, now: MilliTime) {
     if state.failing_reads.contains(TARGET_READS) {
-        state.roster.note_outage(now);
+        let age = state.view_age(now);
+        state.roster.note_failed_read(now, age);
     }
 }
 
