--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -33,5 +33,5 @@
 };
 pub use target_board::{TargetBoard, TargetKey, TargetState};
 pub use target_placement::{Placement, PlacementAsk, PlacementTerms};
-pub use target_roster::{RosterChange, TargetRoster};
+pub use target_roster::{RemovalRule, RosterChange, TargetRoster};
 pub use target_row::{TargetPhase, TargetRow};
--- a/crates/briarrail_dispatch/src/target_roster.rs
+++ b/crates/briarrail_dispatch/src/target_roster.rs
@@ -33,6 +33,15 @@
     Kept(String, MilliTime),
 }
 
+/// When a target whose entry is missing stops to count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RemovalRule {
+    /// Once it had time to come back after an outage, by an own read at the time given.
+    AfterGrace(MilliTime),
+    /// At once: a followed router tells it, which has given it its time.
+    AtOnce,
+}
+
 /// The targets that this router counts on.
 #[derive(Debug, Clone, Default)]
 pub struct TargetRoster {
@@ -51,15 +60,6 @@
         }
     }
 
-    /// Notes that another router's view came, after this router's own was of the age given.
-    ///
-    /// The other router has given lapsed targets their time. After a view that broke, this
-    /// router's own reads give it to them once more.
-    pub fn note_followed_view(&mut self, now: MilliTime, age_before: Option<MilliDuration>) {
-        self.outage_end = None;
-        self.note_failed_read(now, age_before);
-    }
-
     /// Takes an entry.
     pub fn put(&mut self, row: TargetRow) -> Option<RosterChange> {
         let known = self.entries.get_mut(&row.id);
@@ -82,11 +82,18 @@
     /// Takes the removal of an entry.
     ///
     /// Right after an outage a ready target is kept until its entry had time to come back.
-    pub fn remove(&mut self, id: &str, now: MilliTime) -> Option<RosterChange> {
-        let grace = self.outage_end.map(|end| end + RETURN_GRACE);
+    pub fn remove(&mut self, id: &str, rule: RemovalRule) -> Option<RosterChange> {
+        let end = self.outage_end;
+        let grace = match rule {
+            RemovalRule::AtOnce => None,
+            RemovalRule::AfterGrace(now) => {
+                let until = end.map(|end| end + RETURN_GRACE);
+                until.filter(|&until| until > now)
+            }
+        };
         let entry = self.entries.get_mut(id)?;
         let is_ready = entry.row.phase == TargetPhase::Ready;
-        if let Some(until) = grace.filter(|&until| is_ready && until > now) {
+        if let Some(until) = grace.filter(|_| is_ready) {
             entry.missing_until = Some(until);
             return Some(RosterChange::Kept(id.to_owned(), until));
         }
@@ -95,7 +102,7 @@
     }
 
     /// Takes a whole listing.
-    pub fn replace<R>(&mut self, rows: R, now: MilliTime) -> Vec<RosterChange>
+    pub fn replace<R>(&mut self, rows: R, rule: RemovalRule) -> Vec<RosterChange>
     where
         R: IntoIterator<Item = TargetRow>,
     {
@@ -107,9 +114,10 @@
             }
             changes.extend(self.put(row));
         }
-        let is_kept = |roster: &Self, id: &String| roster.entries[id].missing_until.is_some();
-        missing.retain(|id| !is_kept(self, id));
-        changes.extend(missing.iter().filter_map(|id| self.remove(id, now)));
+        if rule != RemovalRule::AtOnce {
+            missing.retain(|id| self.entries[id].missing_until.is_none());
+        }
+        changes.extend(missing.iter().filter_map(|id| self.remove(id, rule)));
         changes
     }
 
--- a/crates/briarrail_dispatch/tests/suite/roster.rs
+++ b/crates/briarrail_dispatch/tests/suite/roster.rs
@@ -1,5 +1,6 @@
 //! Which targets count while the store is away and after it.
 
+use briarrail_dispatch::RemovalRule::{AfterGrace, AtOnce};
 use briarrail_dispatch::{RosterChange, TargetPhase, TargetRoster};
 
 use briarrail_model::MilliDuration;
@@ -21,10 +22,10 @@
 fn a_target_is_gone_at_once_in_quiet_times() {
     let mut roster = roster();
     assert_eq!(
-        roster.remove("a", at(10)),
+        roster.remove("a", AfterGrace(at(10))),
         Some(RosterChange::Gone("a".into()))
     );
-    assert_eq!(roster.remove("a", at(11)), None);
+    assert_eq!(roster.remove("a", AfterGrace(at(11))), None);
     assert_eq!(ids(&roster), ["b"]);
 }
 
@@ -32,10 +33,10 @@
 fn entries_that_lapsed_during_an_outage_have_time_to_come_back() {
     let mut roster = roster();
     roster.note_failed_read(at(1_000), None);
-    let changes = roster.replace([target("b")], at(1_300));
+    let changes = roster.replace([target("b")], AfterGrace(at(1_300)));
     assert_eq!(changes, [RosterChange::Kept("a".into(), at(3_200))]);
     assert_eq!(ids(&roster), ["a", "b"]);
-    assert_eq!(roster.replace([target("b")], at(1_400)), []);
+    assert_eq!(roster.replace([target("b")], AfterGrace(at(1_400))), []);
     assert_eq!(roster.put(target("a")), None);
     assert_eq!(roster.expire(at(9_000)), []);
 }
@@ -44,7 +45,7 @@
 fn an_entry_that_stays_missing_is_gone() {
     let mut roster = roster();
     roster.note_failed_read(at(1_000), None);
-    roster.replace([target("b")], at(1_300));
+    roster.replace([target("b")], AfterGrace(at(1_300)));
     assert_eq!(roster.expire(at(3_199)), []);
     assert_eq!(roster.expire(at(3_200)), [RosterChange::Gone("a".into())]);
 }
@@ -57,7 +58,7 @@
     roster.put(leaving);
     roster.note_failed_read(at(1_000), None);
     assert_eq!(
-        roster.remove("a", at(1_001)),
+        roster.remove("a", AfterGrace(at(1_001))),
         Some(RosterChange::Gone("a".into()))
     );
 }
@@ -65,13 +66,16 @@
 /// hunt-50db-3 of saltlog-ke: a router that was cut from the store alone kept targets that all
 /// others had seen go, and handed them out.
 #[test]
-fn an_outage_of_this_router_alone_grants_no_grace() {
+fn what_a_followed_router_tells_as_gone_is_gone_at_once() {
     let mut roster = roster();
     roster.note_failed_read(at(1_000), None);
-    roster.note_followed_view(at(1_200), Some(MilliDuration::from_millis(800)));
     assert_eq!(
-        roster.remove("a", at(1_300)),
-        Some(RosterChange::Gone("a".into()))
+        roster.replace([target("b")], AtOnce),
+        [RosterChange::Gone("a".into())]
+    );
+    assert_eq!(
+        roster.remove("b", AtOnce),
+        Some(RosterChange::Gone("b".into()))
     );
 }
 
@@ -81,10 +85,9 @@
 fn failing_reads_grant_no_grace_while_the_view_goes_on() {
     let mut roster = roster();
     let age = Some(MilliDuration::from_millis(300));
-    roster.note_followed_view(at(1_000), age);
     roster.note_failed_read(at(1_100), age);
     assert_eq!(
-        roster.remove("a", at(1_200)),
+        roster.remove("a", AfterGrace(at(1_200))),
         Some(RosterChange::Gone("a".into()))
     );
 }
@@ -95,9 +98,10 @@
 fn a_view_that_broke_leaves_lapsed_entries_their_time() {
     let mut roster = roster();
     roster.note_failed_read(at(5_000), Some(MilliDuration::from_millis(4_000)));
-    roster.note_followed_view(at(5_200), Some(MilliDuration::from_millis(4_200)));
+    roster.note_failed_read(at(5_200), Some(MilliDuration::from_millis(4_200)));
+    roster.note_failed_read(at(5_400), Some(MilliDuration::from_millis(300)));
     assert_eq!(
-        roster.remove("a", at(5_300)),
+        roster.remove("a", AfterGrace(at(5_500))),
         Some(RosterChange::Kept("a".into(), at(7_400)))
     );
 }
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briarrail_dispatch::{RosterChange, TargetRow};
+use briarrail_dispatch::{RemovalRule, RosterChange, TargetRow};
 use briarrail_model::{HostName, MilliDuration};
 use briarrail_peer::{
     ConfigPart, Envelope, MessageKind, RosterPart, SyncReply, SyncRequest, SyncRouter,
@@ -185,7 +185,7 @@
         return;
     };
     let age_before = state.view_age(now);
-    state.roster.note_followed_view(now, age_before);
+    state.roster.note_failed_read(now, age_before);
     if let Some(part) = reply.roster {
         take_roster(state, part);
     }
@@ -208,7 +208,6 @@
 }
 
 fn take_roster(state: &mut ControlState, part: RosterPart) {
-    let now = state.clock.now();
     let rows = match rmp_serde::from_slice::<Vec<TargetRow>>(&part.rows) {
         Ok(rows) => rows,
         Err(error) => {
@@ -217,12 +216,12 @@
         }
     };
     let changes: Vec<RosterChange> = if part.is_whole {
-        state.roster.replace(rows, now)
+        state.roster.replace(rows, RemovalRule::AtOnce)
     } else {
         let puts = rows.into_iter().filter_map(|row| state.roster.put(row));
         let mut changes: Vec<_> = puts.collect();
         let gone = part.gone.iter();
-        changes.extend(gone.filter_map(|id| state.roster.remove(id, now)));
+        changes.extend(gone.filter_map(|id| state.roster.remove(id, RemovalRule::AtOnce)));
         changes
     };
     state.apply_roster(changes, "hub");
--- a/crates/briarrail_gateway/src/control/store_follower.rs
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briarrail_dispatch::RosterChange;
+use briarrail_dispatch::{RemovalRule, RosterChange};
 use briarrail_model::{HostName, MilliDuration, MilliTime};
 use briarrail_peer::SyncRouter;
 use briarrail_platform::{StoreError, StoreErrorKind};
@@ -209,7 +209,9 @@
     }
     let now = state.clock.now();
     note_return(&mut state, now);
-    let changes = state.roster.replace(listing.rows, now);
+    let changes = state
+        .roster
+        .replace(listing.rows, RemovalRule::AfterGrace(now));
     state.apply_roster(changes, "store");
     state.has_targets = true;
     state.note_targets_seen(asked_at);
@@ -236,7 +238,7 @@
     for change in changes {
         roster_changes.extend(match change {
             TargetEvent::Put(row) => state.roster.put(row),
-            TargetEvent::Removed(id) => state.roster.remove(&id, now),
+            TargetEvent::Removed(id) => state.roster.remove(&id, RemovalRule::AfterGrace(now)),
         });
     }
     state.apply_roster(roster_changes, "store");
