--- a/crates/briarrail_dispatch/src/site_config.rs
+++ b/crates/briarrail_dispatch/src/site_config.rs
@@ -68,8 +68,6 @@
     pub max_attempts: u32,
     /// Whether requests need no key.
     pub is_public: bool,
-    /// Whether requests describe their prompt, so that cached context matters.
-    pub has_prompts: bool,
 }
 
 /// What the configuration says of one service.
--- a/crates/briarrail_dispatch/tests/suite/routing.rs
+++ b/crates/briarrail_dispatch/tests/suite/routing.rs
@@ -19,7 +19,6 @@
         shares: vec![share("old", 90), share("new", 10)],
         max_attempts: 2,
         is_public,
-        has_prompts: false,
     }
 }
 
--- a/crates/briarrail_gateway/src/traffic/answer_head.rs
+++ b/crates/briarrail_gateway/src/traffic/answer_head.rs
@@ -1,7 +1,5 @@
 //! What the head of a target's answer means for the request.
 
-use std::time::Duration;
-
 use briarrail_model::MilliDuration;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, header, response};
@@ -69,13 +67,10 @@
     Some(told)
 }
 
-/// Returns a marks reader's result for a head.
+/// Reads the marks of a head.
 pub(crate) fn read_marks<D>(dialect: &D, head: &response::Parts) -> AnswerMarks
 where
     D: WireDialect,
 {
     dialect.read_answer(&head.headers)
 }
-
-/// Longest time to open a connection to a target of the site.
-pub(crate) const CONNECT_LIMIT: Duration = Duration::from_millis(250);
--- a/crates/briarrail_gateway/src/traffic/request_context.rs
+++ b/crates/briarrail_gateway/src/traffic/request_context.rs
@@ -47,8 +47,6 @@
     pub(crate) max_connections: u32,
     /// Time at which the caller or the route gives up.
     pub(crate) ends_at: MilliTime,
-    /// Time at which the caller gives up, if it says so.
-    pub(crate) caller_deadline: Option<MilliTime>,
 }
 
 impl RequestContext {
@@ -64,11 +62,9 @@
         self.objective = route.objective;
         self.event_gap = route.event_gap;
         self.max_attempts = route.max_attempts;
-        self.caller_deadline = self.caller.deadline.map(|deadline| arrived_at + deadline);
+        let caller_end = self.caller.deadline.map(|deadline| arrived_at + deadline);
         let route_end = arrived_at + route.timeout;
-        self.ends_at = self
-            .caller_deadline
-            .map_or(route_end, |end| end.min(route_end));
+        self.ends_at = caller_end.map_or(route_end, |end| end.min(route_end));
         if let Some(service) = table.service(&self.service) {
             self.caches_prompts = service.caches_prompts;
             self.max_connections = service.max_connections;
--- a/crates/briarrail_gateway/src/traffic/request_run.rs
+++ b/crates/briarrail_gateway/src/traffic/request_run.rs
@@ -181,7 +181,6 @@
         caches_prompts: false,
         max_connections: 0,
         ends_at: MilliTime::default(),
-        caller_deadline: None,
     }
 }
 
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use briarrail_dispatch::{PlacementAsk, SendOutcome, TargetKey};
 use briarrail_model::{CallSemantics, MilliDuration, MilliTime};
@@ -10,7 +11,7 @@
 use http::response;
 use hyper::body::Incoming;
 
-use super::answer_head::{CONNECT_LIMIT, HeadVerdict, judge_head, read_marks};
+use super::answer_head::{HeadVerdict, judge_head, read_marks};
 use super::request_context::RequestContext;
 use super::request_trace::RequestTrace;
 use super::send_guard::SendGuard;
@@ -18,6 +19,8 @@
 use crate::WireDialect;
 use crate::net::{HttpLink, SendFault};
 
+/// Longest time to open a connection to a target; many round trips within a site.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// Least silence after which a caller that leaves speaks against a target.
 const MIN_SILENCE: MilliDuration = MilliDuration::from_millis(400);
 /// That silence as a multiple of the route's objective.
