--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -8,7 +8,9 @@
 use briarrail_dispatch::{PlacementAsk, SendOutcome, TargetKey};
 use briarrail_model::{CallSemantics, MilliDuration, MilliTime};
 use briarrail_outcome::AttemptEvent;
-use http::response;
+use bytes::Bytes;
+use http::{Request, Response, response};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::answer_head::{HeadVerdict, judge_head, read_marks};
@@ -28,6 +30,18 @@
 /// Part of a target's connections that all routers together open, since others may be idle.
 const CONNECTION_PART: f64 = 0.8;
 
+/// Connections that each router may open to a target, however many routers there are.
+const MIN_CONNECTIONS: f64 = 2.0;
+
+/// Why there is no connection to a target.
+#[derive(Debug)]
+enum LinkFault {
+    /// This router's part of the target's connections is in use; that says nothing against it.
+    OverLimit,
+    /// No connection could be made.
+    Unreachable(std::io::Error),
+}
+
 /// An answer whose head is good.
 #[derive(Debug)]
 pub(crate) struct SentRequest<D> {
@@ -81,15 +95,15 @@
     let mut guard = SendGuard::begin(state, key, telling_silence(context));
     let mut link = match take_link(state, context, key).await {
         Ok(link) => link,
-        Err(error) => {
+        Err(LinkFault::OverLimit) => {
+            guard.waive();
+            let event = AttemptEvent::ConnectFailed;
+            return failed(state, trace, "connection_limit", &"", event);
+        }
+        Err(LinkFault::Unreachable(error)) => {
             guard.record(SendOutcome::Unreachable);
-            return failed(
-                state,
-                trace,
-                "connect_failed",
-                &error,
-                AttemptEvent::ConnectFailed,
-            );
+            let event = AttemptEvent::ConnectFailed;
+            return failed(state, trace, "connect_failed", &error, event);
         }
     };
     let request = context.target_request(
@@ -100,39 +114,24 @@
         state.clock,
     );
     trace.sends += 1;
-    let answer = {
-        let sending = link.send(request);
-        let mut sending = std::pin::pin!(sending);
-        let ends_at = state.clock.instant(context.ends_at);
-        let mut hurry_at = hurry_time(state, context, key, tried);
-        loop {
-            let hurry = hurry_at.unwrap_or(context.ends_at);
-            tokio::select! {
-                answer = sending.as_mut() => break Some(answer),
-                () = tokio::time::sleep_until(ends_at) => break None,
-                () = tokio::time::sleep_until(state.clock.instant(hurry)), if hurry_at.is_some() => {
-                    hurry_at = None;
-                    if state.take_repeat(&context.service) {
-                        guard.record(SendOutcome::Slow);
-                        trace.log_failed_send("no_answer_in_time", "");
-                        state.metrics.count_send(&context.service, "silent");
-                        return SendEnd::Silent;
-                    }
-                }
-            }
+    let hurry_at = hurry_time(state, context, key, tried);
+    let answer = match wait_for_head(state, context, &mut link, request, hurry_at).await {
+        HeadWait::Answer(answer) => answer,
+        HeadWait::Silent => {
+            guard.record(SendOutcome::Slow);
+            trace.log_failed_send("no_answer_in_time", "");
+            state.metrics.count_send(&context.service, "silent");
+            return SendEnd::Silent;
         }
-    };
-    let Some(answer) = answer else {
-        guard.record(SendOutcome::Broken);
-        return failed(state, trace, "deadline", &"", AttemptEvent::DeadlinePassed);
-    };
-    let answer = match answer {
-        Ok(answer) => answer,
-        Err(SendFault::Unsent(error)) => {
+        HeadWait::DeadlinePassed => {
+            guard.record(SendOutcome::Broken);
+            return failed(state, trace, "deadline", &"", AttemptEvent::DeadlinePassed);
+        }
+        HeadWait::Failed(SendFault::Unsent(error)) => {
             guard.waive();
             return failed(state, trace, "unsent", &error, AttemptEvent::ConnectFailed);
         }
-        Err(SendFault::Lost(error)) => {
+        HeadWait::Failed(SendFault::Lost(error)) => {
             guard.record(SendOutcome::Broken);
             return failed(state, trace, "lost", &error, AttemptEvent::SendFailed);
         }
@@ -168,6 +167,45 @@
     }
 }
 
+/// What came of waiting for a head.
+enum HeadWait {
+    Answer(Response<Incoming>),
+    Failed(SendFault),
+    /// Nothing came in time, and a repeat was taken out of the budget.
+    Silent,
+    DeadlinePassed,
+}
+
+/// Sends a request and waits for the head of its answer.
+///
+/// After `hurry_at` a silent target is given up, if the budget has a repeat left.
+async fn wait_for_head<D>(
+    state: &Rc<TrafficState<D>>,
+    context: &RequestContext,
+    link: &mut HttpLink,
+    request: Request<Full<Bytes>>,
+    mut hurry_at: Option<MilliTime>,
+) -> HeadWait {
+    let sending = link.send(request);
+    let mut sending = std::pin::pin!(sending);
+    let ends_at = state.clock.instant(context.ends_at);
+    loop {
+        let hurry = state.clock.instant(hurry_at.unwrap_or(context.ends_at));
+        tokio::select! {
+            answer = sending.as_mut() => {
+                return answer.map_or_else(HeadWait::Failed, HeadWait::Answer);
+            }
+            () = tokio::time::sleep_until(ends_at) => return HeadWait::DeadlinePassed,
+            () = tokio::time::sleep_until(hurry), if hurry_at.is_some() => {
+                hurry_at = None;
+                if state.take_repeat(&context.service) {
+                    return HeadWait::Silent;
+                }
+            }
+        }
+    }
+}
+
 fn failed<D>(
     state: &Rc<TrafficState<D>>,
     trace: &RequestTrace<D>,
@@ -233,7 +271,7 @@
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
     key: TargetKey,
-) -> std::io::Result<HttpLink> {
+) -> Result<HttpLink, LinkFault> {
     let at_most_once = context.repeat.semantics() == CallSemantics::AtMostOnce;
     let now = state.clock.now();
     let kept = state.links.borrow_mut().take(key, at_most_once, now);
@@ -242,17 +280,18 @@
     }
     let address = {
         let board = state.board.borrow();
-        let target = board
-            .get(key)
-            .ok_or_else(|| std::io::Error::other("the target is gone"))?;
+        let Some(target) = board.get(key) else {
+            let error = std::io::Error::other("the target is gone");
+            return Err(LinkFault::Unreachable(error));
+        };
         let routers = state.shared.routers.load(Ordering::Relaxed).max(1);
         let part = CONNECTION_PART * f64::from(context.max_connections) / routers as f64;
-        if context.max_connections > 0 && f64::from(target.own_requests()) > part.max(2.0) {
-            return Err(std::io::Error::other(
-                "this router's connections are used up",
-            ));
+        let limit = part.max(MIN_CONNECTIONS);
+        if context.max_connections > 0 && f64::from(target.own_requests()) > limit {
+            return Err(LinkFault::OverLimit);
         }
         target.row.address
     };
-    HttpLink::open(address, CONNECT_LIMIT).await
+    let opened = HttpLink::open(address, CONNECT_LIMIT).await;
+    opened.map_err(LinkFault::Unreachable)
 }
