--- a/crates/briarrail_outcome/tests/suite/retry.rs
+++ b/crates/briarrail_outcome/tests/suite/retry.rs
@@ -173,3 +173,41 @@
     let steps: u64 = (0..SEEDS).map(play).sum();
     println!("retry: {SEEDS} fixed seeds, {steps} steps");
 }
+
+fn free_steps(semantics: CallSemantics, events: &[AttemptEvent]) -> String {
+    let plan = RetryPlan::new(semantics, DEADLINE).with_free_moves(2);
+    let mut machine = RetryMachine::new(plan);
+    let now = MilliTime::default();
+    let mut lines = vec![format!("start -> {:?}", machine.start(now))];
+    for &event in events {
+        let step = machine.handle(event, now, &mut FreeAllowance);
+        lines.push(format!("{event:?} -> {step:?}"));
+    }
+    lines.join("\n")
+}
+
+#[test]
+fn targets_that_did_not_run_a_call_cost_no_attempt() {
+    let refused = AttemptEvent::Refused { proved: true };
+    let events = [AttemptEvent::ConnectFailed, refused, refused];
+    insta::assert_snapshot!(free_steps(CallSemantics::AtMostOnce, &events));
+}
+
+#[test]
+fn a_call_that_may_have_run_moves_no_more() {
+    let refused = AttemptEvent::Refused { proved: true };
+    let events = [refused, AttemptEvent::SendFailed];
+    insta::assert_snapshot!(free_steps(CallSemantics::AtMostOnce, &events));
+}
+
+#[test]
+fn a_refusal_that_may_be_repeated_still_takes_from_the_allowance() {
+    let plan = RetryPlan::new(CallSemantics::Idempotent, DEADLINE).with_free_moves(2);
+    let mut machine = RetryMachine::new(plan);
+    let now = MilliTime::default();
+    machine.start(now);
+    let refused = AttemptEvent::Refused { proved: true };
+    let step = machine.handle(refused, now, &mut || false);
+    let outcome = RequestOutcome::NotRun(NotRunReason::TargetRefused);
+    assert_eq!(step, RetryStep::Finish(outcome));
+}
--- a/crates/briarrail_outcome/tests/suite/stream.rs
+++ b/crates/briarrail_outcome/tests/suite/stream.rs
@@ -131,3 +131,61 @@
     (0..SEEDS).for_each(play);
     println!("stream: {SEEDS} fixed seeds");
 }
+
+#[test]
+fn an_answer_without_terminal_event_ends_with_its_body() {
+    let mut checker = StreamChecker::for_body(None);
+    let (state, relayed) = push_all(&mut checker, &format!("{}id: 6\nda", event(5)));
+    assert_eq!((state, relayed), (Ok(StreamState::Open), event(5)));
+    assert_eq!(checker.finish(), Err(StreamFault::Unfinished));
+    let (_, relayed) = push_all(&mut checker, "ta: [DONE]\n\n");
+    assert_eq!(relayed, "id: 6\ndata: [DONE]\n\n");
+    assert_eq!(checker.finish(), Ok(()));
+    assert_eq!(checker.resume_offset(), Some(7));
+}
+
+#[test]
+fn a_resumed_body_must_follow_the_last_event() {
+    let mut checker = StreamChecker::for_body(Some(11));
+    let (state, relayed) = push_all(&mut checker, &format!("{}{}", event(11), event(12)));
+    assert_eq!((state, relayed), (Ok(StreamState::Open), event(12)));
+    assert_eq!(checker.dropped(), 1);
+    let (state, _) = push_all(&mut checker, &event(14));
+    let gap = StreamFault::MissingEvents {
+        expected: 13,
+        found: 14,
+    };
+    assert_eq!(state, Err(gap));
+}
+
+/// Breaks a body at random places and goes on after the last whole event; what is relayed must be
+/// every event once, in order, however the bytes came.
+#[test]
+fn a_body_that_breaks_and_goes_on_is_relayed_once_and_in_order() {
+    for seed in 0..SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let first: u64 = rng.random_range(0..3);
+        let last = first + rng.random_range(1..12);
+        let mut checker = StreamChecker::for_body(first.checked_sub(1));
+        let mut relayed = String::new();
+        let mut next = first;
+        while next < last {
+            let text: String = (next..last).map(event).collect();
+            let cut = rng.random_range(0..=text.len());
+            let mut rest = &text.as_bytes()[..cut];
+            let mut out = Vec::new();
+            while !rest.is_empty() {
+                let (chunk, later) = rest.split_at(rng.random_range(1..=rest.len()));
+                checker
+                    .push(Bytes::copy_from_slice(chunk), &mut out)
+                    .unwrap();
+                rest = later;
+            }
+            relayed.push_str(&text_of(&out));
+            next = checker.resume_offset().unwrap_or(first);
+            checker.restart();
+        }
+        let expected: String = (first..last).map(event).collect();
+        assert_eq!(relayed, expected, "seed {seed}");
+    }
+}
--- a/crates/briarrail_peer/tests/suite/main.rs
+++ b/crates/briarrail_peer/tests/suite/main.rs
@@ -3,3 +3,4 @@
 mod budget;
 mod frames;
 mod items;
+mod sync;
--- /dev/null
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -0,0 +1,102 @@
+//! Messages between a router and the one that it follows.
+
+use briarrail_peer::{
+    ConfigPart, Envelope, FrameCodec, KeyRing, MessageKind, RosterPart, SharedKey, SyncReply,
+    SyncRequest, SyncRouter, TargetCount,
+};
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+fn router(index: u8) -> SyncRouter {
+    SyncRouter {
+        name: format!("entry-{index}").as_str().into(),
+        address: format!("10.0.0.{index}:7000").parse().unwrap(),
+        data_centre: "a".into(),
+        capacity: 4,
+    }
+}
+
+fn round_trip<T>(kind: MessageKind, body: T) -> (T, usize)
+where
+    T: Serialize + DeserializeOwned + Clone,
+{
+    let codec = FrameCodec::new(KeyRing::new(SharedKey::new(b"one")));
+    let envelope = Envelope {
+        from: "entry-1".into(),
+        incarnation: 3,
+        to: "entry-2".into(),
+        body,
+    };
+    let frame = codec.seal(kind, &envelope).unwrap();
+    let opened = codec.open(kind, &"entry-2".into(), &frame).unwrap();
+    (opened.body, frame.len())
+}
+
+fn counts(targets: u32) -> Vec<TargetCount> {
+    let count = |target: u32| TargetCount {
+        target: target.wrapping_mul(0x9E37_79B9),
+        requests: 9,
+        good: 12,
+        failed: 0,
+    };
+    (1..=targets).map(count).collect()
+}
+
+#[test]
+fn requests_and_replies_come_back_as_they_were() {
+    let request = SyncRequest {
+        sender: router(1),
+        config_revision: 7,
+        roster_epoch: 5,
+        roster_sequence: 9,
+        counts: counts(3),
+        covered: 2,
+        routers_digest: 11,
+        wants_view: true,
+        is_stopping: false,
+    };
+    assert_eq!(
+        round_trip(MessageKind::SyncRequest, request.clone()).0,
+        request
+    );
+    let reply = SyncReply {
+        view_age_ms: Some(40),
+        is_cut: true,
+        routers: Some(vec![router(1), router(2)]),
+        live: 2,
+        next_round_ms: 200,
+        counts: counts(2),
+        config: Some(ConfigPart {
+            revision: 8,
+            body: Bytes::from_static(b"config"),
+        }),
+        roster: Some(RosterPart {
+            epoch: 5,
+            sequence: 10,
+            is_whole: false,
+            rows: Bytes::from_static(b"rows"),
+            gone: vec!["i-1".into()],
+        }),
+    };
+    assert_eq!(round_trip(MessageKind::SyncReply, reply.clone()).0, reply);
+}
+
+/// A host with a link of 10 Mbit/s answers some 25 followers five times a second with counts of 94
+/// targets; a tenth of the link is 1,000 bytes a round each way.
+#[test]
+fn a_usual_reply_fits_a_narrow_link() {
+    let reply = SyncReply {
+        view_age_ms: Some(400),
+        is_cut: false,
+        routers: None,
+        live: 89,
+        next_round_ms: 200,
+        counts: counts(94),
+        config: None,
+        roster: None,
+    };
+    let (_, bytes) = round_trip(MessageKind::SyncReply, reply);
+    let per_second = bytes * 25 * 5;
+    assert!(per_second * 8 <= 10_000_000 / 5, "{bytes} bytes a reply");
+}
--- a/crates/briarrail_settings/tests/suite/main.rs
+++ b/crates/briarrail_settings/tests/suite/main.rs
@@ -3,4 +3,5 @@
 mod bad_settings;
 mod documented;
 mod garbled;
+mod gateway;
 mod good_settings;
