--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod link_pool;
 mod relay_body;
 mod request_context;
+mod request_intake;
 mod request_run;
 mod request_trace;
 mod send_guard;
