--- a/crates/briarrail_dispatch/src/hub_choice.rs
+++ b/crates/briarrail_dispatch/src/hub_choice.rs
@@ -41,16 +41,36 @@
     first_ranked(all(), now).filter(|first| !is_own(first))
 }
 
-/// Returns the router that should read the store for one that the store fails.
+/// Returns the routers that should read the store for one that the store fails, best first.
+///
+/// Load pattern: the store turns a part of the routers away, the reader and those that rank next
+/// among them; asked one after the other, each would cost a time limit.
 #[must_use]
-pub fn choose_view_source(others: &[HubCandidate], now: MilliTime) -> Option<&HubCandidate> {
-    first_ranked(others.iter(), now)
+pub fn choose_view_sources(
+    others: &[HubCandidate],
+    wanted: usize,
+    now: MilliTime,
+) -> Vec<&HubCandidate> {
+    let usable = others.iter().filter(|one| is_usable(one, now));
+    let mut ranked: Vec<&HubCandidate> = usable.collect();
+    ranked.sort_by_key(|one| std::cmp::Reverse(rank(one)));
+    ranked.truncate(wanted);
+    ranked
+}
+
+fn is_usable(candidate: &HubCandidate, now: MilliTime) -> bool {
+    candidate.avoided_until.is_none_or(|until| until <= now)
+}
+
+fn rank(candidate: &HubCandidate) -> (u8, StableHash) {
+    let hash = hash_pair(HUB_SALT, candidate.name.stable_hash());
+    (candidate.capacity, hash)
 }
 
 fn first_ranked<'c, I>(candidates: I, now: MilliTime) -> Option<&'c HubCandidate>
 where
     I: Iterator<Item = &'c HubCandidate>,
 {
-    let usable = candidates.filter(|one| one.avoided_until.is_none_or(|until| until <= now));
-    usable.max_by_key(|one| (one.capacity, hash_pair(HUB_SALT, one.name.stable_hash())))
+    let usable = candidates.filter(|one| is_usable(one, now));
+    usable.max_by_key(|one| rank(one))
 }
--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use answer_patience::AnswerPatience;
 pub use fleet_evidence::{OutcomeUnits, OutcomeWindow};
-pub use hub_choice::{HubCandidate, choose_hub, choose_view_source};
+pub use hub_choice::{HubCandidate, choose_hub, choose_view_sources};
 pub use outlier_guard::{OutlierGuard, SendOutcome};
 pub use prompt_facts::PromptFacts;
 pub use refusal_timing::{RefusalCause, retry_after};
--- a/crates/briarrail_dispatch/tests/suite/hubs.rs
+++ b/crates/briarrail_dispatch/tests/suite/hubs.rs
@@ -1,6 +1,6 @@
 //! Which router follows which.
 
-use briarrail_dispatch::{HubCandidate, choose_hub, choose_view_source};
+use briarrail_dispatch::{HubCandidate, choose_hub, choose_view_sources};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -68,17 +68,31 @@
     }
 }
 
+/// hunt-1f17-7 of saltlog-ke: the store turned away the reader and the two that rank next, and an
+/// edit was late by the time limits of asking them in turn.
 #[test]
-fn a_router_that_is_avoided_gives_its_place_to_the_next() {
+fn several_routers_are_asked_for_their_view_and_avoided_ones_are_not() {
     let fleet = fleet(9, 3);
     let others = others(&fleet, 0);
-    let first = choose_view_source(&others, at(0)).unwrap().name.clone();
+    let names = |others: &[HubCandidate], now| -> Vec<String> {
+        let sources = choose_view_sources(others, 3, at(now));
+        sources
+            .iter()
+            .map(|source| source.name.to_string())
+            .collect()
+    };
+    let first = names(&others, 0);
+    assert_eq!(first.len(), 3);
     let mut avoiding = others.clone();
     for other in &mut avoiding {
-        if other.name == first {
+        if first.contains(&other.name.to_string()) {
             other.avoided_until = Some(at(500));
         }
     }
-    assert_ne!(choose_view_source(&avoiding, at(499)).unwrap().name, first);
-    assert_eq!(choose_view_source(&avoiding, at(500)).unwrap().name, first);
+    assert!(
+        names(&avoiding, 499)
+            .iter()
+            .all(|name| !first.contains(name))
+    );
+    assert_eq!(names(&avoiding, 500), first);
 }
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use briarrail_dispatch::{
-    HubCandidate, RosterChange, RoutingTable, TargetRoster, choose_hub, choose_view_source,
+    HubCandidate, RosterChange, RoutingTable, TargetRoster, choose_hub, choose_view_sources,
 };
 use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash, hash_pair};
 use briarrail_peer::{FrameCodec, SyncRouter, TargetCount};
@@ -21,6 +21,8 @@
 const COUNTS_WINDOW: MilliDuration = MilliDuration::from_millis(900);
 /// Age from which a view of the store is too old to be passed on or relied on.
 pub(crate) const VIEW_LIMIT: MilliDuration = MilliDuration::from_millis(1_400);
+/// Routers that are asked for their view at once; the store hardly turns all of them away.
+const VIEW_SOURCES: usize = 3;
 /// Time after a question for its view for which a router reads the store; a few rounds.
 const WANTED_WINDOW: MilliDuration = MilliDuration::from_millis(1_500);
 /// Time for which a router counts as heard of just now.
@@ -324,8 +326,8 @@
         self.peers.get(&chosen.name).map(|peer| peer.router.clone())
     }
 
-    /// Returns the router whose view to ask for, when the store fails this one.
-    pub(crate) fn choose_view_source(&self, now: MilliTime) -> Option<SyncRouter> {
+    /// Returns the routers whose view to ask for, when the store fails this one.
+    pub(crate) fn choose_view_sources(&self, now: MilliTime) -> Vec<SyncRouter> {
         let peers = self.peers.values();
         let others: Vec<HubCandidate> = peers
             .map(|peer| {
@@ -333,8 +335,11 @@
                 hub_candidate(&peer.router, until)
             })
             .collect();
-        let chosen = choose_view_source(&others, now)?;
-        self.peers.get(&chosen.name).map(|peer| peer.router.clone())
+        let chosen = choose_view_sources(&others, VIEW_SOURCES, now);
+        let routers = chosen
+            .into_iter()
+            .filter_map(|one| self.peers.get(&one.name));
+        routers.map(|peer| peer.router.clone()).collect()
     }
 
     /// Does not ask a router for its view for some time.
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -1,6 +1,8 @@
 //! Rounds with the router that this one follows.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,7 +31,8 @@
 
 /// Follows the chosen router in rounds, for ever.
 pub(crate) async fn run_rounds(state: SharedControl) {
-    let mut client: Option<(SyncRouter, CallClient)> = None;
+    let mut clients: HashMap<SocketAddr, CallClient> = HashMap::new();
+    let mut followed: Option<HostName> = None;
     loop {
         read_own_counts(&state).await;
         let (now, hub) = {
@@ -38,34 +41,26 @@
             state.publish_router_count(now);
             (now, state.choose_hub(now))
         };
-        let is_root = hub.is_none();
-        // A router without another to follow asks for a view only when the store fails it.
-        let asked = hub.or_else(|| {
-            let state = state.borrow();
-            let is_cut = state.is_cut();
-            state.choose_view_source(now).filter(|_| is_cut)
-        });
-        let round = match asked {
-            Some(asked) => {
-                if client.as_ref().is_none_or(|(known, _)| *known != asked) {
-                    tracing::info!(event = "following", hub = %asked.name, is_root);
-                    client = Some((asked.clone(), CallClient::new(asked.address)));
-                }
-                match &client {
-                    Some((_, client)) => ask_hub(&state, client, &asked.name, is_root).await,
-                    None => MIN_ROUND_MS,
-                }
+        let name = hub.as_ref().map(|hub| hub.name.clone());
+        if name != followed {
+            match &name {
+                Some(hub) => tracing::info!(event = "following", hub = %hub),
+                None => tracing::info!(event = "reading_store"),
+            }
+            followed = name;
+        }
+        let round = match &hub {
+            Some(hub) => {
+                clients.retain(|address, _| *address == hub.address);
+                let client = client_of(&mut clients, hub);
+                ask_hub(&state, &client, &hub.name, false).await
             }
             None => {
-                if client.take().is_some() {
-                    tracing::info!(event = "reading_store");
-                }
+                state.borrow_mut().hub_view = None;
+                ask_for_views(&state, &mut clients).await;
                 MIN_ROUND_MS
             }
         };
-        if is_root {
-            state.borrow_mut().hub_view = None;
-        }
         {
             let state = state.borrow();
             let counts = state.peer_counts(now);
@@ -75,6 +70,33 @@
     }
 }
 
+fn client_of(clients: &mut HashMap<SocketAddr, CallClient>, router: &SyncRouter) -> CallClient {
+    let client = clients.entry(router.address);
+    client
+        .or_insert_with(|| CallClient::new(router.address))
+        .clone()
+}
+
+/// Asks others for their view while the store fails this router, which follows nobody.
+async fn ask_for_views(state: &SharedControl, clients: &mut HashMap<SocketAddr, CallClient>) {
+    let sources = {
+        let state = state.borrow();
+        if !state.is_cut() {
+            clients.clear();
+            return;
+        }
+        state.choose_view_sources(state.clock.now())
+    };
+    let names: Vec<&str> = sources.iter().map(|source| source.name.as_str()).collect();
+    tracing::info!(event = "asking_for_views", sources = names.join(","));
+    let mut questions = tokio::task::JoinSet::new();
+    for source in sources {
+        let (state, client) = (Rc::clone(state), client_of(clients, &source));
+        questions.spawn_local(async move { ask_hub(&state, &client, &source.name, true).await });
+    }
+    questions.join_all().await;
+}
+
 async fn read_own_counts(state: &SharedControl) {
     let (reply, counts) = oneshot::channel();
     state.borrow().tell_traffic(ControlUpdate::OwnCounts(reply));
@@ -160,11 +182,13 @@
 fn take_reply(state: &mut ControlState, hub: &HostName, reply: SyncReply, wants_view: bool) {
     let now = state.clock.now();
     state.note_answer(hub, now);
-    state.hub_view = Some(HubView {
-        counts: reply.counts,
-        live: reply.live,
-        told_at: now,
-    });
+    if !wants_view {
+        state.hub_view = Some(HubView {
+            counts: reply.counts,
+            live: reply.live,
+            told_at: now,
+        });
+    }
     if let Some(routers) = reply.routers {
         state.replace_routers(routers, now);
     }
--- a/crates/briarrail_gateway/src/gateway_daemon.rs
+++ b/crates/briarrail_gateway/src/gateway_daemon.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use briarrail_settings::{GatewaySettings, SettingsErrors};
 use thiserror::Error;
@@ -14,13 +15,16 @@
 use tokio::task::LocalSet;
 
 use crate::control::{ControlInputs, run_control};
-use crate::telemetry::{GatewayMetrics, init_json_logs};
+use crate::telemetry::{GatewayMetrics, flush_logs, init_json_logs};
 use crate::traffic::{ControlUpdate, SharedState, StopPhase, TrafficState, serve_callers};
 use crate::{ProcessClock, SiteStore, WireDialect};
 
 /// Part of the descriptors that callers may use; the rest is for targets, peers and the store.
 const CALLER_DESCRIPTORS: f64 = 0.6;
 
+/// Longest wait for the last log lines; a part of the margin kept back at a stop.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+
 /// Why the gateway did not run.
 #[derive(Debug, Error)]
 #[non_exhaustive]
@@ -94,8 +98,9 @@
         updates,
         stop,
     };
-    LocalSet::new().block_on(&new_runtime()?, run_control(inputs, store))?;
-    Ok(())
+    let ended = LocalSet::new().block_on(&new_runtime()?, run_control(inputs, store));
+    flush_logs(FLUSH_LIMIT);
+    Ok(ended?)
 }
 
 fn new_runtime() -> std::io::Result<Runtime> {
--- a/crates/briarrail_gateway/src/telemetry/line_queue.rs
+++ b/crates/briarrail_gateway/src/telemetry/line_queue.rs
@@ -1,7 +1,7 @@
 //! Log lines that never block the threads that write them.
 
 use std::io::Write;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -18,6 +18,11 @@
 /// Least time between two reports of dropped lines.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two looks at the queue while it is flushed.
+const FLUSH_POLL: Duration = Duration::from_millis(2);
+/// Lines that are queued and not written yet.
+static PENDING_LINES: AtomicI64 = AtomicI64::new(0);
+
 /// Starts logging JSON lines to standard output; a second call in one process changes nothing.
 ///
 /// Lines beyond a steady rate, and lines that standard output does not take in time, are dropped
@@ -50,6 +55,16 @@
     dropped
 }
 
+/// Waits until the lines that were logged before are written, at most for `limit`.
+///
+/// Blocks the calling thread; for the end of the process only.
+pub(crate) fn flush_logs(limit: Duration) {
+    let end = Instant::now() + limit;
+    while PENDING_LINES.load(Ordering::Relaxed) > 0 && Instant::now() < end {
+        std::thread::sleep(FLUSH_POLL);
+    }
+}
+
 fn write_lines(queue: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
     let mut told = 0;
     let mut told_at = Instant::now();
@@ -60,6 +75,7 @@
         if written.is_err() {
             dropped.fetch_add(1, Ordering::Relaxed);
         }
+        PENDING_LINES.fetch_sub(1, Ordering::Relaxed);
         let total = dropped.load(Ordering::Relaxed);
         if total > told && told_at.elapsed() >= REPORT_INTERVAL {
             let report = format!(
@@ -113,7 +129,10 @@
         let allowed = allowance.is_ok_and(|mut lines| lines.take(Instant::now()));
         let queued = allowed
             && match self.lines.try_send(line.to_vec()) {
-                Ok(()) => true,
+                Ok(()) => {
+                    PENDING_LINES.fetch_add(1, Ordering::Relaxed);
+                    true
+                }
                 Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
             };
         if !queued {
