--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -210,7 +210,9 @@
     };
     let age_before = state.view_age(now);
     state.roster.note_failed_read(now, age_before);
-    if let Some(part) = reply.roster {
+    // A router that reads the store for others knows better than what they hand back to it.
+    let reads_for_others = state.is_view_wanted(now) && !state.is_cut();
+    if let Some(part) = reply.roster.filter(|_| !reads_for_others) {
         take_roster(state, part);
     }
     state.note_config_seen(now - age);
