fix(exchange): a target that comes back at once stays listed on followers

Cause: a reply to a following router names new rows and departures apart, and the follower takes the rows first. When a target left and came back between two rounds, the departure removed the new row, on every follower, until the next whole roster. Ruled out: the store's watch, which brings both events in order (the reader's log has them so). Change: the roster's log forgets a target's departure once it is listed again.

--- a/crates/briarrail_gateway/src/control/roster_log.rs
+++ b/crates/briarrail_gateway/src/control/roster_log.rs
@@ -26,6 +26,8 @@
             match change {
                 RosterChange::Put(row) => {
                     self.sequence += 1;
+                    // A reply names rows and departures apart, without their order.
+                    self.departures.retain(|(_, gone)| *gone != row.id);
                     let entry = (self.sequence, row.clone());
                     self.rows.insert(row.id.clone(), entry);
                 }
