fix(exchange): only a later view of the targets replaces the held one

Cause: a reader that the store fails took the rosters of three routers in the order in which they came. Ruled out: the store's answers; the source's own watch had the departure in time. Change: ViewOrder in briarrail_dispatch. A view carries the time at which the store had it, reckoned from the question and not from the answer; it replaces the held one when it is no older, or comes from the router whose sequence is followed. An own read that changes the roster has the next view taken whole. The bar for sources goes. Before: with every view accepted, views::a_target_that_left_does_not_go_round_between_routers and exchange::a_lagging_view_does_not_bring_back_a_target_that_left fail. Conclusion: content and age of a view stay together; the order of arrival decides nothing.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -3,8 +3,8 @@
 //! Every function that decides takes the present time as an argument. [`RoutingTable`] finds the
 //! route and the customer of a request, [`TargetBoard`] holds what is believed of each target and
 //! places requests, [`RepeatBudget`] limits repeats over the fleet, [`TargetRoster`] decides which
-//! listed targets still count while the store is away, and [`choose_hub`] says which router reads
-//! the store for the others.
+//! listed targets still count while the store is away, [`choose_hub`] says which router reads the
+//! store for the others, and [`ViewOrder`] which of several views is the later one.
 
 mod answer_patience;
 mod fleet_evidence;
@@ -19,6 +19,7 @@
 mod target_placement;
 mod target_roster;
 mod target_row;
+mod view_order;
 
 pub use answer_patience::AnswerPatience;
 pub use fleet_evidence::{OutcomeUnits, OutcomeWindow};
@@ -35,3 +36,4 @@
 pub use target_placement::{Placement, PlacementAsk, PlacementTerms};
 pub use target_roster::{RemovalRule, RosterChange, TargetRoster};
 pub use target_row::{TargetPhase, TargetRow};
+pub use view_order::{ViewOrder, ViewPosition};
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -12,3 +12,4 @@
 mod refusals;
 mod roster;
 mod routing;
+mod views;
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use briarrail_dispatch::TargetRoster;
+use briarrail_dispatch::{TargetRoster, ViewOrder};
 use briarrail_peer::{FrameCodec, KeyRing, SharedKey, SyncRouter};
 use briarrail_settings::GatewaySettings;
 use bytes::Bytes;
@@ -135,9 +135,8 @@
         peers: std::collections::BTreeMap::new(),
         hub_view: None,
         hub_waited_at: None,
-        hub_position: (0, 0),
         config_seen_at: None,
-        targets_seen_at: None,
+        view_order: ViewOrder::default(),
         failing_reads: std::collections::BTreeSet::new(),
         view_wanted_at: None,
         has_targets: false,
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -5,7 +5,8 @@
 use std::sync::atomic::Ordering;
 
 use briarrail_dispatch::{
-    HubCandidate, RosterChange, RoutingTable, TargetRoster, choose_hub, choose_view_sources,
+    HubCandidate, RosterChange, RoutingTable, TargetRoster, ViewOrder, choose_hub,
+    choose_view_sources,
 };
 use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash, hash_pair};
 use briarrail_peer::{FrameCodec, SyncRouter, TargetCount};
@@ -76,11 +77,10 @@
     pub(crate) hub_view: Option<HubView>,
     /// When the followed router last waited for a first configuration.
     pub(crate) hub_waited_at: Option<MilliTime>,
-    /// Whose roster changes this router follows: the hub's incarnation and sequence.
-    pub(crate) hub_position: (u64, u64),
-    /// When the view of the store was last known to be current, its parts apart.
+    /// When the configuration was last known to be current.
     pub(crate) config_seen_at: Option<MilliTime>,
-    pub(crate) targets_seen_at: Option<MilliTime>,
+    /// The held view of the targets.
+    pub(crate) view_order: ViewOrder,
     /// Kinds of reads that the store fails.
     pub(crate) failing_reads: BTreeSet<&'static str>,
     /// When a router that the store fails last asked for this router's view.
@@ -94,7 +94,7 @@
 impl ControlState {
     /// Returns the age of the view of the store; none before the first whole one.
     pub(crate) fn view_age(&self, now: MilliTime) -> Option<MilliDuration> {
-        let oldest = self.config_seen_at?.min(self.targets_seen_at?);
+        let oldest = self.config_seen_at?.min(self.view_order.seen_at()?);
         Some(now.since(oldest))
     }
 
@@ -103,11 +103,6 @@
         self.config_seen_at = self.config_seen_at.max(Some(at));
     }
 
-    /// Notes that the targets were current at a time.
-    pub(crate) fn note_targets_seen(&mut self, at: MilliTime) {
-        self.targets_seen_at = self.targets_seen_at.max(Some(at));
-    }
-
     /// Returns whether the store failed this router's last reads.
     pub(crate) fn is_cut(&self) -> bool {
         !self.failing_reads.is_empty()
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briarrail_dispatch::{RemovalRule, RosterChange, TargetRow};
-use briarrail_model::{HostName, MilliDuration};
+use briarrail_dispatch::{RemovalRule, RosterChange, TargetRow, ViewPosition};
+use briarrail_model::{HostName, MilliDuration, MilliTime};
 use briarrail_peer::{
     ConfigPart, Envelope, MessageKind, RosterPart, SyncReply, SyncRequest, SyncRouter,
 };
@@ -113,9 +113,10 @@
     name: &HostName,
     wants_view: bool,
 ) -> u32 {
-    let frame = {
+    let (frame, asked_at) = {
         let state = state.borrow();
         let now = state.clock.now();
+        let position = state.view_order.position();
         let envelope = Envelope {
             from: state.own.name.clone(),
             incarnation: state.incarnation,
@@ -123,8 +124,8 @@
             body: SyncRequest {
                 sender: state.own.clone(),
                 config_revision: state.config.as_ref().map_or(0, |(revision, _)| *revision),
-                roster_epoch: state.hub_position.0,
-                roster_sequence: state.hub_position.1,
+                roster_epoch: position.epoch,
+                roster_sequence: position.sequence,
                 counts: state.covered_counts(None, now),
                 covered: state.covered_routers(now),
                 routers_digest: state.routers_digest(),
@@ -132,7 +133,8 @@
                 is_stopping: state.shared.stop_phase() != StopPhase::Serving,
             },
         };
-        state.codec.seal(MessageKind::SyncRequest, &envelope)
+        let frame = state.codec.seal(MessageKind::SyncRequest, &envelope);
+        (frame, now)
     };
     let frame = match frame {
         Ok(frame) => frame,
@@ -146,7 +148,7 @@
     match outcome {
         Ok(envelope) => {
             let next = envelope.body.next_round_ms;
-            take_reply(&mut state, name, envelope.body, wants_view);
+            take_reply(&mut state, name, envelope.body, wants_view, asked_at);
             next
         }
         Err(error) => {
@@ -179,7 +181,13 @@
         .map_err(|error| error.to_string())
 }
 
-fn take_reply(state: &mut ControlState, hub: &HostName, reply: SyncReply, wants_view: bool) {
+fn take_reply(
+    state: &mut ControlState,
+    hub: &HostName,
+    reply: SyncReply,
+    wants_view: bool,
+    asked_at: MilliTime,
+) {
     let now = state.clock.now();
     state.note_answer(hub, now);
     if !wants_view {
@@ -210,13 +218,24 @@
     };
     let age_before = state.view_age(now);
     state.roster.note_failed_read(now, age_before);
-    // A router that reads the store for others knows better than what they hand back to it.
-    let reads_for_others = state.is_view_wanted(now) && !state.is_cut();
-    if let Some(part) = reply.roster.filter(|_| !reads_for_others) {
-        take_roster(state, part);
+    // The age was told after the question, so that no view gets younger on its way.
+    let seen_at = asked_at - age;
+    state.note_config_seen(seen_at);
+    let held = state.view_order.position();
+    let told = reply.roster.as_ref().map_or(held, |part| ViewPosition {
+        epoch: part.epoch,
+        sequence: part.sequence,
+    });
+    if !state.view_order.accepts(told.epoch, seen_at) {
+        state.metrics.count_sync("older");
+        return;
     }
-    state.note_config_seen(now - age);
-    state.note_targets_seen(now - age);
+    if let Some(part) = reply.roster
+        && !take_roster(state, &part)
+    {
+        return;
+    }
+    state.view_order.note_followed(told, seen_at);
     state.metrics.count_sync("good");
 }
 
@@ -233,12 +252,13 @@
     }
 }
 
-fn take_roster(state: &mut ControlState, part: RosterPart) {
+/// Takes a followed router's targets, and returns whether they could be read.
+fn take_roster(state: &mut ControlState, part: &RosterPart) -> bool {
     let rows = match rmp_serde::from_slice::<Vec<TargetRow>>(&part.rows) {
         Ok(rows) => rows,
         Err(error) => {
             tracing::error!(event = "hub_roster_unreadable", %error);
-            return;
+            return false;
         }
     };
     let changes: Vec<RosterChange> = if part.is_whole {
@@ -251,6 +271,6 @@
         changes
     };
     state.apply_roster(changes, "hub");
-    state.hub_position = (part.epoch, part.sequence);
     state.has_targets = true;
+    true
 }
--- a/crates/briarrail_gateway/src/control/store_follower.rs
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -212,9 +212,11 @@
     let changes = state
         .roster
         .replace(listing.rows, RemovalRule::AfterGrace(now));
+    state
+        .view_order
+        .note_own_read(asked_at, !changes.is_empty());
     state.apply_roster(changes, "store");
     state.has_targets = true;
-    state.note_targets_seen(asked_at);
     Ok(Some(listing.revision))
 }
 
@@ -241,8 +243,10 @@
             TargetEvent::Removed(id) => state.roster.remove(&id, RemovalRule::AfterGrace(now)),
         });
     }
+    state
+        .view_order
+        .note_own_read(now, !roster_changes.is_empty());
     state.apply_roster(roster_changes, "store");
-    state.note_targets_seen(now);
     Ok(Some(revision))
 }
 
