feat(placement): targets that answer with failures still hand out context

Cause: while most targets fail two of five requests, each ejected home had its prompts read again at the next target, and a repeat never fetched from the target that had just failed it. Change: a target whose last answer is younger than the longest ejection is a source, ejected or tried before; one whose last send broke or was never answered is not. The new test fails without the change.

--- a/crates/briarrail_dispatch/src/outlier_guard.rs
+++ b/crates/briarrail_dispatch/src/outlier_guard.rs
@@ -40,6 +40,10 @@
 /// Refusals weigh less than failures: a full target is healthy.
 const REFUSAL_WEIGHT: f32 = 0.4;
 
+/// Time for which a target that failed requests, but answered, counts as able to hand out what it
+/// keeps; the longest ejection, after which a trial tells anew.
+const ANSWER_MEMORY: MilliDuration = MAX_EJECTION;
+
 /// Judges one target by the outcomes of this router's sends.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct OutlierGuard {
@@ -52,6 +56,8 @@
     ejections: u32,
     /// When the trial after an ejection began.
     trial_since: Option<MilliTime>,
+    /// When it last answered, unless a send got no whole answer since.
+    answered_at: Option<MilliTime>,
     /// When a trial last went well.
     recovered_at: Option<MilliTime>,
 }
@@ -65,6 +71,10 @@
             SendOutcome::Failed | SendOutcome::Slow => FAILURE_WEIGHT,
             SendOutcome::Unreachable | SendOutcome::Broken => 1.0,
         };
+        self.answered_at = match outcome {
+            SendOutcome::Good | SendOutcome::Failed | SendOutcome::Refused => Some(now),
+            SendOutcome::Unreachable | SendOutcome::Broken | SendOutcome::Slow => None,
+        };
         self.failure_ratio += RATIO_GAIN * (weight - self.failure_ratio);
         let was_trial = self.trial_since.take().is_some();
         if outcome == SendOutcome::Good {
@@ -109,6 +119,13 @@
         self.is_unreachable && !self.allows(now)
     }
 
+    /// Returns whether the target answered lately, be it with failures.
+    #[must_use]
+    pub fn answers(&self, now: MilliTime) -> bool {
+        let is_recent = |at: MilliTime| now.since(at) < ANSWER_MEMORY;
+        self.answered_at.is_some_and(is_recent)
+    }
+
     /// Returns whether the target may get a request now; an ejected one gets a single trial after
     /// its time.
     #[must_use]
--- a/crates/briarrail_dispatch/src/target_board.rs
+++ b/crates/briarrail_dispatch/src/target_board.rs
@@ -88,7 +88,7 @@
         let is_up = self
             .gone_at
             .is_none_or(|at| self.row.phase == TargetPhase::Ready && now.since(at) <= GONE_MEMORY);
-        is_up && self.guard.ejected_until().is_none()
+        is_up && (self.guard.ejected_until().is_none() || self.guard.answers(now))
     }
 
     /// Returns the age of the other routers' counts, if they are known.
--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -109,7 +109,7 @@
     /// Returns the target that most likely keeps the shared context of a request placed at
     /// `chosen`, if `chosen` may lack it.
     ///
-    /// Targets that drain still hand out what they keep. The first target of the rendezvous order
+    /// Targets that drain, and those that answer with failures, still hand out what they keep. The first target of the rendezvous order
     /// apart from the chosen one is the home that it stands in for, or the home before it joined.
     #[must_use]
     pub fn context_source(
@@ -120,7 +120,8 @@
     ) -> Option<TargetKey> {
         let affinity = ask.affinity?;
         let others = self.of_service(ask.service).filter(|(key, state)| {
-            *key != chosen && state.hands_out_context(now) && !ask.tried.contains(key)
+            let may_be_down = ask.tried.contains(key) && !state.guard.answers(now);
+            *key != chosen && state.hands_out_context(now) && !may_be_down
         });
         let first = others.max_by_key(|(_, state)| hash_pair(affinity, state.hash).0);
         first.map(|(key, _)| key)
--- a/crates/briarrail_dispatch/tests/suite/context_source.rs
+++ b/crates/briarrail_dispatch/tests/suite/context_source.rs
@@ -71,3 +71,30 @@
         Some(home)
     );
 }
+
+/// saltlog-ke, trouble-1: most targets fail two of five requests for four seconds. Each that was
+/// ejected had its prompts read again at the next, although it still handed them out.
+#[test]
+fn a_target_that_answers_with_failures_is_still_a_source() {
+    let mut board = board();
+    let prompt = prompt(1, 10_000);
+    let home = board.place(&ask(&prompt), &TERMS, at(0)).unwrap().target;
+    let guard = &mut board.get_mut(home).unwrap().guard;
+    for millis in 0..8 {
+        guard.record(SendOutcome::Failed, at(millis));
+    }
+    assert!(!guard.allows(at(8)));
+    let mut retry = ask(&prompt);
+    let tried = [home];
+    retry.tried = &tried;
+    for ask in [ask(&prompt), retry] {
+        let next = board.place(&ask, &TERMS, at(8)).unwrap().target;
+        assert_ne!(next, home);
+        assert_eq!(board.context_source(&ask, next, at(8)), Some(home));
+    }
+    // It broke since, so it may be down.
+    let guard = &mut board.get_mut(home).unwrap().guard;
+    guard.record(SendOutcome::Broken, at(9));
+    let next = board.place(&ask(&prompt), &TERMS, at(9)).unwrap().target;
+    assert_ne!(board.context_source(&ask(&prompt), next, at(9)), Some(home));
+}
