feat(store): followers probe a lost store at a bounded rate

Ruled out: the reader's search for a view, which asks routers and not the store. Change: retry_pause in briarrail_dispatch: a router whose reads nobody counts on waits 50 ms for each router of the fleet between two failed calls, and takes the reader's pace within 100 ms once it is wanted or follows nobody.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 mod repeat_budget;
 mod routing_table;
 mod site_config;
+mod store_pacing;
 mod target_board;
 mod target_placement;
 mod target_roster;
@@ -32,6 +33,7 @@
 pub use site_config::{
     CallerLimits, CustomerRow, RepeatRule, RouteRules, ServiceRules, ServiceShare, SiteConfig,
 };
+pub use store_pacing::{ReadDuty, retry_pause};
 pub use target_board::{TargetBoard, TargetKey, TargetState};
 pub use target_placement::{Placement, PlacementAsk, PlacementTerms};
 pub use target_roster::{RemovalRule, RosterChange, RosterRow, TargetRoster};
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod evidence;
 mod fixtures;
 mod hubs;
+mod pacing;
 mod patience;
 mod placement;
 mod plain_calls;
--- a/crates/briarrail_gateway/src/control/store_follower.rs
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briarrail_dispatch::RemovalRule;
+use briarrail_dispatch::{ReadDuty, RemovalRule, retry_pause};
 use briarrail_model::{HostName, MilliDuration, MilliTime};
 use briarrail_peer::SyncRouter;
 use briarrail_platform::{StoreError, StoreErrorKind};
@@ -17,10 +17,8 @@
 /// Longest wait of a watch: a watch that went silent is noticed well within the time in which
 /// changes must be in force.
 const WATCH_WAIT: Duration = Duration::from_millis(600);
-/// Pause after a failed call; the store counts and charges refused calls too.
-const FAILURE_PAUSE: Duration = Duration::from_millis(300);
-/// Doublings of that pause while calls keep failing.
-const MAX_DOUBLINGS: u32 = 2;
+/// Time between two looks at whether a failed call is due again; the duty may change meanwhile.
+const PAUSE_STEP: Duration = Duration::from_millis(100);
 /// Pause while another router reads the store.
 const FOLLOWER_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between two lists of the routers.
@@ -47,7 +45,15 @@
     let now = state.clock.now();
     let no_view = || now.since(state.hub_waited_at.unwrap_or_default());
     let is_old = state.view_age(now).unwrap_or_else(no_view) > FOLLOWED_LIMIT;
-    !has_read || is_old || state.is_view_wanted(now) || state.choose_hub(now).is_none()
+    !has_read || is_old || read_duty(&state, now) == ReadDuty::Reader
+}
+
+fn read_duty(state: &ControlState, now: MilliTime) -> ReadDuty {
+    if state.is_view_wanted(now) || state.choose_hub(now).is_none() {
+        ReadDuty::Reader
+    } else {
+        ReadDuty::Probe
+    }
 }
 
 /// Tells dependency changes once, and counts every call.
@@ -62,10 +68,19 @@
         Self { call, failures: 0 }
     }
 
-    /// Waits after a failure, longer each time.
-    async fn pause(&self) {
-        let doublings = self.failures.saturating_sub(1).min(MAX_DOUBLINGS);
-        tokio::time::sleep(FAILURE_PAUSE * (1 << doublings)).await;
+    /// Waits after a failure, until it is time to ask again by the duty that the router then has.
+    async fn pause(&self, state: &SharedControl) {
+        let failed_at = state.borrow().clock.now();
+        loop {
+            tokio::time::sleep(PAUSE_STEP).await;
+            let state = state.borrow();
+            let now = state.clock.now();
+            let duty = read_duty(&state, now);
+            let pause = retry_pause(duty, self.failures, state.peers.len() + 1);
+            if now.since(failed_at) >= pause {
+                return;
+            }
+        }
     }
 
     fn record<T>(&mut self, state: &SharedControl, outcome: &Result<T, StoreError>) {
@@ -137,7 +152,7 @@
                 if error.kind == StoreErrorKind::Invalid {
                     revision = None;
                 }
-                health.pause().await;
+                health.pause(&state).await;
             }
         }
     }
@@ -190,7 +205,7 @@
                     let age = state.view_age(now);
                     state.roster.note_failed_read(now, age);
                 }
-                health.pause().await;
+                health.pause(&state).await;
             }
         }
     }
@@ -296,13 +311,11 @@
                 take_routers(&state, &store, rows).await;
             }
         }
-        let is_done = is_entered && is_listed;
-        let pause = if is_done {
-            ROUTERS_PAUSE
+        if is_entered && is_listed {
+            tokio::time::sleep(ROUTERS_PAUSE).await;
         } else {
-            FAILURE_PAUSE
-        };
-        tokio::time::sleep(pause).await;
+            health.pause(&state).await;
+        }
     }
 }
 
