fix(store): watch the configuration from the store's revision

Cause: the configuration was read as one object and watched from that object's revision. Change: the configuration is listed, with the store's revision to watch from, also when there is none yet; after a history that is gone a router pauses before it lists again.

--- a/crates/briarrail_gateway/src/control/store_follower.rs
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -19,7 +19,7 @@
 const WATCH_WAIT: Duration = Duration::from_millis(600);
 /// Time between two looks at whether a failed call is due again; the duty may change meanwhile.
 const PAUSE_STEP: Duration = Duration::from_millis(100);
-/// Pause while another router reads the store.
+/// Pause while another router reads the store, or once it has dropped the history to go on from.
 const FOLLOWER_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between two lists of the routers.
 const ROUTERS_PAUSE: Duration = Duration::from_secs(2);
@@ -126,9 +126,9 @@
         has_read = true;
         let asked_at = state.borrow().clock.now();
         let outcome = match revision {
-            None => store.read_config().await.map(|read| {
-                let revision = read.as_ref().map(|read| read.revision);
-                (read.into_iter().collect(), revision)
+            None => store.read_config().await.map(|listing| {
+                let reads = listing.read.into_iter().collect();
+                (reads, Some(listing.revision))
             }),
             Some(known) => {
                 let watched = store.watch_config(known, WATCH_WAIT).await;
@@ -142,9 +142,8 @@
         match outcome {
             Ok((reads, next)) => {
                 take_configs(&state, reads, revision, next, asked_at);
-                let is_absent = revision.is_none() && next.is_none();
                 revision = next;
-                if is_absent {
+                if next.is_none() {
                     tokio::time::sleep(FOLLOWER_PAUSE).await;
                 }
             }
@@ -197,7 +196,12 @@
         };
         health.record(&state, &outcome);
         match outcome {
-            Ok(next) => revision = next,
+            Ok(next) => {
+                revision = next;
+                if next.is_none() {
+                    tokio::time::sleep(FOLLOWER_PAUSE).await;
+                }
+            }
             Err(_) => {
                 {
                     let mut state = state.borrow_mut();
--- a/crates/briarrail_gateway/src/lib.rs
+++ b/crates/briarrail_gateway/src/lib.rs
@@ -18,5 +18,7 @@
 pub use gateway_daemon::{GatewayError, run_gateway};
 pub use net::{CallClient, CallError, CallErrorKind, CallReply};
 pub use process_clock::ProcessClock;
-pub use site_store::{ConfigRead, RouterRow, SiteStore, TargetEvent, TargetListing, WatchStep};
+pub use site_store::{
+    ConfigListing, ConfigRead, RouterRow, SiteStore, TargetEvent, TargetListing, WatchStep,
+};
 pub use telemetry::{GatewayMetrics, init_json_logs};
--- a/crates/briarrail_gateway/src/site_store.rs
+++ b/crates/briarrail_gateway/src/site_store.rs
@@ -17,6 +17,15 @@
     pub config: SiteConfig,
 }
 
+/// The configuration, if there is one, as of a revision of the store.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ConfigListing {
+    /// Revision of the store, from which to watch; the object's own may be older than its history.
+    pub revision: u64,
+    /// The configuration.
+    pub read: Option<ConfigRead>,
+}
+
 /// All listed targets.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct TargetListing {
@@ -66,12 +75,12 @@
 
 /// The platform's store, as the gateway uses it.
 pub trait SiteStore: Clone + 'static {
-    /// Reads the configuration; none when there is none yet.
+    /// Reads the configuration.
     ///
     /// # Errors
     ///
     /// Fails when the store can't be reached, refuses, or holds something unreadable.
-    fn read_config(&self) -> impl Future<Output = Result<Option<ConfigRead>, StoreError>>;
+    fn read_config(&self) -> impl Future<Output = Result<ConfigListing, StoreError>>;
 
     /// Waits for a newer configuration.
     ///
