feat(store): starting routers read what is some seconds old, once

Change: the first reads of all routers may be seconds old, which the store charges at a tenth and does not count against its rate; such a view is older than any other that the router will hold. A router reads on only once the list shows its own entry, or after a second. An entry that stands from before a restart is not written again. Changes of targets within 60 ms are read together.

--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -139,6 +139,7 @@
         view_order: ViewOrder::default(),
         failing_reads: std::collections::BTreeSet::new(),
         view_wanted_at: None,
+        are_routers_listed: false,
         has_targets: false,
         own_counts: Vec::new(),
     }
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -85,6 +85,8 @@
     pub(crate) failing_reads: BTreeSet<&'static str>,
     /// When a router that the store fails last asked for this router's view.
     pub(crate) view_wanted_at: Option<MilliTime>,
+    /// Whether the list of routers is known to be newer than this router's own entry.
+    pub(crate) are_routers_listed: bool,
     /// Whether the targets were listed at all.
     pub(crate) has_targets: bool,
     /// This router's own requests, as of its last round.
--- a/crates/briarrail_gateway/src/control/store_follower.rs
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -12,13 +12,22 @@
 
 use super::control_state::ControlState;
 use crate::traffic::StopPhase;
-use crate::{ConfigRead, RouterRow, SiteStore, TargetEvent, WatchStep};
+use crate::{ConfigRead, ReadAge, RouterRow, SiteStore, TargetEvent, WatchStep};
 
 /// Longest wait of a watch: a watch that went silent is noticed well within the time in which
 /// changes must be in force.
 const WATCH_WAIT: Duration = Duration::from_millis(600);
 /// Time between two looks at whether a failed call is due again; the duty may change meanwhile.
 const PAUSE_STEP: Duration = Duration::from_millis(100);
+/// Pause after changes of targets, so that those of a moment are read together; a small part of
+/// the time in which they must be in force.
+const CHANGES_PAUSE: Duration = Duration::from_millis(60);
+/// Time from the start after which a router that is not listed yet takes itself for alone.
+const LISTING_LIMIT: MilliDuration = MilliDuration::from_millis(1_000);
+/// Pause between two looks for this router's own entry in the list; lists may be old.
+const LISTING_PAUSE: Duration = Duration::from_millis(300);
+/// Age of this router's entry from which a list without it is no longer older than the entry.
+const LIST_AGE: MilliDuration = MilliDuration::from_millis(10_000);
 /// Pause while another router reads the store, or once it has dropped the history to go on from.
 const FOLLOWER_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between two lists of the routers.
@@ -39,15 +48,25 @@
 /// for its view, or what it follows is old for long.
 ///
 /// Load pattern: all routers start at once, before there is a configuration, or lose the store at
-/// once. Each reads once to be ready soon, and leaves the waiting to the one that it follows.
+/// once. Each reads once, at little cost, to be ready soon, and leaves the rest to the one that it
+/// follows, which it knows once it is listed itself.
 fn reads_store(state: &SharedControl, has_read: bool) -> bool {
     let state = state.borrow();
     let now = state.clock.now();
     let no_view = || now.since(state.hub_waited_at.unwrap_or_default());
     let is_old = state.view_age(now).unwrap_or_else(no_view) > FOLLOWED_LIMIT;
+    if has_read && !knows_others(&state) {
+        return false;
+    }
     !has_read || is_old || read_duty(&state, now) == ReadDuty::Reader
 }
 
+/// Returns whether the other routers are known, or this one takes itself for alone.
+fn knows_others(state: &ControlState) -> bool {
+    let uptime = state.clock.now().since(MilliTime::default());
+    state.are_routers_listed || uptime > LISTING_LIMIT
+}
+
 fn read_duty(state: &ControlState, now: MilliTime) -> ReadDuty {
     if state.is_view_wanted(now) || state.choose_hub(now).is_none() {
         ReadDuty::Reader
@@ -123,27 +142,27 @@
             tokio::time::sleep(FOLLOWER_PAUSE).await;
             continue;
         }
+        let age = first_read_age(has_read);
         has_read = true;
-        let asked_at = state.borrow().clock.now();
+        let asked_at = asked_at(&state, age);
         let outcome = match revision {
-            None => store.read_config().await.map(|listing| {
-                let reads = listing.read.into_iter().collect();
-                (reads, Some(listing.revision))
+            None => store.read_config(age).await.map(|listing| ConfigStep {
+                reads: listing.read.into_iter().collect(),
+                next: (age == ReadAge::Current).then_some(listing.revision),
+                seen_at: Some(asked_at),
             }),
             Some(known) => {
                 let watched = store.watch_config(known, WATCH_WAIT).await;
-                watched.map(|step| match step {
-                    WatchStep::Changes { changes, revision } => (changes, Some(revision)),
-                    WatchStep::HistoryGone => (Vec::new(), None),
-                })
+                let now = state.borrow().clock.now();
+                watched.map(|step| watched_config(step, now))
             }
         };
         health.record(&state, &outcome);
         match outcome {
-            Ok((reads, next)) => {
-                take_configs(&state, reads, revision, next, asked_at);
-                revision = next;
-                if next.is_none() {
+            Ok(step) => {
+                revision = step.next;
+                take_config_step(&mut state.borrow_mut(), step);
+                if revision.is_none() {
                     tokio::time::sleep(FOLLOWER_PAUSE).await;
                 }
             }
@@ -157,21 +176,54 @@
     }
 }
 
-fn take_configs(
-    state: &SharedControl,
+/// Returns how old a read may be: the first one of all routers costs the store little.
+const fn first_read_age(has_read: bool) -> ReadAge {
+    if has_read {
+        ReadAge::Current
+    } else {
+        ReadAge::Seconds
+    }
+}
+
+/// Returns the time at which the store had what a read of that age brings.
+fn asked_at(state: &SharedControl, age: ReadAge) -> MilliTime {
+    match age {
+        ReadAge::Current => state.borrow().clock.now(),
+        // Older than anything else that this router will see.
+        ReadAge::Seconds => MilliTime::default(),
+    }
+}
+
+/// What one call told of the configuration.
+struct ConfigStep {
     reads: Vec<ConfigRead>,
-    revision: Option<u64>,
+    /// Revision to watch from; none when it has to be listed again.
     next: Option<u64>,
-    asked_at: MilliTime,
-) {
-    let mut state = state.borrow_mut();
-    for read in reads {
+    /// When the store had this; none when the call told nothing.
+    seen_at: Option<MilliTime>,
+}
+
+fn watched_config(step: WatchStep<ConfigRead>, now: MilliTime) -> ConfigStep {
+    match step {
+        WatchStep::Changes { changes, revision } => ConfigStep {
+            reads: changes,
+            next: Some(revision),
+            seen_at: Some(now),
+        },
+        WatchStep::HistoryGone => ConfigStep {
+            reads: Vec::new(),
+            next: None,
+            seen_at: None,
+        },
+    }
+}
+
+fn take_config_step(state: &mut ControlState, step: ConfigStep) {
+    for read in step.reads {
         state.adopt_config(read, "store");
     }
-    if next.is_some() {
-        // A watch was current when it ended, a read only when it was asked.
-        let seen = revision.map_or(asked_at, |_| state.clock.now());
-        state.note_config_seen(seen);
+    if let Some(at) = step.seen_at {
+        state.note_config_seen(at);
     }
 }
 
@@ -189,9 +241,10 @@
             tokio::time::sleep(FOLLOWER_PAUSE).await;
             continue;
         }
+        let age = first_read_age(has_read);
         has_read = true;
         let outcome = match revision {
-            None => list_targets(&state, &store).await,
+            None => list_targets(&state, &store, age).await,
             Some(known) => watch_targets(&state, &store, known).await,
         };
         health.record(&state, &outcome);
@@ -215,12 +268,16 @@
     }
 }
 
-async fn list_targets<S>(state: &SharedControl, store: &S) -> Result<Option<u64>, StoreError>
+async fn list_targets<S>(
+    state: &SharedControl,
+    store: &S,
+    age: ReadAge,
+) -> Result<Option<u64>, StoreError>
 where
     S: SiteStore,
 {
-    let asked_at = state.borrow().clock.now();
-    let listing = store.list_targets().await?;
+    let asked_at = asked_at(state, age);
+    let listing = store.list_targets(age).await?;
     let mut state = state.borrow_mut();
     for name in &listing.unreadable {
         tracing::warn!(event = "target_unreadable", target_id = name);
@@ -235,7 +292,7 @@
         .note_own_read(asked_at, !changes.is_empty());
     state.apply_roster(changes, "store");
     state.has_targets = true;
-    Ok(Some(listing.revision))
+    Ok((age == ReadAge::Current).then_some(listing.revision))
 }
 
 async fn watch_targets<S>(
@@ -247,13 +304,20 @@
     S: SiteStore,
 {
     let step = store.watch_targets(revision, WATCH_WAIT).await?;
-    let mut state = state.borrow_mut();
-    let now = state.clock.now();
-    note_return(&mut state, now);
     let WatchStep::Changes { changes, revision } = step else {
         tracing::info!(event = "watch_history_gone", call = "targets");
         return Ok(None);
     };
+    if take_target_events(&mut state.borrow_mut(), changes) {
+        tokio::time::sleep(CHANGES_PAUSE).await;
+    }
+    Ok(Some(revision))
+}
+
+/// Takes changes that the store told, and returns whether the roster changed.
+fn take_target_events(state: &mut ControlState, changes: Vec<TargetEvent>) -> bool {
+    let now = state.clock.now();
+    note_return(state, now);
     let mut roster_changes = Vec::new();
     for change in changes {
         match change {
@@ -264,11 +328,10 @@
             }
         }
     }
-    state
-        .view_order
-        .note_own_read(now, !roster_changes.is_empty());
+    let is_changed = !roster_changes.is_empty();
+    state.view_order.note_own_read(now, is_changed);
     state.apply_roster(roster_changes, "store");
-    Ok(Some(revision))
+    is_changed
 }
 
 /// Counts the time that lapsed entries have to come back from the store's return.
@@ -285,44 +348,52 @@
     S: SiteStore,
 {
     let mut health = StoreHealth::new("routers");
-    let mut is_entered = false;
-    let mut is_listed = false;
+    let mut entered_at = None;
+    let own = own_row(&state.borrow().own);
     loop {
         if state.borrow().shared.stop_phase() != StopPhase::Serving {
             return;
         }
-        if !is_entered {
-            let row = {
-                let own = &state.borrow().own;
-                RouterRow {
-                    name: own.name.clone(),
-                    address: own.address,
-                    data_centre: own.data_centre.clone(),
-                    capacity: own.capacity,
-                }
-            };
-            let outcome = store.put_router(&row).await;
-            health.record(&state, &outcome);
-            is_entered = outcome.is_ok();
-        }
-        if !is_listed || reads_store(&state, true) {
+        if !state.borrow().are_routers_listed || reads_store(&state, true) {
             let outcome = store.list_routers().await;
             health.record(&state, &outcome);
             if let Ok(rows) = outcome {
-                is_listed = true;
-                let own = state.borrow().own.name.clone();
-                is_entered = rows.iter().any(|row| row.name == own) || !is_entered;
+                let now = state.borrow().clock.now();
+                if rows.contains(&own) {
+                    state.borrow_mut().are_routers_listed = true;
+                    entered_at = entered_at.or(Some(now));
+                } else {
+                    // Another router may have removed it, if the list is newer than the entry.
+                    entered_at = entered_at.filter(|at| now.since(*at) < LIST_AGE);
+                }
                 take_routers(&state, &store, rows).await;
             }
         }
-        if is_entered && is_listed {
+        if entered_at.is_none() {
+            let outcome = store.put_router(&own).await;
+            health.record(&state, &outcome);
+            let now = state.borrow().clock.now();
+            entered_at = outcome.is_ok().then_some(now);
+        }
+        if health.failures > 0 {
+            health.pause(&state).await;
+        } else if knows_others(&state.borrow()) {
             tokio::time::sleep(ROUTERS_PAUSE).await;
         } else {
-            health.pause(&state).await;
+            tokio::time::sleep(LISTING_PAUSE).await;
         }
     }
 }
 
+fn own_row(own: &SyncRouter) -> RouterRow {
+    RouterRow {
+        name: own.name.clone(),
+        address: own.address,
+        data_centre: own.data_centre.clone(),
+        capacity: own.capacity,
+    }
+}
+
 /// Takes the listed routers, and removes entries of those that were silent for long.
 async fn take_routers<S>(state: &SharedControl, store: &S, rows: Vec<RouterRow>)
 where
--- a/crates/briarrail_gateway/src/lib.rs
+++ b/crates/briarrail_gateway/src/lib.rs
@@ -19,6 +19,6 @@
 pub use net::{CallClient, CallError, CallErrorKind, CallReply};
 pub use process_clock::ProcessClock;
 pub use site_store::{
-    ConfigListing, ConfigRead, RouterRow, SiteStore, TargetEvent, TargetListing, WatchStep,
+    ConfigListing, ConfigRead, ReadAge, RouterRow, SiteStore, TargetEvent, TargetListing, WatchStep,
 };
 pub use telemetry::{GatewayMetrics, init_json_logs};
--- a/crates/briarrail_gateway/src/site_store.rs
+++ b/crates/briarrail_gateway/src/site_store.rs
@@ -73,6 +73,15 @@
     pub capacity: u8,
 }
 
+/// How old the result of a read may be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadAge {
+    /// The state at the time of the call.
+    Current,
+    /// The state of some seconds ago will do, since it costs the store little.
+    Seconds,
+}
+
 /// The platform's store, as the gateway uses it.
 pub trait SiteStore: Clone + 'static {
     /// Reads the configuration.
@@ -80,7 +89,7 @@
     /// # Errors
     ///
     /// Fails when the store can't be reached, refuses, or holds something unreadable.
-    fn read_config(&self) -> impl Future<Output = Result<ConfigListing, StoreError>>;
+    fn read_config(&self, age: ReadAge) -> impl Future<Output = Result<ConfigListing, StoreError>>;
 
     /// Waits for a newer configuration.
     ///
@@ -98,7 +107,8 @@
     /// # Errors
     ///
     /// Fails when the store can't be reached or refuses.
-    fn list_targets(&self) -> impl Future<Output = Result<TargetListing, StoreError>>;
+    fn list_targets(&self, age: ReadAge)
+    -> impl Future<Output = Result<TargetListing, StoreError>>;
 
     /// Waits for changes of targets.
     ///
