--- a/crates/briarrail_dispatch/src/target_board.rs
+++ b/crates/briarrail_dispatch/src/target_board.rs
@@ -16,6 +16,8 @@
 const PEER_COUNT_AGE: MilliDuration = MilliDuration::from_millis(1_500);
 /// Time for which a target that left without draining still serves; the shortest drain of a site.
 const GONE_MEMORY: MilliDuration = MilliDuration::from_millis(1_500);
+/// Time from which a listed target has taken over prompts; a popular one is asked for once in it.
+const SETTLING_TIME: MilliDuration = MilliDuration::from_millis(1_500);
 /// Longest age of a load that a target told with an answer.
 const TOLD_LOAD_AGE: MilliDuration = MilliDuration::from_millis(400);
 
@@ -45,6 +47,8 @@
     /// Outcomes of this router's sends, and of the other routers'.
     outcomes: OutcomeWindow,
     peer_outcomes: OutcomeUnits,
+    /// When the target was first listed.
+    listed_at: MilliTime,
     /// When the target went off the list.
     gone_at: Option<MilliTime>,
 }
@@ -91,6 +95,12 @@
         is_up && (self.guard.ejected_until().is_none() || self.guard.answers(now))
     }
 
+    /// Returns whether the target was listed long enough to keep prompts.
+    #[must_use]
+    pub fn is_settled(&self, now: MilliTime) -> bool {
+        now.since(self.listed_at) >= SETTLING_TIME
+    }
+
     /// Returns the age of the other routers' counts, if they are known.
     #[must_use]
     pub fn peer_count_age(&self, now: MilliTime) -> Option<MilliDuration> {
@@ -108,7 +118,7 @@
 
 impl TargetBoard {
     /// Adds a target or takes its new row.
-    pub fn put(&mut self, row: TargetRow) -> TargetKey {
+    pub fn put(&mut self, row: TargetRow, now: MilliTime) -> TargetKey {
         if let Some(&key) = self.by_id.get(&row.id) {
             let state = &mut self.targets[key];
             let restarted = state.row.started_unix_ms != row.started_unix_ms
@@ -132,6 +142,7 @@
             told: None,
             outcomes: OutcomeWindow::default(),
             peer_outcomes: OutcomeUnits::default(),
+            listed_at: now,
             gone_at: None,
         });
         self.by_id.insert(id, key);
--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -110,7 +110,8 @@
     /// `chosen`, if `chosen` may lack it.
     ///
     /// Targets that drain, and those that answer with failures, still hand out what they keep. The first target of the rendezvous order
-    /// apart from the chosen one is the home that it stands in for, or the home before it joined.
+    /// apart from the chosen one is the home that it stands in for, or the home before it joined;
+    /// targets that joined just now keep nothing yet.
     #[must_use]
     pub fn context_source(
         &self,
@@ -123,7 +124,10 @@
             let may_be_down = ask.tried.contains(key) && !state.guard.answers(now);
             *key != chosen && state.hands_out_context(now) && !may_be_down
         });
-        let first = others.max_by_key(|(_, state)| hash_pair(affinity, state.hash).0);
+        let first = others.max_by_key(|(_, state)| {
+            let order = hash_pair(affinity, state.hash).0;
+            (state.is_settled(now), order)
+        });
         first.map(|(key, _)| key)
     }
 
--- a/crates/briarrail_dispatch/tests/suite/context_source.rs
+++ b/crates/briarrail_dispatch/tests/suite/context_source.rs
@@ -7,7 +7,7 @@
 fn board() -> TargetBoard {
     let mut board = TargetBoard::default();
     for index in 0..6 {
-        board.put(target(&format!("t{index}")));
+        board.put(target(&format!("t{index}")), at(0));
     }
     board
 }
@@ -21,7 +21,7 @@
     let home = board.place(&ask(&prompt), &TERMS, at(0)).unwrap().target;
     let mut row = board.get(home).unwrap().row.clone();
     row.phase = TargetPhase::Draining;
-    board.put(row);
+    board.put(row, at(0));
     let next = board.place(&ask(&prompt), &TERMS, at(0)).unwrap().target;
     assert_ne!(next, home);
     assert_eq!(board.context_source(&ask(&prompt), next, at(0)), Some(home));
@@ -60,7 +60,7 @@
     }
     let mut drained = board.get(home).unwrap().row.clone();
     drained.phase = TargetPhase::Draining;
-    board.put(drained.clone());
+    board.put(drained.clone(), at(0));
     board.remove(&drained.id, at(6_000));
     let next = board
         .place(&ask(&prompt), &TERMS, at(6_000))
@@ -98,3 +98,28 @@
     let next = board.place(&ask(&prompt), &TERMS, at(9)).unwrap().target;
     assert_ne!(board.context_source(&ask(&prompt), next, at(9)), Some(home));
 }
+
+/// saltlog-ke, scale-1: two targets joined together, and the first fetched prompts from the second,
+/// which kept none, rather than from their former home.
+#[test]
+fn a_target_that_joined_just_now_is_no_source_while_others_are_settled() {
+    let mut moved = 0;
+    for subject in 0..200 {
+        let mut board = board();
+        let prompt = prompt(subject, 10_000);
+        let home = board.place(&ask(&prompt), &TERMS, at(0)).unwrap().target;
+        for id in ["joined-1", "joined-2"] {
+            board.put(target(id), at(9_000));
+        }
+        let chosen = board
+            .place(&ask(&prompt), &TERMS, at(9_200))
+            .unwrap()
+            .target;
+        if chosen != home {
+            moved += 1;
+            let source = board.context_source(&ask(&prompt), chosen, at(9_200));
+            assert_eq!(source, Some(home));
+        }
+    }
+    assert!(moved > 20, "{moved} subjects moved");
+}
--- a/crates/briarrail_dispatch/tests/suite/evidence.rs
+++ b/crates/briarrail_dispatch/tests/suite/evidence.rs
@@ -22,7 +22,7 @@
         let mut keys = Vec::new();
         for board in &mut boards {
             keys = (0..TARGETS)
-                .map(|index| board.put(target(&format!("t{index}"))))
+                .map(|index| board.put(target(&format!("t{index}")), at(0)))
                 .collect();
         }
         Self {
--- a/crates/briarrail_dispatch/tests/suite/placement.rs
+++ b/crates/briarrail_dispatch/tests/suite/placement.rs
@@ -11,7 +11,7 @@
 fn board(targets: usize) -> TargetBoard {
     let mut board = TargetBoard::default();
     for index in 0..targets {
-        board.put(target(&format!("t{index}")));
+        board.put(target(&format!("t{index}")), at(0));
     }
     board
 }
@@ -39,7 +39,7 @@
     let before: Vec<TargetKey> = (0..600)
         .map(|subject| place(&board, subject, 10_000))
         .collect();
-    let joined = board.put(target("joined"));
+    let joined = board.put(target("joined"), at(0));
     let moved: Vec<TargetKey> = (0..600)
         .map(|subject| place(&board, subject, 10_000))
         .zip(&before)
@@ -95,7 +95,7 @@
     let mut board = board(3);
     let mut leaving = target("t0");
     leaving.phase = TargetPhase::Draining;
-    let leaving = board.put(leaving);
+    let leaving = board.put(leaving, at(0));
     board.remove("t1", at(0));
     let gone = board.key_of("t1").unwrap();
     for subject in 0..200 {
@@ -107,7 +107,7 @@
 #[test]
 fn full_targets_are_told_at_once() {
     let mut board = TargetBoard::default();
-    let key = board.put(target("t0"));
+    let key = board.put(target("t0"), at(0));
     for _ in 0..64 * 3 {
         board.begin(key, at(0));
     }
--- a/crates/briarrail_dispatch/tests/suite/plain_calls.rs
+++ b/crates/briarrail_dispatch/tests/suite/plain_calls.rs
@@ -42,7 +42,7 @@
             .map(|index| {
                 let mut row = target(&format!("t{index}"));
                 row.slots = SLOTS as u32;
-                board.put(row)
+                board.put(row, at(0))
             })
             .collect();
     }
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -230,7 +230,7 @@
     fn apply_roster(&self, change: RosterChange) {
         match change {
             RosterChange::Put(row) => {
-                let key = self.board.borrow_mut().put(row);
+                let key = self.board.borrow_mut().put(row, self.clock.now());
                 // A draining target's connections close as they fall idle.
                 let board = self.board.borrow();
                 if board.get(key).is_none_or(|target| !target.is_open()) {
