feat(placement): old counts weigh little for plain calls

Counts come through two tiers and are some 600 ms old; the work lasts 30 ms. A replay in virtual time keeps the wave up without the burst. Ruled out: the room (a fair draw refuses none at 89% of it); the repeat budget, which only ran out after the wave. Change: for plain calls a load moves towards the common one by the age of its counts, 100 ms against that age and one round, and no target is shut out below six times its slots by such a load.

--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -6,7 +6,7 @@
 //! stay at the first target of their rendezvous order up to a loose limit, and requests with
 //! little of it level the load.
 
-use briarrail_model::{MilliTime, StableHash, hash_pair};
+use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_pair};
 
 use crate::{TargetBoard, TargetKey, TargetState};
 
@@ -30,8 +30,15 @@
 /// Targets of the rendezvous order that are tried before the least loaded one.
 const HOME_TARGETS: usize = 3;
 const DRAW_SALT: StableHash = StableHash(0x6472_6177);
-/// Part of its slots up to which a target without a cache is filled, queue aside.
-const FULL_QUEUE_FACTOR: f32 = 3.0;
+/// Multiple of its slots from which a target with a cache takes no more.
+const FULL_CACHE_FACTOR: f32 = 3.0;
+/// Multiple of its slots from which a target of plain calls takes no more: six calls' time, at which
+/// those that wait are late; targets with short queues refuse sooner by themselves.
+const FULL_QUEUE_FACTOR: f32 = 6.0;
+/// Time in which the plain calls at a target are replaced by others: three calls' work.
+const TURNOVER: MilliDuration = MilliDuration::from_millis(100);
+/// Age of counts at the time when they arrive: one round of the exchange at least.
+const COUNTS_LAG: MilliDuration = MilliDuration::from_millis(200);
 
 /// Where a request goes.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -65,6 +72,8 @@
     load: f32,
     slots: f32,
     order: u64,
+    /// Age of the other routers' counts in the load.
+    counts_age: MilliDuration,
 }
 
 impl TargetBoard {
@@ -95,14 +104,20 @@
         if candidates.is_empty() {
             candidates = open().map(weigh).collect();
         }
-        candidates.retain(|candidate| candidate.load < candidate.slots * FULL_QUEUE_FACTOR);
         match ask.affinity {
-            Some(_) => place_prompt(candidates, ask, terms, mean),
-            None => draw_by_room(&candidates, ask.seed).map(|index| Placement {
-                target: candidates[index].key,
-                rank: None,
-                limit: f32::INFINITY,
-            }),
+            Some(_) => {
+                candidates.retain(|one| one.load < one.slots * FULL_CACHE_FACTOR);
+                place_prompt(candidates, ask, terms, mean)
+            }
+            None => {
+                discount_old_counts(&mut candidates);
+                candidates.retain(|one| one.load < one.slots * FULL_QUEUE_FACTOR);
+                draw_by_room(&candidates, ask.seed).map(|index| Placement {
+                    target: candidates[index].key,
+                    rank: None,
+                    limit: f32::INFINITY,
+                })
+            }
         }
     }
 
@@ -161,6 +176,7 @@
         load: state.expected_load(now),
         slots: state.row.slots as f32,
         order: hash_pair(ask.affinity.unwrap_or(ask.seed), state.hash).0,
+        counts_age: state.peer_count_age(now).unwrap_or_default(),
     }
 }
 
@@ -198,6 +214,24 @@
     (0..candidates.len()).min_by_key(by_load)
 }
 
+/// Moves each load towards that of all, the more the older its counts are.
+///
+/// Load pattern: a burst fills a few targets of plain calls, whose work lasts some 30 ms, while
+/// counts are some 600 ms old. Routers that take such counts for the present load fill the target
+/// that was empty then, pass over the one that was full then, and keep the wave going by themselves
+/// long after the burst.
+fn discount_old_counts(candidates: &mut [Candidate]) {
+    let fills = candidates.iter().map(|one| one.load / one.slots.max(1.0));
+    let mean = fills.sum::<f32>() / candidates.len().max(1) as f32;
+    for one in candidates {
+        let age = one.counts_age.as_millis() + COUNTS_LAG.as_millis();
+        let turnover = TURNOVER.as_millis();
+        let trust = turnover as f32 / (turnover + age) as f32;
+        let common = mean * one.slots;
+        one.load = (one.load - common).mul_add(trust, common);
+    }
+}
+
 /// Draws a candidate, those with more room more often, and returns its index.
 ///
 /// Load pattern: calls last some 30 ms while counts of other routers are some 300 ms old. If every
