fix(exchange): a slow reply does not make a lagging view the later one

Cause: a view's time was reckoned from the question alone. A router tells its age some time after that; when the reply of a router that had a change took longer than the lagging one's lag, the lagging view counted for the later one and brought the target back. Ruled out: the store's stand-in (the other two routers had the departure); the order of replies. Change: a view's time is a span, from the question to the reply less the age; a view replaces that of another router only if its earliest time is not before the latest of the held one. The age that is passed on stays the oldest possible. Test: views::a_reply_that_took_long_does_not_make_a_lagging_view_the_later_one, with the former single time it can't be told apart. Conclusion: a delay only ever makes a router wait for a view that is surely later.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -38,4 +38,4 @@
 pub use target_placement::{Placement, PlacementAsk, PlacementTerms};
 pub use target_roster::{RemovalRule, RosterChange, RosterRow, TargetRoster};
 pub use target_row::{TargetPhase, TargetRow};
-pub use view_order::{ViewOrder, ViewPosition};
+pub use view_order::{ViewOrder, ViewPosition, ViewTime};
--- a/crates/briarrail_dispatch/src/view_order.rs
+++ b/crates/briarrail_dispatch/src/view_order.rs
@@ -15,23 +15,46 @@
     pub sequence: u64,
 }
 
+/// When the store had a view, as far as this router can tell.
+///
+/// A router tells the age of its view at some time between the question and the reply.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ViewTime {
+    /// The earliest time at which that may have been.
+    pub earliest: MilliTime,
+    /// The latest such time.
+    pub latest: MilliTime,
+}
+
+impl ViewTime {
+    /// Makes a time that is known exactly.
+    #[must_use]
+    pub const fn exact(at: MilliTime) -> Self {
+        Self {
+            earliest: at,
+            latest: at,
+        }
+    }
+}
+
 /// The view that a router holds, by the time at which the store had it.
 ///
 /// # Examples
 ///
 /// ```
-/// use briarrail_dispatch::{ViewOrder, ViewPosition};
+/// use briarrail_dispatch::{ViewOrder, ViewPosition, ViewTime};
 /// use briarrail_model::MilliTime;
 ///
+/// let at = |millis| ViewTime::exact(MilliTime::from_millis(millis));
 /// let mut order = ViewOrder::default();
 /// let current = ViewPosition { epoch: 7, sequence: 3 };
-/// order.note_followed(current, MilliTime::from_millis(900));
-/// assert!(!order.accepts(8, MilliTime::from_millis(400)));
-/// assert!(order.accepts(8, MilliTime::from_millis(950)));
+/// order.note_followed(current, at(900));
+/// assert!(!order.accepts(8, at(400)));
+/// assert!(order.accepts(8, at(950)));
 /// ```
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ViewOrder {
-    seen_at: Option<MilliTime>,
+    held: Option<ViewTime>,
     position: ViewPosition,
 }
 
@@ -39,36 +62,46 @@
     /// Notes that the store was read, and whether that changed the roster.
     ///
     /// A changed roster is no longer that of any followed router, so the next one is taken whole.
-    pub fn note_own_read(&mut self, at: MilliTime, is_changed: bool) {
-        self.seen_at = self.seen_at.max(Some(at));
+    pub fn note_own_read(&mut self, time: ViewTime, is_changed: bool) {
+        self.hold(time);
         if is_changed {
             self.position = ViewPosition::default();
         }
     }
 
-    /// Returns whether a router's view, which the store had at `seen_at`, replaces the held one.
+    /// Returns whether a router's view replaces the held one, which it does when it is surely no
+    /// older.
     ///
     /// One router's views only go forward, so that its next one always does.
     #[must_use]
-    pub fn accepts(&self, epoch: u64, seen_at: MilliTime) -> bool {
-        epoch == self.position.epoch || self.seen_at.is_none_or(|held| held <= seen_at)
+    pub fn accepts(&self, epoch: u64, time: ViewTime) -> bool {
+        let is_later = |held: ViewTime| held.latest <= time.earliest;
+        epoch == self.position.epoch || self.held.is_none_or(is_later)
     }
 
     /// Notes that a router's view was taken.
-    pub fn note_followed(&mut self, position: ViewPosition, seen_at: MilliTime) {
-        self.seen_at = self.seen_at.max(Some(seen_at));
+    pub fn note_followed(&mut self, position: ViewPosition, time: ViewTime) {
+        self.hold(time);
         self.position = position;
     }
 
+    fn hold(&mut self, time: ViewTime) {
+        let held = self.held.unwrap_or_default();
+        self.held = Some(ViewTime {
+            earliest: held.earliest.max(time.earliest),
+            latest: held.latest.max(time.latest),
+        });
+    }
+
     /// Returns the place up to which a router's changes are held.
     #[must_use]
     pub const fn position(&self) -> ViewPosition {
         self.position
     }
 
-    /// Returns when the store had the held view; none before the first.
+    /// Returns when the store had the held view, at the earliest; none before the first.
     #[must_use]
-    pub const fn seen_at(&self) -> Option<MilliTime> {
-        self.seen_at
+    pub fn seen_at(&self) -> Option<MilliTime> {
+        self.held.map(|held| held.earliest)
     }
 }
--- a/crates/briarrail_dispatch/tests/suite/views.rs
+++ b/crates/briarrail_dispatch/tests/suite/views.rs
@@ -1,7 +1,9 @@
 //! Which router's view of the targets is taken, while the store fails the reader.
 
 use briarrail_dispatch::RemovalRule::{AfterGrace, AtOnce};
-use briarrail_dispatch::{RosterChange, TargetRoster, TargetRow, ViewOrder, ViewPosition};
+use briarrail_dispatch::{
+    RosterChange, TargetRoster, TargetRow, ViewOrder, ViewPosition, ViewTime,
+};
 use briarrail_model::MilliTime;
 
 use crate::fixtures::{at, target};
@@ -27,7 +29,7 @@
         for id in ["a", "b"] {
             router.roster.put(target(id));
         }
-        router.order.note_own_read(at(0), true);
+        router.order.note_own_read(ViewTime::exact(at(0)), true);
         router
     }
 
@@ -46,7 +48,8 @@
     /// Reads the store, which no longer lists `gone`.
     fn read_store(&mut self, now: MilliTime, gone: &str) {
         let change = self.roster.remove(gone, AfterGrace(now));
-        self.order.note_own_read(now, change.is_some());
+        self.order
+            .note_own_read(ViewTime::exact(now), change.is_some());
         self.note_changes(change.as_slice());
     }
 
@@ -56,14 +59,14 @@
             epoch: other.epoch,
             sequence: other.sequence,
         };
-        let seen_at = other.order.seen_at().unwrap();
-        if told == self.order.position() || !self.order.accepts(told.epoch, seen_at) {
+        let seen = ViewTime::exact(other.order.seen_at().unwrap());
+        if told == self.order.position() || !self.order.accepts(told.epoch, seen) {
             return;
         }
         let rows: Vec<TargetRow> = other.roster.rows().cloned().collect();
         let changes = self.roster.replace(rows, AtOnce);
         self.note_changes(&changes);
-        self.order.note_followed(told, seen_at);
+        self.order.note_followed(told, seen);
     }
 }
 
@@ -72,7 +75,7 @@
 #[test]
 fn a_target_that_left_does_not_go_round_between_routers() {
     let [mut reader, mut first, mut second, mut lagging] = [1, 2, 3, 4].map(Router::new);
-    lagging.order.note_own_read(at(900), false);
+    lagging.order.note_own_read(ViewTime::exact(at(900)), false);
     for round in 0..20 {
         let now = at(1_000 + round * 200);
         first.read_store(now, "a");
@@ -92,9 +95,11 @@
 #[test]
 fn the_next_view_of_the_same_router_is_taken_although_it_travelled_longer() {
     let [mut follower, mut hub] = [1, 2].map(Router::new);
-    hub.order.note_own_read(at(500), false);
+    hub.order.note_own_read(ViewTime::exact(at(500)), false);
     follower.ask(&hub);
-    follower.order.note_own_read(at(510), false);
+    follower
+        .order
+        .note_own_read(ViewTime::exact(at(510)), false);
     // The hub's grace for a target ends, without a read of the store in between.
     hub.roster.remove("a", AtOnce);
     hub.sequence += 1;
@@ -105,12 +110,31 @@
 #[test]
 fn an_own_change_has_the_next_view_taken_whole() {
     let [mut follower, mut hub] = [1, 2].map(Router::new);
-    hub.order.note_own_read(at(500), false);
+    hub.order.note_own_read(ViewTime::exact(at(500)), false);
     follower.ask(&hub);
     assert_eq!(follower.order.position().epoch, hub.epoch);
     follower.read_store(at(600), "a");
     assert_eq!(follower.order.position(), ViewPosition::default());
-    hub.order.note_own_read(at(700), false);
+    hub.order.note_own_read(ViewTime::exact(at(700)), false);
     follower.ask(&hub);
     assert!(follower.lists("a"), "a later view lists it again");
 }
+
+/// Seen beside a busy bench: the reply of a router that had the change took 120 ms, that of one
+/// which lagged took none, and the lagging view counted for the later one.
+#[test]
+fn a_reply_that_took_long_does_not_make_a_lagging_view_the_later_one() {
+    let mut order = ViewOrder::default();
+    let change = ViewTime {
+        earliest: at(885),
+        latest: at(1_005),
+    };
+    let position = ViewPosition {
+        epoch: 2,
+        sequence: 8,
+    };
+    order.note_followed(position, change);
+    assert!(!order.accepts(3, ViewTime::exact(at(900))));
+    assert!(order.accepts(3, ViewTime::exact(at(1_005))));
+    assert_eq!(order.seen_at(), Some(at(885)));
+}
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briarrail_dispatch::{RemovalRule, RosterChange, RosterRow, TargetRow, ViewPosition};
+use briarrail_dispatch::{RemovalRule, RosterChange, RosterRow, TargetRow, ViewPosition, ViewTime};
 use briarrail_model::{HostName, MilliDuration, MilliTime};
 use briarrail_peer::{
     ConfigPart, Envelope, MessageKind, RosterPart, SyncReply, SyncRequest, SyncRouter,
@@ -220,15 +220,17 @@
     };
     let age_before = state.view_age(now);
     state.roster.note_failed_read(now, age_before);
-    // The age was told after the question, so that no view gets younger on its way.
-    let seen_at = asked_at - age;
-    state.note_config_seen(seen_at);
+    let seen = ViewTime {
+        earliest: asked_at - age,
+        latest: now - age,
+    };
+    state.note_config_seen(seen.earliest);
     let held = state.view_order.position();
     let told = reply.roster.as_ref().map_or(held, |part| ViewPosition {
         epoch: part.epoch,
         sequence: part.sequence,
     });
-    if !state.view_order.accepts(told.epoch, seen_at) {
+    if !state.view_order.accepts(told.epoch, seen) {
         state.metrics.count_sync("older");
         return;
     }
@@ -237,7 +239,7 @@
     {
         return;
     }
-    state.view_order.note_followed(told, seen_at);
+    state.view_order.note_followed(told, seen);
     state.metrics.count_sync("good");
 }
 
--- a/crates/briarrail_gateway/src/control/store_follower.rs
+++ b/crates/briarrail_gateway/src/control/store_follower.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briarrail_dispatch::{ReadDuty, RemovalRule, retry_pause};
+use briarrail_dispatch::{ReadDuty, RemovalRule, ViewTime, retry_pause};
 use briarrail_model::{HostName, MilliDuration, MilliTime};
 use briarrail_peer::SyncRouter;
 use briarrail_platform::{StoreError, StoreErrorKind};
@@ -189,7 +189,6 @@
 fn asked_at(state: &SharedControl, age: ReadAge) -> MilliTime {
     match age {
         ReadAge::Current => state.borrow().clock.now(),
-        // Older than anything else that this router will see.
         ReadAge::Seconds => MilliTime::default(),
     }
 }
@@ -287,9 +286,15 @@
     let changes = state
         .roster
         .replace(listing.rows, RemovalRule::AfterGrace(now));
-    state
-        .view_order
-        .note_own_read(asked_at, !changes.is_empty());
+    let seen = match age {
+        ReadAge::Current => ViewTime {
+            earliest: asked_at,
+            latest: now,
+        },
+        // Older than any other that this router will see.
+        ReadAge::Seconds => ViewTime::exact(asked_at),
+    };
+    state.view_order.note_own_read(seen, !changes.is_empty());
     state.apply_roster(changes, "store");
     state.has_targets = true;
     Ok((age == ReadAge::Current).then_some(listing.revision))
@@ -329,7 +334,8 @@
         }
     }
     let is_changed = !roster_changes.is_empty();
-    state.view_order.note_own_read(now, is_changed);
+    let seen = ViewTime::exact(now);
+    state.view_order.note_own_read(seen, is_changed);
     state.apply_roster(roster_changes, "store");
     is_changed
 }
