fix(start): name what stands in the way of a start, and log the terms as fields

Cause: a reader of the errors alone was told "start failed: Address already in use (os error 98)" without the address, "line 1" of a file that does not exist, and "write a number" for -2. The terms stood in the log as the debug text of a struct. Change: all four addresses are bound before the threads start, and an error names setting and address; a mistake about the file itself has no line; the hint says that numbers start at 0; settings_read and settings_reloaded carry the terms as fields with units. Before and after: the messages above; now "callers.listen: the address can't be listened on: found 127.0.0.1:8010 (hint: ...)". No figure of load is concerned.

--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -9,7 +9,7 @@
 
 use briarrail_dispatch::{TargetRoster, ViewOrder};
 use briarrail_peer::{FrameCodec, KeyRing, SharedKey, SyncRouter};
-use briarrail_settings::GatewaySettings;
+use briarrail_settings::{FleetTerms, GatewaySettings};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -41,6 +41,13 @@
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_POLL: Duration = Duration::from_millis(1_000);
 
+/// Where the control thread is asked.
+pub(crate) struct ControlListeners {
+    pub(crate) peers: std::net::TcpListener,
+    pub(crate) readiness: std::net::TcpListener,
+    pub(crate) metrics: std::net::TcpListener,
+}
+
 /// What the control thread starts with.
 pub(crate) struct ControlInputs<D> {
     pub(crate) settings: GatewaySettings,
@@ -57,16 +64,19 @@
 ///
 /// # Errors
 ///
-/// Fails when an address or a signal can't be had.
-pub(crate) async fn run_control<D, S>(inputs: ControlInputs<D>, store: S) -> std::io::Result<()>
+/// Fails when a signal can't be had.
+pub(crate) async fn run_control<D, S>(
+    inputs: ControlInputs<D>,
+    listeners: ControlListeners,
+    store: S,
+) -> std::io::Result<()>
 where
     D: WireDialect,
     S: SiteStore,
 {
-    let settings = &inputs.settings;
-    let peers = TcpListener::bind(settings.peers).await?;
-    let readiness = TcpListener::bind(settings.readiness).await?;
-    let metrics = TcpListener::bind(settings.metrics).await?;
+    let peers = TcpListener::from_std(listeners.peers)?;
+    let readiness = TcpListener::from_std(listeners.readiness)?;
+    let metrics = TcpListener::from_std(listeners.metrics)?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let state = Rc::new(RefCell::new(new_state(&inputs)));
@@ -169,11 +179,24 @@
         .ok()
 }
 
+/// Logs the terms of the fleet in force from now on.
+pub(crate) fn log_terms(event: &'static str, terms: &FleetTerms, cause: &'static str) {
+    tracing::info!(
+        event,
+        cause,
+        stop_grace_ms = terms.stop_grace.as_millis(),
+        retry_ratio = terms.retry_ratio,
+        retry_window_ms = terms.retry_window.as_millis(),
+        retry_slack = terms.retry_slack,
+        load_ratio = terms.load_ratio,
+    );
+}
+
 /// Takes the fleet's terms from the settings file; addresses hold until a restart.
 fn reload<D>(inputs: &ControlInputs<D>, cause: &'static str) {
     match GatewaySettings::from_file(&inputs.settings_path) {
         Ok(settings) => {
-            tracing::info!(event = "settings_reloaded", cause, terms = ?settings.fleet);
+            log_terms("settings_reloaded", &settings.fleet, cause);
             inputs.shared.terms.store(Arc::new(settings.fleet));
         }
         Err(errors) => tracing::error!(event = "settings_refused", cause, %errors),
--- a/crates/briarrail_gateway/src/control/mod.rs
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -9,4 +9,4 @@
 mod roster_log;
 mod store_follower;
 
-pub(crate) use control_loop::{ControlInputs, run_control};
+pub(crate) use control_loop::{ControlInputs, ControlListeners, log_terms, run_control};
--- a/crates/briarrail_gateway/src/gateway_daemon.rs
+++ b/crates/briarrail_gateway/src/gateway_daemon.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-use crate::control::{ControlInputs, run_control};
+use crate::control::{ControlInputs, ControlListeners, log_terms, run_control};
 use crate::telemetry::{GatewayMetrics, flush_logs, init_json_logs};
 use crate::traffic::{ControlUpdate, SharedState, StopPhase, TrafficState, serve_callers};
 use crate::{ProcessClock, SiteStore, WireDialect};
@@ -32,7 +32,20 @@
     /// The settings have mistakes.
     #[error("{0}")]
     Settings(#[from] SettingsErrors),
-    /// An address, a thread or a signal could not be had.
+    /// An address could not be listened on.
+    #[error(
+        "{setting}: the address can't be listened on: found {address} (hint: {error}; choose \
+         another address or end the program that uses it)"
+    )]
+    Listen {
+        /// The setting that names the address.
+        setting: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// A thread or a signal could not be had.
     #[error("start failed: {0}")]
     Start(#[from] std::io::Error),
     /// The metrics could not be set up.
@@ -54,6 +67,12 @@
     O: FnOnce(SocketAddr) -> S,
 {
     let settings = GatewaySettings::from_file(path)?;
+    let callers = listen("callers.listen", settings.callers)?;
+    let listeners = ControlListeners {
+        peers: listen("peers.listen", settings.peers)?,
+        readiness: listen("readiness.listen", settings.readiness)?,
+        metrics: listen("metrics.listen", settings.metrics)?,
+    };
     let dropped_lines = init_json_logs(&settings.logs.filter);
     tracing::info!(
         event = "started",
@@ -62,9 +81,9 @@
         callers = %settings.callers,
         peers = %settings.peers,
         store = %settings.store,
-        terms = ?settings.fleet,
         version = env!("CARGO_PKG_VERSION"),
     );
+    log_terms("settings_read", &settings.fleet, "start");
     let metrics = GatewayMetrics::new(dropped_lines).map_err(GatewayError::Metrics)?;
     let metrics = Arc::new(metrics);
     let clock = ProcessClock::start();
@@ -72,7 +91,6 @@
     let (updates, received) = unbounded_channel();
     let (stop, stop_seen) = watch::channel(StopPhase::Serving);
     let traffic = TrafficInputs {
-        listen: settings.callers,
         max_callers: (settings.max_descriptors as f64 * CALLER_DESCRIPTORS) as usize,
         dialect,
         clock,
@@ -82,11 +100,9 @@
         stop: stop_seen,
     };
     let traffic_runtime = new_runtime()?;
-    let listener = std::net::TcpListener::bind(traffic.listen)?;
-    listener.set_nonblocking(true)?;
     std::thread::Builder::new()
         .name("traffic".into())
-        .spawn(move || run_traffic(&traffic_runtime, listener, traffic))?;
+        .spawn(move || run_traffic(&traffic_runtime, callers, traffic))?;
     let store = open_store(settings.store);
     let inputs = ControlInputs {
         settings,
@@ -98,18 +114,32 @@
         updates,
         stop,
     };
-    let ended = LocalSet::new().block_on(&new_runtime()?, run_control(inputs, store));
+    let ended = LocalSet::new().block_on(&new_runtime()?, run_control(inputs, listeners, store));
     flush_logs(FLUSH_LIMIT);
     Ok(ended?)
 }
 
+fn listen(
+    setting: &'static str,
+    address: SocketAddr,
+) -> Result<std::net::TcpListener, GatewayError> {
+    let listening = std::net::TcpListener::bind(address).and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    });
+    listening.map_err(|error| GatewayError::Listen {
+        setting,
+        address,
+        error,
+    })
+}
+
 fn new_runtime() -> std::io::Result<Runtime> {
     Builder::new_current_thread().enable_all().build()
 }
 
 /// What the traffic thread starts with.
 struct TrafficInputs<D> {
-    listen: SocketAddr,
     max_callers: usize,
     dialect: D,
     clock: ProcessClock,
--- a/crates/briarrail_settings/src/daemon_settings.rs
+++ b/crates/briarrail_settings/src/daemon_settings.rs
@@ -10,8 +10,8 @@
 use crate::section_reader::SectionReader;
 use crate::{
     AddressSettings, ClaimSettings, ExchangeSettings, HostSettings, IdentitySettings,
-    LimitSettings, LogSettings, PlatformSettings, SettingsBuilder, SettingsErrorKind,
-    SettingsErrors, StopSettings, ThreadSettings,
+    LimitSettings, LogSettings, PlatformSettings, SettingsBuilder, SettingsError,
+    SettingsErrorKind, SettingsErrors, StopSettings, ThreadSettings,
 };
 
 /// The checked settings of one router.
@@ -121,11 +121,13 @@
 /// Reads a settings file as text.
 pub(crate) fn read_file(path: &Path) -> Result<String, SettingsErrors> {
     std::fs::read_to_string(path).map_err(|error| {
-        let log = ErrorLog::new("");
-        let shown = path.display().to_string();
-        let kind = SettingsErrorKind::Unreadable;
-        log.add(kind, Range::new(0, 0), "file", &shown, &error.to_string());
-        log.into_errors().unwrap_or(SettingsErrors(Vec::new()))
+        SettingsErrors(vec![SettingsError {
+            kind: SettingsErrorKind::Unreadable,
+            line: 0,
+            key: "file".to_owned(),
+            value: path.display().to_string(),
+            hint: error.to_string(),
+        }])
     })
 }
 
--- a/crates/briarrail_settings/src/setting_value.rs
+++ b/crates/briarrail_settings/src/setting_value.rs
@@ -32,7 +32,7 @@
 }
 
 impl SettingValue for f64 {
-    const FORM: &'static str = "write a number, such as 0.2";
+    const FORM: &'static str = "write a number from 0 on, such as 0.2";
 
     fn from_node(node: &Value<'_>) -> Option<Self> {
         let number: Self = node.as_number_lit()?.value.parse().ok()?;
--- a/crates/briarrail_settings/src/settings_error.rs
+++ b/crates/briarrail_settings/src/settings_error.rs
@@ -36,11 +36,11 @@
 
 /// One mistake, with its place, the offending value and a hint.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("line {line}: {key}: {kind}{} (hint: {hint})", found(.value))]
+#[error("{}: {kind}{} (hint: {hint})", place(*.line, .key), found(.value))]
 pub struct SettingsError {
     /// What is wrong.
     pub kind: SettingsErrorKind,
-    /// Line of the file, counted from 1.
+    /// Line of the file, counted from 1; 0 when it is about the file itself.
     pub line: usize,
     /// Path of the setting, such as `callers.listen`.
     pub key: String,
@@ -50,6 +50,14 @@
     pub hint: String,
 }
 
+fn place(line: usize, key: &str) -> String {
+    if line == 0 {
+        key.to_owned()
+    } else {
+        format!("line {line}: {key}")
+    }
+}
+
 fn found(value: &str) -> String {
     if value.is_empty() {
         String::new()
