refactor(store): one loop follows both parts of the store, and its decision stands in dispatch

Cause: store_follower.rs had grown to 437 lines with four concerns; the loops of configuration and targets were the same lines twice, and whether a router reads the store was decided between its I/O. Change: ReadFacts::duty in briarrail_dispatch, with a table test; StorePart and follow_part for what is listed and watched; config_reads, target_reads, router_entries and store_health hold a concern each. note_failed_read is note_view_age, since good replies call it too. Targets are listed again after an unreadable watch, as the configuration was before. Conclusion: no behaviour changed but the one named.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -33,7 +33,7 @@
 pub use site_config::{
     CallerLimits, CustomerRow, RepeatRule, RouteRules, ServiceRules, ServiceShare, SiteConfig,
 };
-pub use store_pacing::{ReadDuty, retry_pause};
+pub use store_pacing::{ReadDuty, ReadFacts, retry_pause};
 pub use target_board::{TargetBoard, TargetKey, TargetState};
 pub use target_placement::{Placement, PlacementAsk, PlacementTerms};
 pub use target_roster::{RemovalRule, RosterChange, RosterRow, TargetRoster};
--- a/crates/briarrail_dispatch/src/store_pacing.rs
+++ b/crates/briarrail_dispatch/src/store_pacing.rs
@@ -1,4 +1,4 @@
-//! How soon a router asks the store again after a failed call.
+//! Whether a router reads the store, and how soon it asks again after a failed call.
 //!
 //! Load pattern: the store is away for all, or slow. Every follower would go on asking it at the
 //! pace of the reader, while each call is paid for and a store that comes back has rates to keep.
@@ -13,15 +13,67 @@
 /// store, whatever the size of the fleet.
 const PROBE_PAUSE_PER_ROUTER: MilliDuration = MilliDuration::from_millis(50);
 
+/// Age of a followed view from which a router reads the store itself: by then the followed router
+/// has tried several others.
+const FOLLOWED_LIMIT: MilliDuration = MilliDuration::from_millis(3_000);
+/// Time from the start after which a router that is not listed yet takes itself for alone.
+const LISTING_LIMIT: MilliDuration = MilliDuration::from_millis(1_000);
+
 /// Why a router reads the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadDuty {
+    /// It has not read yet, and wants to be ready soon; what is some seconds old will do.
+    First,
     /// Others count on it, or it follows nobody.
     Reader,
     /// The view that it follows is old; the reader searches all routers for a view meanwhile.
     Probe,
 }
 
+/// What decides whether a router reads the store.
+///
+/// Load pattern: all routers start at once, before there is a configuration, or lose the store at
+/// once. Each reads once, at little cost, and leaves the rest to the one that it follows, which it
+/// knows once the list shows its own entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadFacts {
+    /// Whether it asked before.
+    pub has_read: bool,
+    /// Whether the list of routers shows its own entry, and so the others.
+    pub is_listed: bool,
+    /// Time since its start.
+    pub uptime: MilliDuration,
+    /// Whether there is a router for it to follow.
+    pub has_hub: bool,
+    /// Whether another router asked for its view just now.
+    pub is_view_wanted: bool,
+    /// Age of its view.
+    pub view_age: MilliDuration,
+}
+
+impl ReadFacts {
+    /// Returns whether the other routers are known, or this one takes itself for alone.
+    #[must_use]
+    pub fn knows_others(&self) -> bool {
+        self.is_listed || self.uptime > LISTING_LIMIT
+    }
+
+    /// Returns why the router reads the store now; none when it leaves that to another.
+    #[must_use]
+    pub fn duty(&self) -> Option<ReadDuty> {
+        if !self.has_read {
+            return Some(ReadDuty::First);
+        }
+        if !self.knows_others() {
+            return None;
+        }
+        if self.is_view_wanted || !self.has_hub {
+            return Some(ReadDuty::Reader);
+        }
+        (self.view_age > FOLLOWED_LIMIT).then_some(ReadDuty::Probe)
+    }
+}
+
 /// Returns the pause after a number of failures in a row, in a fleet of that many routers.
 #[must_use]
 pub const fn retry_pause(duty: ReadDuty, failures: u32, routers: usize) -> MilliDuration {
@@ -33,7 +85,7 @@
     };
     let own = FIRST_PAUSE.as_millis() << doublings;
     let shared = match duty {
-        ReadDuty::Reader => 0,
+        ReadDuty::First | ReadDuty::Reader => 0,
         ReadDuty::Probe => PROBE_PAUSE_PER_ROUTER.as_millis() * routers as u64,
     };
     MilliDuration::from_millis(if own > shared { own } else { shared })
--- a/crates/briarrail_dispatch/src/target_roster.rs
+++ b/crates/briarrail_dispatch/src/target_roster.rs
@@ -69,10 +69,11 @@
 }
 
 impl TargetRoster {
-    /// Notes that this router could not read the store, or reads it again after that.
+    /// Notes the age of the view, when a read of the store failed or is the first good one again.
     ///
-    /// A view that goes on through another router, of the age given, misses nothing that lapses.
-    pub fn note_failed_read(&mut self, now: MilliTime, view_age: Option<MilliDuration>) {
+    /// Entries may have lapsed behind an old view; one that went on through another router missed
+    /// nothing.
+    pub fn note_view_age(&mut self, now: MilliTime, view_age: Option<MilliDuration>) {
         if view_age.is_none_or(|age| age > CURRENT_LIMIT) {
             self.outage_end = Some(now);
         }
--- a/crates/briarrail_dispatch/tests/suite/pacing.rs
+++ b/crates/briarrail_dispatch/tests/suite/pacing.rs
@@ -1,6 +1,6 @@
-//! How often a fleet asks a store that is away.
+//! Which routers read the store, and how often a fleet asks one that is away.
 
-use briarrail_dispatch::{ReadDuty, retry_pause};
+use briarrail_dispatch::{ReadDuty, ReadFacts, retry_pause};
 use briarrail_model::MilliDuration;
 
 /// smilsu-rail-grown, trouble-3: all 87 routers asked the store at the reader's pace while it was
@@ -34,3 +34,62 @@
     ]
     ");
 }
+
+const FOLLOWER: ReadFacts = ReadFacts {
+    has_read: true,
+    is_listed: true,
+    uptime: MilliDuration::from_millis(60_000),
+    has_hub: true,
+    is_view_wanted: false,
+    view_age: MilliDuration::from_millis(400),
+};
+
+#[test]
+fn one_router_reads_while_the_others_have_its_view() {
+    assert_eq!(FOLLOWER.duty(), None);
+    let alone = ReadFacts {
+        has_hub: false,
+        ..FOLLOWER
+    };
+    assert_eq!(alone.duty(), Some(ReadDuty::Reader));
+    let asked = ReadFacts {
+        is_view_wanted: true,
+        ..FOLLOWER
+    };
+    assert_eq!(asked.duty(), Some(ReadDuty::Reader));
+}
+
+#[test]
+fn a_follower_with_an_old_view_probes_the_store() {
+    let aged = |millis| ReadFacts {
+        view_age: MilliDuration::from_millis(millis),
+        ..FOLLOWER
+    };
+    assert_eq!(aged(3_000).duty(), None);
+    assert_eq!(aged(3_001).duty(), Some(ReadDuty::Probe));
+}
+
+/// smilsu-rail-grown, quiet-1: routers that started together each took themselves for the reader
+/// until the list showed the others, and read four times.
+#[test]
+fn a_router_reads_once_before_it_knows_the_others() {
+    let started = ReadFacts {
+        has_read: false,
+        is_listed: false,
+        uptime: MilliDuration::from_millis(5),
+        has_hub: false,
+        ..FOLLOWER
+    };
+    assert_eq!(started.duty(), Some(ReadDuty::First));
+    let waiting = ReadFacts {
+        has_read: true,
+        uptime: MilliDuration::from_millis(1_000),
+        ..started
+    };
+    assert_eq!(waiting.duty(), None);
+    let alone = ReadFacts {
+        uptime: MilliDuration::from_millis(1_001),
+        ..waiting
+    };
+    assert_eq!(alone.duty(), Some(ReadDuty::Reader));
+}
--- a/crates/briarrail_dispatch/tests/suite/roster.rs
+++ b/crates/briarrail_dispatch/tests/suite/roster.rs
@@ -32,7 +32,7 @@
 #[test]
 fn entries_that_lapsed_during_an_outage_have_time_to_come_back() {
     let mut roster = roster();
-    roster.note_failed_read(at(1_000), None);
+    roster.note_view_age(at(1_000), None);
     let changes = roster.replace([target("b")], AfterGrace(at(1_300)));
     assert_eq!(changes, [RosterChange::Kept("a".into(), at(3_200))]);
     assert_eq!(ids(&roster), ["a", "b"]);
@@ -46,7 +46,7 @@
 #[test]
 fn an_entry_that_stays_missing_is_gone() {
     let mut roster = roster();
-    roster.note_failed_read(at(1_000), None);
+    roster.note_view_age(at(1_000), None);
     roster.replace([target("b")], AfterGrace(at(1_300)));
     assert_eq!(roster.expire(at(3_199)), []);
     assert_eq!(roster.expire(at(3_200)), [RosterChange::Gone("a".into())]);
@@ -58,7 +58,7 @@
     let mut leaving = target("a");
     leaving.phase = TargetPhase::Draining;
     roster.put(leaving);
-    roster.note_failed_read(at(1_000), None);
+    roster.note_view_age(at(1_000), None);
     assert_eq!(
         roster.remove("a", AfterGrace(at(1_001))),
         Some(RosterChange::Gone("a".into()))
@@ -70,7 +70,7 @@
 #[test]
 fn what_a_followed_router_tells_as_gone_is_gone_at_once() {
     let mut roster = roster();
-    roster.note_failed_read(at(1_000), None);
+    roster.note_view_age(at(1_000), None);
     assert_eq!(
         roster.replace([target("b")], AtOnce),
         [RosterChange::Gone("a".into())]
@@ -87,7 +87,7 @@
 fn failing_reads_grant_no_grace_while_the_view_goes_on() {
     let mut roster = roster();
     let age = Some(MilliDuration::from_millis(300));
-    roster.note_failed_read(at(1_100), age);
+    roster.note_view_age(at(1_100), age);
     assert_eq!(
         roster.remove("a", AfterGrace(at(1_200))),
         Some(RosterChange::Gone("a".into()))
@@ -99,9 +99,9 @@
 #[test]
 fn a_view_that_broke_leaves_lapsed_entries_their_time() {
     let mut roster = roster();
-    roster.note_failed_read(at(5_000), Some(MilliDuration::from_millis(4_000)));
-    roster.note_failed_read(at(5_200), Some(MilliDuration::from_millis(4_200)));
-    roster.note_failed_read(at(5_400), Some(MilliDuration::from_millis(300)));
+    roster.note_view_age(at(5_000), Some(MilliDuration::from_millis(4_000)));
+    roster.note_view_age(at(5_200), Some(MilliDuration::from_millis(4_200)));
+    roster.note_view_age(at(5_400), Some(MilliDuration::from_millis(300)));
     assert_eq!(
         roster.remove("a", AfterGrace(at(5_500))),
         Some(RosterChange::Kept("a".into(), at(7_400)))
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -19,12 +19,15 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 
+use super::config_reads::ConfigReads;
 use super::control_state::ControlState;
 use super::hub_server::serve_peers;
 use super::hub_sync::run_rounds;
 use super::local_server::serve_local;
 use super::roster_log::RosterLog;
-use super::store_follower::{follow_config, follow_routers, follow_targets};
+use super::router_entries::follow_routers;
+use super::store_follower::follow_part;
+use super::target_reads::TargetReads;
 use crate::telemetry::GatewayMetrics;
 use crate::traffic::{ControlUpdate, SharedState, StopPhase};
 use crate::{ProcessClock, SiteStore, WireDialect};
@@ -82,8 +85,16 @@
     let state = Rc::new(RefCell::new(new_state(&inputs)));
     tokio::task::spawn_local(serve_peers(Rc::clone(&state), peers));
     tokio::task::spawn_local(run_rounds(Rc::clone(&state)));
-    tokio::task::spawn_local(follow_config(Rc::clone(&state), store.clone()));
-    tokio::task::spawn_local(follow_targets(Rc::clone(&state), store.clone()));
+    let configs = ConfigReads {
+        state: Rc::clone(&state),
+        store: store.clone(),
+    };
+    tokio::task::spawn_local(follow_part(Rc::clone(&state), configs));
+    let targets = TargetReads {
+        state: Rc::clone(&state),
+        store: store.clone(),
+    };
+    tokio::task::spawn_local(follow_part(Rc::clone(&state), targets));
     tokio::task::spawn_local(follow_routers(Rc::clone(&state), store.clone()));
     let ready_state = Rc::clone(&state);
     let path = inputs.dialect.readiness_path();
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -1,6 +1,5 @@
 //! Rounds with the router that this one follows.
 
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,6 +13,7 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
+use super::SharedControl;
 use super::config_codec::decode_config;
 use super::control_state::{ControlState, HubView, VIEW_LIMIT};
 use super::hub_server::{MIN_ROUND_MS, SYNC_PATH};
@@ -27,8 +27,6 @@
 /// Longest wait for the traffic thread's counts.
 const COUNTS_LIMIT: Duration = Duration::from_millis(100);
 
-type SharedControl = Rc<RefCell<ControlState>>;
-
 /// Follows the chosen router in rounds, for ever.
 pub(crate) async fn run_rounds(state: SharedControl) {
     let mut clients: HashMap<SocketAddr, CallClient> = HashMap::new();
@@ -219,7 +217,7 @@
         return;
     };
     let age_before = state.view_age(now);
-    state.roster.note_failed_read(now, age_before);
+    state.roster.note_view_age(now, age_before);
     let seen = ViewTime {
         earliest: asked_at - age,
         latest: now - age,
