fix(entries): remove only the entries of routers that take no connection

Cause: the reader removed the entry of each router that it had heard of once and not for 30 s. Routers that follow another one, such as that of their data centre, are silent towards the reader and live; a router that started later did not find them in the store. Change: a silent router is asked by a connection to its address, at most 500 ms, before its entry goes. Conclusion: silence alone is no evidence in two tiers.

--- a/crates/briarrail_gateway/src/control/router_entries.rs
+++ b/crates/briarrail_gateway/src/control/router_entries.rs
@@ -1,12 +1,15 @@
 //! The routers' entries in the store.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use briarrail_model::{HostName, MilliDuration};
+use briarrail_model::{HostName, MilliDuration, MilliTime};
 use briarrail_peer::SyncRouter;
+use tokio::net::TcpStream;
 
 use super::SharedControl;
+use super::control_state::ControlState;
 use super::store_health::{StoreHealth, read_facts};
 use crate::traffic::StopPhase;
 use crate::{RouterRow, SiteStore};
@@ -17,8 +20,10 @@
 const LIST_AGE: MilliDuration = MilliDuration::from_millis(10_000);
 /// Pause between two lists of the routers.
 const ROUTERS_PAUSE: Duration = Duration::from_secs(2);
-/// Silence after which a router's entry is removed: far longer than a restart.
+/// Silence after which a router is asked whether it lives: far longer than a restart.
 const ENTRY_LIMIT: MilliDuration = MilliDuration::from_millis(30_000);
+/// Longest time to connect to such a router; many round trips within a site.
+const PROBE_LIMIT: Duration = Duration::from_millis(500);
 
 /// Keeps this router's entry in the store and the list of the others, for ever.
 pub(crate) async fn follow_routers<S>(state: SharedControl, store: S)
@@ -73,34 +78,21 @@
     }
 }
 
-/// Takes the listed routers, and removes entries of those that were silent for long.
+/// Takes the listed routers, and removes entries of those that are silent for long and gone.
 async fn take_routers<S>(state: &SharedControl, store: &S, rows: Vec<RouterRow>)
 where
     S: SiteStore,
 {
-    let listed: BTreeSet<HostName> = rows.iter().map(|row| row.name.clone()).collect();
-    let gone: Vec<HostName> = {
-        let mut state = state.borrow_mut();
-        let now = state.clock.now();
-        for row in rows {
-            let router = SyncRouter {
-                name: row.name,
-                address: row.address,
-                data_centre: row.data_centre,
-                capacity: row.capacity,
-            };
-            state.note_router(router);
+    let silent = take_rows(&mut state.borrow_mut(), rows);
+    for router in silent {
+        // Routers that follow another one are silent towards this one, and live.
+        if answers(router.address).await {
+            let mut state = state.borrow_mut();
+            let now = state.clock.now();
+            state.note_answer(&router.name, now);
+            continue;
         }
-        state.peers.retain(|name, peer| {
-            let heard = peer.heard_at.is_some_and(|at| now.since(at) < ENTRY_LIMIT);
-            heard || listed.contains(name)
-        });
-        let is_gone = |at: Option<_>| at.is_some_and(|at| now.since(at) >= ENTRY_LIMIT);
-        let peers = state.peers.iter();
-        let silent = peers.filter(|(_, peer)| is_gone(peer.heard_at));
-        silent.map(|(name, _)| name.clone()).collect()
-    };
-    for name in gone {
+        let name = router.name;
         match store.remove_router(&name).await {
             Ok(()) => tracing::info!(event = "router_entry_removed", router = %name),
             Err(error) => tracing::warn!(event = "router_entry_kept", router = %name, %error),
@@ -108,3 +100,34 @@
         state.borrow_mut().peers.remove(&name);
     }
 }
+
+/// Takes the listed routers, and returns those that were heard of once, but not for long.
+fn take_rows(state: &mut ControlState, rows: Vec<RouterRow>) -> Vec<SyncRouter> {
+    let listed: BTreeSet<HostName> = rows.iter().map(|row| row.name.clone()).collect();
+    let now = state.clock.now();
+    for row in rows {
+        state.note_router(SyncRouter {
+            name: row.name,
+            address: row.address,
+            data_centre: row.data_centre,
+            capacity: row.capacity,
+        });
+    }
+    let is_silent = |at: MilliTime| now.since(at) >= ENTRY_LIMIT;
+    state.peers.retain(|name, peer| {
+        let is_heard = peer.heard_at.is_some_and(|at| !is_silent(at));
+        is_heard || listed.contains(name)
+    });
+    let peers = state.peers.values();
+    let silent = peers.filter(|peer| peer.heard_at.is_some_and(is_silent));
+    silent.map(|peer| peer.router.clone()).collect()
+}
+
+/// Returns whether a router takes connections of other routers.
+async fn answers(address: SocketAddr) -> bool {
+    let connecting = TcpStream::connect(address);
+    matches!(
+        tokio::time::timeout(PROBE_LIMIT, connecting).await,
+        Ok(Ok(_))
+    )
+}
