fix(placement): a target that started again keeps nothing from before

Cause: a target that starts again under its identity kept the time of its first listing and the outcomes of its former run, so that it was a settled source of context with an empty cache, and could be ejected for failures of the run before. Ruled out: targets with a new identity, which are new to the board. Change: a new run starts its listing time and its outcomes anew, as it did its load and its guard. Before and after: the new test fails before (the target is the source 200 ms after its start) and passes. Conclusion: one notion of a new run for all that is believed of a target.

--- a/crates/briarrail_dispatch/src/target_board.rs
+++ b/crates/briarrail_dispatch/src/target_board.rs
@@ -47,7 +47,7 @@
     /// Outcomes of this router's sends, and of the other routers'.
     outcomes: OutcomeWindow,
     peer_outcomes: OutcomeUnits,
-    /// When the target was first listed.
+    /// When the target, or a new run of it, was first listed.
     listed_at: MilliTime,
     /// When the target went off the list.
     gone_at: Option<MilliTime>,
@@ -127,6 +127,9 @@
                 state.guard = OutlierGuard::default();
                 state.told = None;
                 state.peers = None;
+                state.outcomes.clear();
+                state.peer_outcomes = OutcomeUnits::default();
+                state.listed_at = now;
             }
             state.row = row;
             state.gone_at = None;
--- a/crates/briarrail_dispatch/tests/suite/context_source.rs
+++ b/crates/briarrail_dispatch/tests/suite/context_source.rs
@@ -123,3 +123,21 @@
     }
     assert!(moved > 20, "{moved} subjects moved");
 }
+
+/// A target that starts again under its identity has an empty cache.
+#[test]
+fn a_target_that_started_again_is_no_source_while_others_are_settled() {
+    let mut board = board();
+    let prompt = prompt(1, 10_000);
+    let home = board.place(&ask(&prompt), &TERMS, at(0)).unwrap().target;
+    let mut row = board.get(home).unwrap().row.clone();
+    row.started_unix_ms = 2_000;
+    board.put(row, at(9_000));
+    let mut retry = ask(&prompt);
+    let tried = [home];
+    retry.tried = &tried;
+    let next = board.place(&retry, &TERMS, at(9_200)).unwrap().target;
+    let source = |now| board.context_source(&ask(&prompt), next, at(now));
+    assert_ne!(source(9_200), Some(home));
+    assert_eq!(source(10_500), Some(home));
+}
