fix(control): read the store as soon as the own entry is listed

a_target_that_starts_anew_at_its_address_is_found: a new router learns after one poll of the router list (300 ms) that it is listed; the watchers of the store noticed that at their next poll, up to 100 ms later, so the change was read 310 to 410 ms after the start, and the test allows 400 ms. The watchers are now woken when the entry is found. Ruled out: the targets and the store stand-in answer within milliseconds. The test and its bound are unchanged.

a_rolling_restart_interrupts_no_requests: both port pickers released a port before the router bound it, and a second test program could pick the same one. Test programs now reserve a block of ports, by holding its first port while they run; one function in briarrail_standin replaces both pickers.

edits_propagate_despite_a_killed_router_and_a_store_outage: the test waited for the sequence number of a replaced router and not for its readiness, which needs the store or a second peer by design, and then took the store away. It now waits for readiness before the outage, as it did for the other replaced router; the check of all routers during the outage is unchanged.

--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -164,6 +164,7 @@
         failing_calls: std::collections::BTreeSet::new(),
         view_requested_at: None,
         is_listed: false,
+        listed: Rc::default(),
         has_target_list: false,
         local_counts: Vec::new(),
     }
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -1,6 +1,7 @@
 //! State of the control thread, shared by its tasks.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -11,6 +12,7 @@
 use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash, hash_pair};
 use briarrail_peer::{FrameCodec, SyncRouter, TargetCount};
 use bytes::Bytes;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::roster_log::RosterLog;
@@ -92,6 +94,8 @@
     /// Whether a list of the routers has contained this router's own entry, so that the list is
     /// known to be newer than the entry.
     pub(crate) is_listed: bool,
+    /// Wakes the watchers of the store when `is_listed` becomes true.
+    pub(crate) listed: Rc<Notify>,
     /// Whether the targets have been listed.
     pub(crate) has_target_list: bool,
     /// This router's own counts at its last sync.
@@ -112,6 +116,12 @@
         self.config_observed_at = self.config_observed_at.max(Some(at));
     }
 
+    /// Records that a list of the routers contains this router's own entry.
+    pub(crate) fn record_listed(&mut self) {
+        self.is_listed = true;
+        self.listed.notify_waiters();
+    }
+
     /// Returns whether the last store call of at least one kind failed.
     pub(crate) fn has_failing_calls(&self) -> bool {
         !self.failing_calls.is_empty()
--- a/crates/briarrail_gateway/src/control/router_registration.rs
+++ b/crates/briarrail_gateway/src/control/router_registration.rs
@@ -47,7 +47,7 @@
             if let Ok(records) = outcome {
                 let now = state.borrow().clock.now();
                 if records.contains(&local) {
-                    state.borrow_mut().is_listed = true;
+                    state.borrow_mut().record_listed();
                     registered_at = registered_at.or(Some(now));
                 } else {
                     // If the list is newer than the entry, another router may have removed it.
--- a/crates/briarrail_gateway/src/control/store_watcher.rs
+++ b/crates/briarrail_gateway/src/control/store_watcher.rs
@@ -1,5 +1,6 @@
 //! Lists and watches a collection of the store while this router reads the store.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use briarrail_dispatch::ReadReason;
@@ -45,7 +46,11 @@
         let reason = read_conditions(&state.borrow(), has_read).read_reason();
         let Some(reason) = reason else {
             revision = None;
-            tokio::time::sleep(LIST_DELAY).await;
+            let listed = Rc::clone(&state.borrow().listed);
+            tokio::select! {
+                () = tokio::time::sleep(LIST_DELAY) => {}
+                () = listed.notified() => {}
+            }
             continue;
         };
         has_read = true;
--- a/crates/briarrail_standin/src/lib.rs
+++ b/crates/briarrail_standin/src/lib.rs
@@ -19,6 +19,7 @@
 mod engine;
 mod hosts;
 mod objects;
+mod port_block;
 mod server;
 mod service;
 mod site;
@@ -33,6 +34,7 @@
     ObjectApiCounts, ObjectApiFaults, ObjectApiSettings, ObjectApiStandin, OutageKind,
     start_object_api,
 };
+pub use port_block::free_address;
 pub use server::{FaultInjector, StandinHandle};
 pub use service::{
     LedgerEntry, ServiceFaults, ServiceResponse, ServiceSettings, ServiceStandin, body_digest,
--- a/tests/suite/config_propagation.rs
+++ b/tests/suite/config_propagation.rs
@@ -42,6 +42,9 @@
     let elapsed = measure_propagation(&harness, "after-the-kill").await;
     eprintln!("edit applied by the remaining routers after {elapsed:?}");
     let router = harness.start_router(4);
+    // A new router that has the edit only from a peer is not ready until the store or a second peer
+    // confirms it, so the outage must not start before.
+    router.wait_until_ready(&harness.client).await;
     harness.routers.push(router);
     wait_for_sequence(&harness, EDIT_COUNT as u64 + 2).await;
 
--- a/tests/suite/support/mod.rs
+++ b/tests/suite/support/mod.rs
@@ -2,7 +2,6 @@
 
 mod load_balancer;
 mod outcome_violations;
-mod port_picker;
 mod router_binary;
 mod router_process;
 mod test_harness;
--- a/tests/suite/support/test_harness.rs
+++ b/tests/suite/support/test_harness.rs
@@ -6,12 +6,11 @@
 use briarrail_config::{ConfigEditor, EditId, EditReceipt, EditRequest, RowChange};
 use briarrail_model::{HostEntry, MilliTime};
 use briarrail_platform::HttpStore;
-use briarrail_standin::{SiteSettings, SiteStandin};
+use briarrail_standin::{SiteSettings, SiteStandin, free_address};
 use reqwest::Client;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-use crate::support::port_picker::free_address;
 use crate::support::{RouterProcess, wait_for};
 
 const ROUTER_SERVICE: &str = "briarraild";
