feat(admission): send only the plain calls that a service can execute in time

Cause: targets queue plain calls up to five times their slots. When less room stands than is asked for, the queues stay full, every call waits for the whole queue and is late, and calls that two full targets reject have been to both.

Ruled out: a limit on the load that routers see.

Change: the share of a service's calls to send follows from rates. Demand: each router publishes the calls of the last second with its counts, one number a service. Capacity: Little's law for each target, from the slots in use and the completed requests of all routers, which the exchange has already; no time in a queue is in it. Old counts correct the share only as far as they still say something. What isn't sent is refused at once as not run, with a Retry-After of 5 to 45 % of the objective, so that a caller who returns can still be on time (before: 300 to 450 ms for every service, late for all that have an objective of 300 ms). Placement of plain calls scales by measured service times too: the bound on the load of a target, the age at which counts lose their worth, and the share of a slow target. The constant for calls of 30 ms is gone.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! Time-dependent functions take the current time as an argument. [`RoutingTable`] resolves the
 //! route and the customer of a request. [`TargetRegistry`] holds the known state of each target and
-//! places requests. [`RetryBudget`] limits retries across the fleet. [`TargetRoster`] decides which
+//! places requests. [`AdmissionController`] decides which share of the calls of a busy service is
+//! sent at all. [`RetryBudget`] limits retries across the fleet. [`TargetRoster`] decides which
 //! listed targets are in use while the store is unavailable. [`choose_hub`] selects the router that
 //! reads the store for the others, and [`ViewTracker`] decides whether another router's view of the
 //! targets is newer than the current one.
 
 mod adaptive_timeout;
+mod admission_controller;
 mod hub_choice;
 mod outcome_window;
 mod outlier_detector;
@@ -15,7 +17,10 @@
 mod retry_after;
 mod retry_budget;
 mod routing_table;
+mod service_capacity;
+mod service_time_meter;
 mod site_config;
+mod sliding_window;
 mod store_read_policy;
 mod target_placement;
 mod target_record;
@@ -24,6 +29,7 @@
 mod view_tracker;
 
 pub use adaptive_timeout::AdaptiveTimeout;
+pub use admission_controller::{AdmissionController, AdmissionRatio};
 pub use hub_choice::{HubCandidate, choose_hub, choose_view_sources};
 pub use outcome_window::{OutcomeTotals, OutcomeWindow};
 pub use outlier_detector::{OutlierDetector, SendOutcome};
@@ -31,6 +37,7 @@
 pub use retry_after::{RefusalCause, retry_after};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use routing_table::{RouteKey, RouteLookup, RoutingTable};
+pub use service_capacity::ServiceCapacity;
 pub use site_config::{
     CallerLimits, CustomerConfig, RouteConfig, RouteSemantics, ServiceConfig, ServiceShare,
     SiteConfig,
--- a/crates/briarrail_dispatch/src/outcome_window.rs
+++ b/crates/briarrail_dispatch/src/outcome_window.rs
@@ -5,16 +5,15 @@
 //! tell such a target from random failures; the combined outcomes of all routers show it within one
 //! second.
 
-use std::collections::VecDeque;
+use std::ops::Add;
 
 use briarrail_model::{MilliDuration, MilliTime};
 
 use crate::SendOutcome;
+use crate::sliding_window::SlidingWindow;
 
 /// Length of the sliding window; covers about ten requests per target at a small site.
-const WINDOW: MilliDuration = MilliDuration::from_millis(2_000);
-/// Time span of one bucket of the window.
-const BUCKET_WIDTH: MilliDuration = MilliDuration::from_millis(250);
+pub(crate) const OUTCOME_WINDOW: MilliDuration = MilliDuration::from_millis(2_000);
 /// Units per outcome; a slow response counts half, since it may be an isolated delay.
 const REQUEST_UNITS: u32 = 2;
 const SLOW_UNITS: u32 = 1;
@@ -36,7 +35,21 @@
     pub failed: u32,
 }
 
+impl Add for OutcomeTotals {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        self.plus(other)
+    }
+}
+
 impl OutcomeTotals {
+    /// Returns the number of requests with an outcome.
+    #[must_use]
+    pub fn requests(&self) -> f32 {
+        (self.good + self.failed) as f32 / REQUEST_UNITS as f32
+    }
+
     /// Returns the failure ratio, from 0 to 1.
     #[must_use]
     pub fn failure_ratio(&self) -> f32 {
@@ -67,9 +80,17 @@
 }
 
 /// Outcomes of this router's requests to one target over a sliding window.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct OutcomeWindow {
-    buckets: VecDeque<(MilliTime, OutcomeTotals)>,
+    totals: SlidingWindow<OutcomeTotals>,
+}
+
+impl Default for OutcomeWindow {
+    fn default() -> Self {
+        Self {
+            totals: SlidingWindow::new(OUTCOME_WINDOW),
+        }
+    }
 }
 
 impl OutcomeWindow {
@@ -90,33 +111,16 @@
                 failed: REQUEST_UNITS,
             },
         };
-        let is_current =
-            |&&mut (start, _): &&mut (MilliTime, OutcomeTotals)| now.since(start) < BUCKET_WIDTH;
-        match self.buckets.back_mut().filter(is_current) {
-            Some((_, bucket)) => *bucket = bucket.plus(totals),
-            None => self.buckets.push_back((now, totals)),
-        }
-        self.drop_expired(now);
+        self.totals.add(totals, now);
     }
 
     /// Returns the totals over the window.
     pub fn sum(&mut self, now: MilliTime) -> OutcomeTotals {
-        self.drop_expired(now);
-        let totals = self.buckets.iter().map(|(_, totals)| *totals);
-        totals.fold(OutcomeTotals::default(), OutcomeTotals::plus)
+        self.totals.sum(now)
     }
 
     /// Discards all outcomes, for example those that precede a successful trial.
     pub fn clear(&mut self) {
-        self.buckets.clear();
-    }
-
-    fn drop_expired(&mut self, now: MilliTime) {
-        while let Some(&(start, _)) = self.buckets.front() {
-            if now.since(start) <= WINDOW {
-                return;
-            }
-            self.buckets.pop_front();
-        }
+        self.totals.clear();
     }
 }
--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -6,9 +6,12 @@
 //! a large shared context therefore stay at the first target of their rendezvous order up to a high
 //! load limit, while requests with little shared context even out the load.
 
+use std::ops::Add;
+
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_pair};
 
-use crate::{TargetKey, TargetRegistry, TargetState};
+use crate::service_time_meter::SlotUse;
+use crate::{ServiceCapacity, TargetKey, TargetRegistry, TargetState};
 
 /// Load limits for placement.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -33,11 +36,19 @@
 const TARGET_SELECTION_SALT: StableHash = StableHash(0x6472_6177);
 /// Load per slot at which a target with a prompt cache takes no more requests.
 const MAX_PROMPT_LOAD_PER_SLOT: f32 = 3.0;
-/// Load per slot at which a target of plain calls takes no more requests; calls that wait for the
-/// duration of six calls are late. Targets with shorter queues reject calls earlier.
+/// Maximum load per slot at which a target of plain calls takes no more requests.
 const MAX_PLAIN_LOAD_PER_SLOT: f32 = 6.0;
-/// Time in which the plain calls at a target are replaced by new ones; the duration of three calls.
-const PLAIN_TURNOVER: MilliDuration = MilliDuration::from_millis(100);
+/// Minimum of that load for a service whose calls take longer than half their objective.
+const MIN_PLAIN_LOAD_PER_SLOT: f32 = 2.0;
+/// Minimum of that load for one target that is much slower than the others, so that its recovery is
+/// noticed.
+const MIN_SLOW_LOAD_PER_SLOT: f32 = 1.0;
+/// Number of requests with the mean service time that are added to those that a target completed.
+const MEAN_TIME_REQUESTS: f32 = 20.0;
+/// Number of service times in which the plain calls at a target are replaced by new ones.
+const TURNOVER_SERVICE_TIMES: f32 = 3.0;
+/// Service time of plain calls until it is measured, as a fraction of their objective.
+const INITIAL_SERVICE_TIME_RATIO: f32 = 0.2;
 /// Minimum age of peer counts when they arrive: one round of the exchange.
 const MIN_COUNT_LAG: MilliDuration = MilliDuration::from_millis(200);
 
@@ -66,6 +77,8 @@
     pub tried: &'a [TargetKey],
     /// Seed for the selection among targets without shared context.
     pub seed: StableHash,
+    /// Latency objective of the request.
+    pub objective: MilliDuration,
 }
 
 struct Candidate {
@@ -75,6 +88,20 @@
     rendezvous_hash: u64,
     /// Age of the peer counts that the load includes.
     peer_count_age: MilliDuration,
+    /// Mean time for which a request occupies a slot.
+    service_time_ms: f32,
+    /// Service time of all targets together, relative to that of this one.
+    speed: f32,
+}
+
+impl Candidate {
+    /// Returns whether a plain call would wait for less than a time.
+    fn has_room(&self, max_time_ms: f32) -> bool {
+        let service_times = max_time_ms / self.service_time_ms;
+        let max_load_per_slot =
+            service_times.clamp(MIN_SLOW_LOAD_PER_SLOT, MAX_PLAIN_LOAD_PER_SLOT);
+        self.load < self.slots * max_load_per_slot
+    }
 }
 
 impl TargetRegistry {
@@ -88,25 +115,26 @@
         limits: &PlacementLimits,
         now: MilliTime,
     ) -> Option<Placement> {
-        let available = || {
-            let listed = self.service_targets(request.service);
-            listed.filter(|(key, state)| state.is_available() && !request.tried.contains(key))
-        };
         let mean = self.mean_load(request.service, now);
-        let to_candidate = |(key, state)| new_candidate(request, key, state, now);
-        let healthy = available().filter(|(_, state)| state.outlier_detector.allows_requests(now));
-        let mut candidates: Vec<Candidate> = healthy.map(to_candidate).collect();
-        let listed = available().count();
-        if candidates.len() * 2 < listed {
-            // Failures of more than half of the targets have a common cause; skip only unreachable
-            // ones.
-            let reachable =
-                available().filter(|(_, state)| !state.outlier_detector.is_unreachable(now));
-            candidates = reachable.map(to_candidate).collect();
-        }
-        if candidates.is_empty() {
-            candidates = available().map(to_candidate).collect();
-        }
+        let usable = self.usable_targets(request.service, request.tried, now);
+        let initial_ms = request.objective.as_millis() as f32 * INITIAL_SERVICE_TIME_RATIO;
+        let measured_ms = mean_service_time_ms(&usable);
+        let mean_time_ms = measured_ms.unwrap_or(initial_ms).max(1.0);
+        let to_candidate = |(key, state)| {
+            let service_time_ms = measured_ms.map_or(mean_time_ms, |mean_ms| {
+                target_service_time_ms(state, mean_ms)
+            });
+            Candidate {
+                key,
+                load: state.expected_load(now),
+                slots: state.record.slots as f32,
+                rendezvous_hash: hash_pair(request.affinity.unwrap_or(request.seed), state.hash).0,
+                peer_count_age: state.peer_count_age(now).unwrap_or_default(),
+                service_time_ms,
+                speed: mean_time_ms / service_time_ms,
+            }
+        };
+        let mut candidates: Vec<Candidate> = usable.into_iter().map(to_candidate).collect();
         match request.affinity {
             Some(_) => {
                 candidates.retain(|candidate| {
@@ -115,9 +143,10 @@
                 place_by_affinity(candidates, request, limits, mean)
             }
             None => {
-                damp_stale_counts(&mut candidates);
-                candidates
-                    .retain(|candidate| candidate.load < candidate.slots * MAX_PLAIN_LOAD_PER_SLOT);
+                damp_stale_counts(&mut candidates, TURNOVER_SERVICE_TIMES * mean_time_ms);
+                let objective_ms = request.objective.as_millis() as f32;
+                let max_time_ms = objective_ms.max(MIN_PLAIN_LOAD_PER_SLOT * mean_time_ms);
+                candidates.retain(|candidate| candidate.has_room(max_time_ms));
                 pick_weighted_by_headroom(&candidates, request.seed).map(|index| Placement {
                     target: candidates[index].key,
                     rank: None,
@@ -156,6 +185,50 @@
         source.map(|(key, _)| key)
     }
 
+    /// Returns the slots, load and throughput of the targets that may receive a service's requests.
+    #[must_use]
+    pub fn service_capacity(&self, service: &str, now: MilliTime) -> ServiceCapacity {
+        let targets = self.usable_targets(service, &[], now);
+        let mut capacity = ServiceCapacity {
+            service_time_ms: mean_service_time_ms(&targets),
+            ..ServiceCapacity::default()
+        };
+        for (_, state) in &targets {
+            let slots = state.record.slots as f32;
+            capacity.slots += slots;
+            capacity.load += state.expected_load(now);
+            let age = state.peer_count_age(now).unwrap_or_default();
+            capacity.load_age = capacity.load_age.max(peer_count_lag(age));
+            if let Some(mean_ms) = capacity.service_time_ms {
+                capacity.requests_per_s += slots * 1_000.0 / target_service_time_ms(state, mean_ms);
+            }
+        }
+        capacity
+    }
+
+    /// Returns the available targets that are not ejected.
+    ///
+    /// If more than half are ejected, their failures have a common cause, and only unreachable ones
+    /// are left out; if every one is, all are returned.
+    fn usable_targets(
+        &self,
+        service: &str,
+        excluded: &[TargetKey],
+        now: MilliTime,
+    ) -> Vec<(TargetKey, &TargetState)> {
+        let listed = self.service_targets(service);
+        let available: Vec<_> = listed
+            .filter(|(key, state)| state.is_available() && !excluded.contains(key))
+            .collect();
+        let mut usable = available.clone();
+        usable.retain(|(_, state)| state.outlier_detector.allows_requests(now));
+        if usable.len() * 2 < available.len() {
+            usable.clone_from(&available);
+            usable.retain(|(_, state)| !state.outlier_detector.is_unreachable(now));
+        }
+        if usable.is_empty() { available } else { usable }
+    }
+
     /// Returns whether a service has available targets.
     #[must_use]
     pub fn has_available_target(&self, service: &str) -> bool {
@@ -176,19 +249,20 @@
     }
 }
 
-fn new_candidate(
-    request: &PlacementRequest<'_>,
-    key: TargetKey,
-    state: &TargetState,
-    now: MilliTime,
-) -> Candidate {
-    Candidate {
-        key,
-        load: state.expected_load(now),
-        slots: state.record.slots as f32,
-        rendezvous_hash: hash_pair(request.affinity.unwrap_or(request.seed), state.hash).0,
-        peer_count_age: state.peer_count_age(now).unwrap_or_default(),
-    }
+/// Returns the mean time for which a request occupies a slot of some targets, in milliseconds, or
+/// `None` if it is not measured yet.
+fn mean_service_time_ms(targets: &[(TargetKey, &TargetState)]) -> Option<f32> {
+    let uses = targets.iter().map(|(_, state)| state.slot_use());
+    uses.fold(SlotUse::default(), SlotUse::add)
+        .service_time_ms()
+}
+
+/// Returns the service time of one target, which counts as the mean of all targets until it has
+/// completed a number of requests.
+fn target_service_time_ms(state: &TargetState, mean_ms: f32) -> f32 {
+    let measured = state.slot_use();
+    let busy_ms = MEAN_TIME_REQUESTS.mul_add(mean_ms, measured.busy_ms);
+    (busy_ms / (MEAN_TIME_REQUESTS + measured.completed)).max(1.0)
 }
 
 fn place_by_affinity(
@@ -228,32 +302,37 @@
 
 /// Moves each load towards the mean, further for older peer counts.
 ///
-/// Plain calls last about 30 ms, while peer counts can be 600 ms old. After a burst fills a few
+/// Plain calls last some tens of milliseconds, while peer counts can be 600 ms old. After a burst fills a few
 /// targets, routers that treat old counts as the current load fill the target that was empty then
 /// and avoid the one that was full then. That oscillation would sustain itself long after the
 /// burst.
-fn damp_stale_counts(candidates: &mut [Candidate]) {
+fn damp_stale_counts(candidates: &mut [Candidate], turnover_ms: f32) {
     let loads_per_slot = candidates
         .iter()
         .map(|candidate| candidate.load / candidate.slots.max(1.0));
     let mean = loads_per_slot.sum::<f32>() / candidates.len().max(1) as f32;
     for candidate in candidates {
-        let age = candidate.peer_count_age.as_millis() + MIN_COUNT_LAG.as_millis();
-        let turnover = PLAIN_TURNOVER.as_millis();
-        let confidence = turnover as f32 / (turnover + age) as f32;
+        let lag = peer_count_lag(candidate.peer_count_age).as_millis();
+        let confidence = turnover_ms / (turnover_ms + lag as f32);
         let mean_load = mean * candidate.slots;
         candidate.load = (candidate.load - mean_load).mul_add(confidence, mean_load);
     }
 }
 
+/// Returns how long ago peer counts were taken that arrived `age` ago.
+const fn peer_count_lag(age: MilliDuration) -> MilliDuration {
+    MilliDuration::from_millis(age.as_millis() + MIN_COUNT_LAG.as_millis())
+}
+
 /// Selects a random candidate, weighted by its free capacity, and returns its index.
 ///
 /// Plain calls last about 30 ms, while the counts of other routers are about 300 ms old. If every
 /// router selected the least loaded target, all would send to the same one until the next exchange.
 fn pick_weighted_by_headroom(candidates: &[Candidate], seed: StableHash) -> Option<usize> {
     let headroom = |candidate: &Candidate| {
-        let free_share = candidate.slots / (candidate.slots + candidate.load);
-        free_share * free_share
+        let capacity = candidate.slots * candidate.speed;
+        let free_share = capacity / (capacity + candidate.load);
+        capacity * free_share * free_share
     };
     let total: f32 = candidates.iter().map(headroom).sum();
     let fraction = (hash_pair(seed, TARGET_SELECTION_SALT).0 >> 40) as f32 / (1_u64 << 24) as f32;
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -5,6 +5,7 @@
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes};
 use slotmap::{SlotMap, new_key_type};
 
+use crate::service_time_meter::{ServiceTimeMeter, SlotUse};
 use crate::{
     OutcomeTotals, OutcomeWindow, OutlierDetector, SendOutcome, TargetPhase, TargetRecord,
 };
@@ -50,6 +51,8 @@
     /// Outcomes of this router's requests.
     local_outcomes: OutcomeWindow,
     peer_outcomes: OutcomeTotals,
+    /// Service time over the requests of all routers.
+    service_time: ServiceTimeMeter,
     /// Time at which the target, or a new run of it, was first listed.
     listed_at: MilliTime,
     /// Time at which the target was removed from the list.
@@ -109,6 +112,11 @@
         now.since(self.listed_at) >= WARM_UP_TIME
     }
 
+    /// Returns the busy time of the target's slots, and the requests completed in it.
+    pub(crate) const fn slot_use(&self) -> SlotUse {
+        self.service_time.slot_use()
+    }
+
     /// Returns the age of the peer counts, if known.
     #[must_use]
     pub fn peer_count_age(&self, now: MilliTime) -> Option<MilliDuration> {
@@ -137,6 +145,7 @@
                 state.peer_requests = None;
                 state.local_outcomes.clear();
                 state.peer_outcomes = OutcomeTotals::default();
+                state.service_time = ServiceTimeMeter::default();
                 state.listed_at = now;
             }
             state.record = record;
@@ -153,6 +162,7 @@
             reported_load: None,
             local_outcomes: OutcomeWindow::default(),
             peer_outcomes: OutcomeTotals::default(),
+            service_time: ServiceTimeMeter::default(),
             listed_at: now,
             removed_at: None,
         });
@@ -239,6 +249,9 @@
         if let Some(state) = self.targets.get_mut(key) {
             state.peer_requests = Some((count, as_of));
             state.peer_outcomes = outcomes;
+            let completed = state.local_outcomes.sum(as_of).plus(outcomes).requests();
+            let busy_slots = state.expected_load(as_of).min(state.record.slots as f32);
+            state.service_time.measure(busy_slots, completed, as_of);
         }
     }
 
--- a/crates/briarrail_dispatch/tests/suite/fixtures.rs
+++ b/crates/briarrail_dispatch/tests/suite/fixtures.rs
@@ -3,7 +3,7 @@
 use briarrail_dispatch::{
     PlacementLimits, PlacementRequest, PromptParts, TargetPhase, TargetRecord,
 };
-use briarrail_model::{MilliTime, StableHash, hash_bytes};
+use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes};
 
 pub(crate) const LIMITS: PlacementLimits = PlacementLimits {
     max_load_ratio: 2.0,
@@ -44,5 +44,6 @@
         shared_tokens: prompt.shared_tokens(),
         tried: &[],
         seed: StableHash(1),
+        objective: MilliDuration::from_millis(600),
     }
 }
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decision logic in virtual time.
 
 mod adaptive_timeout;
+mod admission;
 mod context_source;
 mod ejection;
 mod fixtures;
--- a/crates/briarrail_dispatch/tests/suite/plain_calls.rs
+++ b/crates/briarrail_dispatch/tests/suite/plain_calls.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use briarrail_dispatch::{OutcomeTotals, PlacementRequest, TargetKey, TargetRegistry};
-use briarrail_model::{StableHash, hash_pair};
+use briarrail_model::{MilliDuration, StableHash, hash_pair};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -101,6 +101,7 @@
             shared_tokens: 0,
             tried: &[],
             seed: hash_pair(StableHash(now), StableHash(seed)),
+            objective: MilliDuration::from_millis(150),
         };
         let placement = registries[router].place(&request, &LIMITS, at(now));
         let Some(placement) = placement else {
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -28,6 +28,7 @@
 use super::router_registration::maintain_registration;
 use super::store_watcher::run_watcher;
 use super::target_watcher::TargetWatcher;
+use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
 use crate::traffic::{ControlUpdate, SharedState, StopPhase};
 use crate::{ProcessClock, SiteStore, WireDialect};
@@ -166,7 +167,7 @@
         is_listed: false,
         listed: Rc::default(),
         has_target_list: false,
-        local_counts: Vec::new(),
+        local_counts: FleetCounts::default(),
     }
 }
 
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -10,12 +10,13 @@
     choose_view_sources,
 };
 use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash, hash_pair};
-use briarrail_peer::{FrameCodec, SyncRouter, TargetCount};
+use briarrail_peer::{FrameCodec, SyncRouter};
 use bytes::Bytes;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::roster_log::RosterLog;
+use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
 use crate::traffic::{ControlUpdate, SharedState};
 use crate::{ProcessClock, VersionedConfig};
@@ -51,7 +52,7 @@
     /// Number of consecutive failed syncs.
     failed_syncs: u32,
     /// Counts that it sent as a follower of this router.
-    counts: Vec<TargetCount>,
+    counts: FleetCounts,
     counts_at: Option<MilliTime>,
     /// Number of live routers that its counts cover.
     counted_routers: u32,
@@ -60,7 +61,7 @@
 /// Counts of the rest of the fleet, from the last reply of the hub.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct HubCounts {
-    pub(crate) counts: Vec<TargetCount>,
+    pub(crate) counts: FleetCounts,
     pub(crate) live_routers: u32,
     pub(crate) received_at: MilliTime,
 }
@@ -99,7 +100,7 @@
     /// Whether the targets have been listed.
     pub(crate) has_target_list: bool,
     /// This router's own counts at its last sync.
-    pub(crate) local_counts: Vec<TargetCount>,
+    pub(crate) local_counts: FleetCounts,
 }
 
 impl ControlState {
@@ -239,7 +240,7 @@
             avoided_until: None,
             view_avoided_until: None,
             failed_syncs: 0,
-            counts: Vec::new(),
+            counts: FleetCounts::default(),
             counts_at: None,
             counted_routers: 0,
         };
@@ -250,7 +251,7 @@
     pub(crate) fn record_follower_counts(
         &mut self,
         name: &HostName,
-        counts: Vec<TargetCount>,
+        counts: FleetCounts,
         counted_routers: u32,
         now: MilliTime,
     ) {
@@ -401,27 +402,25 @@
         &self,
         excluded: Option<&HostName>,
         now: MilliTime,
-    ) -> Vec<TargetCount> {
+    ) -> FleetCounts {
         let followers = self.followers(now);
         let others = followers.filter(|(name, _)| excluded != Some(*name));
-        let counts = others.map(|(_, peer)| peer.counts.as_slice());
-        sum_counts(counts.chain([self.local_counts.as_slice()]))
+        let counts = others.map(|(_, peer)| &peer.counts);
+        FleetCounts::sum(counts.chain([&self.local_counts]))
     }
 
     /// Returns the summed counts of all routers except a follower and those that its counts cover.
-    pub(crate) fn counts_for(&self, follower: &HostName, now: MilliTime) -> Vec<TargetCount> {
+    pub(crate) fn counts_for(&self, follower: &HostName, now: MilliTime) -> FleetCounts {
         let covered = self.covered_counts(Some(follower), now);
-        let hub = self.fresh_hub_counts(now);
-        let hub = hub.map_or(&[][..], |hub| hub.counts.as_slice());
-        sum_counts([covered.as_slice(), hub].into_iter())
+        let hub = self.fresh_hub_counts(now).map(|hub| &hub.counts);
+        FleetCounts::sum([&covered].into_iter().chain(hub))
     }
 
     /// Returns the summed counts of all routers except this one.
-    pub(crate) fn peer_counts(&self, now: MilliTime) -> Vec<TargetCount> {
-        let followers = self.followers(now).map(|(_, peer)| peer.counts.as_slice());
-        let hub = self.fresh_hub_counts(now);
-        let hub = hub.map_or(&[][..], |hub| hub.counts.as_slice());
-        sum_counts(followers.chain([hub]))
+    pub(crate) fn peer_counts(&self, now: MilliTime) -> FleetCounts {
+        let followers = self.followers(now).map(|(_, peer)| &peer.counts);
+        let hub = self.fresh_hub_counts(now).map(|hub| &hub.counts);
+        FleetCounts::sum(followers.chain(hub))
     }
 }
 
@@ -433,18 +432,3 @@
         avoided_until,
     }
 }
-
-fn sum_counts<'c, I>(lists: I) -> Vec<TargetCount>
-where
-    I: Iterator<Item = &'c [TargetCount]>,
-{
-    let mut sums: BTreeMap<u32, TargetCount> = BTreeMap::new();
-    for count in lists.flatten() {
-        let sum = sums.entry(count.target).or_default();
-        sum.target = count.target;
-        sum.requests += count.requests;
-        sum.good += count.good;
-        sum.failed += count.failed;
-    }
-    sums.into_values().collect()
-}
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -19,6 +19,7 @@
 
 use super::SharedControlState;
 use super::control_state::ControlState;
+use crate::fleet_counts::FleetCounts;
 
 /// Idle time after which another router's connection is closed; many syncs.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -114,7 +115,11 @@
     if request.wants_view {
         state.view_requested_at = Some(now);
     } else {
-        state.record_follower_counts(&envelope.from, request.counts, request.counted_routers, now);
+        let counts = FleetCounts {
+            targets: request.counts,
+            demands: request.demands,
+        };
+        state.record_follower_counts(&envelope.from, counts, request.counted_routers, now);
     }
     let config = state.config.as_ref();
     let newer_config = config.filter(|(revision, _)| *revision > request.config_revision);
@@ -129,13 +134,15 @@
         None
     });
     let has_same_routers = request.routers_digest == state.routers_digest();
+    let counts = state.counts_for(&envelope.from, now);
     let reply = SyncReply {
         view_age_ms: state.view_age(now).map(MilliDuration::as_millis),
         store_read_failed: state.has_failing_calls(),
         routers: (!has_same_routers).then(|| state.known_routers()),
         live_routers: state.live_routers(now),
         next_round_ms: sync_interval_ms(state.follower_count(now)),
-        counts: state.counts_for(&envelope.from, now),
+        counts: counts.targets,
+        demands: counts.demands,
         config: newer_config.map(|(revision, body)| StoredConfig {
             revision: *revision,
             body: body.clone(),
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -19,6 +19,7 @@
 use super::config_codec::decode_config;
 use super::control_state::{ControlState, HubCounts, MAX_VIEW_AGE};
 use super::hub_server::{MIN_SYNC_INTERVAL_MS, SYNC_PATH};
+use crate::fleet_counts::FleetCounts;
 use crate::traffic::{ControlUpdate, StopPhase};
 use crate::{CallClient, VersionedConfig};
 
@@ -125,6 +126,7 @@
         let state = state.borrow();
         let now = state.clock.now();
         let position = state.view_tracker.position();
+        let counts = state.covered_counts(None, now);
         let envelope = Envelope {
             from: state.local.name.clone(),
             incarnation: state.incarnation,
@@ -134,7 +136,8 @@
                 config_revision: state.config.as_ref().map_or(0, |(revision, _)| *revision),
                 roster_epoch: position.epoch,
                 roster_sequence: position.sequence,
-                counts: state.covered_counts(None, now),
+                counts: counts.targets,
+                demands: counts.demands,
                 counted_routers: state.counted_routers(now),
                 routers_digest: state.routers_digest(),
                 wants_view,
@@ -200,7 +203,10 @@
     state.record_contact(hub, now);
     if !wants_view {
         state.hub_counts = Some(HubCounts {
-            counts: reply.counts,
+            counts: FleetCounts {
+                targets: reply.counts,
+                demands: reply.demands,
+            },
             live_routers: reply.live_routers,
             received_at: now,
         });
--- /dev/null
+++ b/crates/briarrail_gateway/src/fleet_counts.rs
@@ -0,0 +1,41 @@
+//! Counts that routers exchange.
+
+use std::collections::BTreeMap;
+
+use briarrail_peer::{ServiceDemand, TargetCount};
+
+/// Requests and outcomes by target, and demand by service.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct FleetCounts {
+    pub(crate) targets: Vec<TargetCount>,
+    pub(crate) demands: Vec<ServiceDemand>,
+}
+
+impl FleetCounts {
+    /// Returns the sums over several routers, sorted by target and by service.
+    pub(crate) fn sum<'c, I>(parts: I) -> Self
+    where
+        I: Iterator<Item = &'c Self>,
+    {
+        let mut targets: BTreeMap<u32, TargetCount> = BTreeMap::new();
+        let mut demands: BTreeMap<u32, ServiceDemand> = BTreeMap::new();
+        for part in parts {
+            for count in &part.targets {
+                let sum = targets.entry(count.target).or_default();
+                sum.target = count.target;
+                sum.requests += count.requests;
+                sum.good += count.good;
+                sum.failed += count.failed;
+            }
+            for demand in &part.demands {
+                let sum = demands.entry(demand.service).or_default();
+                sum.service = demand.service;
+                sum.requests += demand.requests;
+            }
+        }
+        Self {
+            targets: targets.into_values().collect(),
+            demands: demands.into_values().collect(),
+        }
+    }
+}
--- a/crates/briarrail_gateway/src/lib.rs
+++ b/crates/briarrail_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! platform's [`WireDialect`] and [`SiteStore`].
 
 mod control;
+mod fleet_counts;
 mod gateway_daemon;
 mod net;
 mod process_clock;
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use briarrail_dispatch::{RefusalCause, SendOutcome, retry_after};
-use briarrail_model::CallSemantics;
+use briarrail_model::{CallSemantics, MilliDuration};
 use briarrail_outcome::{
     AttemptEvent, NotRunReason, RequestOutcome, RetryMachine, RetryPolicy, RetryStep,
     StreamChecker, UnknownReason,
@@ -99,6 +99,10 @@
 
     async fn run(mut self) -> Response<ResponseBody> {
         self.state.record_request(&self.context.service);
+        if !self.is_admitted() {
+            let cause = RefusalCause::AtCapacity(self.context.objective);
+            return self.refuse(cause, "over capacity");
+        }
         let mut step = self.machine.start(self.state.clock.now());
         loop {
             if let RetryStep::Finish(outcome) = step {
@@ -137,6 +141,18 @@
         }
     }
 
+    /// Returns whether to send the request to a target at all.
+    ///
+    /// Engines with a prompt cache report their load, so placement alone bounds it.
+    fn is_admitted(&mut self) -> bool {
+        if self.context.caches_prompts {
+            return true;
+        }
+        let admission = self.state.admission_ratio(&self.context);
+        self.trace.admission = Some(admission);
+        admission.admits(self.context.seed())
+    }
+
     fn is_stream(&self, response: &TargetResponse<D>) -> bool {
         self.context.semantics.is_stream() && response.head.status.is_success()
     }
@@ -332,46 +348,51 @@
 
     /// Builds the response to a request that no target completed.
     fn finish(mut self, outcome: RequestOutcome) -> Response<ResponseBody> {
-        let request_id = self.trace.request_id().clone();
         if let Some(response) = self.failure_response.take() {
             let status = response.status().as_u16();
             self.trace
                 .set_outcome("target_failed", "relayed failure", status);
             return response;
         }
-        let (status, delay, reason) = match outcome {
+        let (status, reason) = match outcome {
             RequestOutcome::NotRun(reason) => {
-                let cause = match reason {
-                    NotRunReason::TargetRefused => RefusalCause::AtCapacity,
-                    _ if self.has_available_target() => RefusalCause::AtCapacity,
-                    _ => RefusalCause::NoTarget,
+                let is_busy = reason == NotRunReason::TargetRefused || self.has_available_target();
+                let cause = if is_busy {
+                    RefusalCause::AtCapacity(self.context.objective)
+                } else {
+                    RefusalCause::NoTarget
                 };
-                let delay = retry_after(cause, self.context.seed());
-                let text = not_run_reason_text(reason);
-                (StatusCode::SERVICE_UNAVAILABLE, Some(delay), text)
+                return self.refuse(cause, not_run_reason_text(reason));
             }
+            RequestOutcome::Unknown(UnknownReason::DeadlinePassed) => (
+                StatusCode::GATEWAY_TIMEOUT,
+                unknown_reason_text(UnknownReason::DeadlinePassed),
+            ),
             RequestOutcome::Unknown(reason) => {
-                let status = match reason {
-                    UnknownReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
-                    _ => StatusCode::BAD_GATEWAY,
-                };
-                (status, None, unknown_reason_text(reason))
+                (StatusCode::BAD_GATEWAY, unknown_reason_text(reason))
             }
-            RequestOutcome::Answered => (StatusCode::BAD_GATEWAY, None, "answered without answer"),
-        };
-        let outcome = if delay.is_some() {
-            "not_run"
-        } else {
-            "unknown"
+            RequestOutcome::Answered => (StatusCode::BAD_GATEWAY, "answered without answer"),
         };
-        self.trace.set_outcome(outcome, reason, status.as_u16());
-        gateway_reply(
-            &self.state.dialect,
-            status,
-            reason,
-            Some(&request_id),
-            delay,
-        )
+        self.trace.set_outcome("unknown", reason, status.as_u16());
+        self.reply(status, reason, None)
+    }
+
+    /// Builds the response to a request that no target ran.
+    fn refuse(mut self, cause: RefusalCause, reason: &'static str) -> Response<ResponseBody> {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        self.trace.set_outcome("not_run", reason, status.as_u16());
+        let delay = retry_after(cause, self.context.seed());
+        self.reply(status, reason, Some(delay))
+    }
+
+    fn reply(
+        &self,
+        status: StatusCode,
+        reason: &'static str,
+        delay: Option<MilliDuration>,
+    ) -> Response<ResponseBody> {
+        let request_id = Some(self.trace.request_id());
+        gateway_reply(&self.state.dialect, status, reason, request_id, delay)
     }
 
     fn has_available_target(&self) -> bool {
--- a/crates/briarrail_gateway/src/traffic/request_trace.rs
+++ b/crates/briarrail_gateway/src/traffic/request_trace.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 
+use briarrail_dispatch::AdmissionRatio;
 use briarrail_model::{MilliDuration, MilliTime};
 use bytes::Bytes;
 
@@ -36,6 +37,8 @@
     pub(crate) mean_load: f32,
     /// Age of the other routers' request counts when the target was selected.
     pub(crate) counts_age: Option<MilliDuration>,
+    /// Share of the service's calls that are sent, for plain calls.
+    pub(crate) admission: Option<AdmissionRatio>,
     pub(crate) sends: u32,
     pub(crate) events: u64,
     pub(crate) first_event: Option<MilliDuration>,
@@ -63,6 +66,7 @@
             target_load: 0.0,
             mean_load: 0.0,
             counts_age: None,
+            admission: None,
             sends: 0,
             events: 0,
             first_event: None,
@@ -143,6 +147,9 @@
             target_load = self.target_load,
             mean_load = self.mean_load,
             counts_age_ms = self.counts_age.map(MilliDuration::as_millis),
+            admission_ratio = self.admission.map(|admission| admission.ratio),
+            demand_per_s = self.admission.map(|admission| admission.demand_per_s),
+            capacity_per_s = self.admission.map(|admission| admission.capacity_per_s),
             sends = self.sends,
             events = self.events,
             first_event_ms = self.first_event.map(MilliDuration::as_millis),
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -238,6 +238,7 @@
         shared_tokens: context.caller.prompt.shared_tokens(),
         tried: &tried.0,
         seed: context.seed(),
+        objective: context.objective,
     };
     let placement = registry.place(&request, &state.placement_limits(), now)?;
     let key = placement.target;
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -7,17 +7,19 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use briarrail_dispatch::{
-    AdaptiveTimeout, OutcomeTotals, PlacementLimits, RetryBudget, RetryBudgetLimits, RosterChange,
-    RoutingTable, SendOutcome, TargetKey, TargetRegistry, TargetState,
+    AdaptiveTimeout, AdmissionController, AdmissionRatio, OutcomeTotals, PlacementLimits,
+    RetryBudget, RetryBudgetLimits, RosterChange, RoutingTable, SendOutcome, TargetKey,
+    TargetRegistry, TargetState,
 };
-use briarrail_model::{MilliDuration, MilliTime};
-use briarrail_peer::TargetCount;
+use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
+use briarrail_peer::{ServiceDemand, TargetCount};
 use briarrail_settings::FleetLimits;
 use tokio::sync::oneshot;
 
 use super::connection_pool::ConnectionPool;
 use super::request_context::RequestContext;
 use crate::ProcessClock;
+use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
 
 /// Number of requests added to the multiple of the mean load; the same for all fleet sizes.
@@ -79,10 +81,10 @@
 pub(crate) enum ControlUpdate {
     /// Changes to the roster of targets.
     Roster(Vec<RosterChange>),
-    /// Current requests and recent outcomes of the other routers, by target.
-    PeerCounts(Vec<TargetCount>),
-    /// Asks for the requests and recent outcomes of this router, by target.
-    LocalCounts(oneshot::Sender<Vec<TargetCount>>),
+    /// Current requests, recent outcomes and demand of the other routers.
+    PeerCounts(FleetCounts),
+    /// Asks for the requests, recent outcomes and demand of this router.
+    LocalCounts(oneshot::Sender<FleetCounts>),
 }
 
 /// State of the traffic thread.
@@ -97,6 +99,8 @@
     pub(crate) open_connections: Cell<usize>,
     /// Retry budgets by service.
     retry_budgets: RefCell<HashMap<String, RetryBudget>>,
+    /// Admission of plain calls, by service.
+    admissions: RefCell<HashMap<String, AdmissionController>>,
     /// Timeouts for the first response bytes, by route.
     timeouts: RefCell<HashMap<String, AdaptiveTimeout>>,
 }
@@ -117,6 +121,7 @@
             idle_connections: RefCell::default(),
             open_connections: Cell::new(0),
             retry_budgets: RefCell::default(),
+            admissions: RefCell::default(),
             timeouts: RefCell::default(),
         }
     }
@@ -161,6 +166,24 @@
         }
     }
 
+    /// Counts a plain call of a caller, and returns the share of the service's calls to send.
+    pub(crate) fn admission_ratio(&self, context: &RequestContext) -> AdmissionRatio {
+        let now = self.clock.now();
+        let capacity = self
+            .registry
+            .borrow()
+            .service_capacity(&context.service, now);
+        let mut admissions = self.admissions.borrow_mut();
+        if !admissions.contains_key(&context.service) {
+            admissions.insert(context.service.clone(), AdmissionController::default());
+        }
+        let Some(admission) = admissions.get_mut(&context.service) else {
+            return AdmissionRatio::ALL;
+        };
+        admission.record_arrival(now);
+        admission.admission_ratio(&capacity, context.objective, now)
+    }
+
     /// Takes one retry from this router's share of the service's retry budget, or returns `false`
     /// if the share is spent.
     pub(crate) fn try_take_retry(&self, service: &str) -> bool {
@@ -260,9 +283,9 @@
         }
     }
 
-    fn apply_peer_counts(&self, counts: &[TargetCount], now: MilliTime) {
-        let by_target: HashMap<u32, &TargetCount> =
-            counts.iter().map(|count| (count.target, count)).collect();
+    fn apply_peer_counts(&self, counts: &FleetCounts, now: MilliTime) {
+        let counts_by_target = counts.targets.iter().map(|count| (count.target, count));
+        let by_target: HashMap<u32, &TargetCount> = counts_by_target.collect();
         let mut registry = self.registry.borrow_mut();
         registry.purge_removed(now);
         let keys: Vec<(TargetKey, u32)> = registry
@@ -283,9 +306,25 @@
                 tracing::debug!(good = totals.good, failed = totals.failed);
             }
         }
+        self.update_admissions(&registry, &counts.demands, now);
+    }
+
+    /// Updates the demand and the load of the services with plain calls.
+    fn update_admissions(
+        &self,
+        registry: &TargetRegistry,
+        demands: &[ServiceDemand],
+        now: MilliTime,
+    ) {
+        for (service, admission) in self.admissions.borrow_mut().iter_mut() {
+            let hash = service_hash(service);
+            let demand = demands.iter().find(|demand| demand.service == hash);
+            admission.set_peer_arrivals(demand.map_or(0, |demand| demand.requests), now);
+            admission.record_load(&registry.service_capacity(service, now), now);
+        }
     }
 
-    fn local_counts(&self) -> Vec<TargetCount> {
+    fn local_counts(&self) -> FleetCounts {
         let now = self.clock.now();
         let mut registry = self.registry.borrow_mut();
         let keys: Vec<TargetKey> = registry.iter().map(|(key, _)| key).collect();
@@ -300,7 +339,21 @@
             })
         });
         let is_nonzero = |count: &TargetCount| count.requests + count.good + count.failed > 0;
-        counts.filter(is_nonzero).collect()
+        FleetCounts {
+            targets: counts.filter(is_nonzero).collect(),
+            demands: self.local_demands(now),
+        }
+    }
+
+    fn local_demands(&self, now: MilliTime) -> Vec<ServiceDemand> {
+        let mut admissions = self.admissions.borrow_mut();
+        let demands = admissions
+            .iter_mut()
+            .map(|(service, admission)| ServiceDemand {
+                service: service_hash(service),
+                requests: admission.local_arrivals(now),
+            });
+        demands.filter(|demand| demand.requests > 0).collect()
     }
 
     fn retry_budget_limits(&self) -> RetryBudgetLimits {
@@ -313,6 +366,11 @@
     }
 }
 
+/// Returns the hash that identifies a service in the exchange.
+fn service_hash(service: &str) -> u32 {
+    hash_bytes(service.as_bytes()).0 as u32
+}
+
 const fn outcome_name(outcome: SendOutcome) -> &'static str {
     match outcome {
         SendOutcome::Good => "good",
--- a/crates/briarrail_peer/src/lib.rs
+++ b/crates/briarrail_peer/src/lib.rs
@@ -32,5 +32,5 @@
 pub use message_kind::MessageKind;
 pub use pull_request::PullRequest;
 pub use sync_message::{
-    RosterUpdate, StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount,
+    RosterUpdate, ServiceDemand, StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount,
 };
--- a/crates/briarrail_peer/src/sync_message.rs
+++ b/crates/briarrail_peer/src/sync_message.rs
@@ -23,6 +23,17 @@
     pub failed: u32,
 }
 
+/// Number of requests for one service that routers received within the last second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceDemand {
+    /// Low 32 bits of the hash of the service's name.
+    #[serde(rename = "s")]
+    pub service: u32,
+    /// Requests of callers.
+    #[serde(rename = "n")]
+    pub requests: u32,
+}
+
 const fn is_zero(number: &u32) -> bool {
     *number == 0
 }
@@ -45,6 +56,9 @@
     /// Counts of the sender and of the routers that follow it; targets without any are omitted.
     #[serde(rename = "n")]
     pub counts: Vec<TargetCount>,
+    /// Demand that the sender and the routers that follow it received.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub demands: Vec<ServiceDemand>,
     /// Number of live routers that the counts cover, including the sender.
     #[serde(rename = "w")]
     pub counted_routers: u32,
@@ -132,6 +146,9 @@
     /// Counts of all routers, without those that the requester's counts cover.
     #[serde(rename = "n")]
     pub counts: Vec<TargetCount>,
+    /// Demand that all routers received, without those that the requester's demand covers.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub demands: Vec<ServiceDemand>,
     /// The configuration, if the requester's one is older.
     #[serde(rename = "c")]
     pub config: Option<StoredConfig>,
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -1,8 +1,8 @@
 //! Messages between a router and its hub.
 
 use briarrail_peer::{
-    Envelope, FrameCodec, KeyRing, MessageKind, RosterUpdate, SharedKey, StoredConfig, SyncReply,
-    SyncRequest, SyncRouter, TargetCount,
+    Envelope, FrameCodec, KeyRing, MessageKind, RosterUpdate, ServiceDemand, SharedKey,
+    StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount,
 };
 use bytes::Bytes;
 use serde::Serialize;
@@ -43,6 +43,14 @@
     (1..=targets).map(count).collect()
 }
 
+fn demands(services: u32) -> Vec<ServiceDemand> {
+    let demand = |service: u32| ServiceDemand {
+        service: service.wrapping_mul(0x9E37_79B9),
+        requests: 700,
+    };
+    (1..=services).map(demand).collect()
+}
+
 #[test]
 fn requests_and_replies_round_trip() {
     let request = SyncRequest {
@@ -51,6 +59,7 @@
         roster_epoch: 5,
         roster_sequence: 9,
         counts: counts(3),
+        demands: demands(2),
         counted_routers: 2,
         routers_digest: 11,
         wants_view: true,
@@ -67,6 +76,7 @@
         live_routers: 2,
         next_round_ms: 200,
         counts: counts(2),
+        demands: demands(2),
         config: Some(StoredConfig {
             revision: 8,
             body: Bytes::from_static(b"config"),
@@ -95,6 +105,7 @@
         live_routers: 89,
         next_round_ms: 200,
         counts: counts(94),
+        demands: demands(2),
         config: None,
         roster: None,
     };
