fix(gateway): bound responses that send bytes without end

Cause, found by tests that fail first: a target may send bytes that are no answer until the gateway closes. - Interim responses at full speed: the HTTP client skips them in a loop, and the traffic thread did nothing else meanwhile (7.9 s until a plain call with an objective of 200 ms failed with 502, debug build). - A body that drips after a valid head: only the head had a time limit, so the call was held to its deadline (3.0 s, 504). - Comments of a stream at full speed or as a drip: they counted as the first event, so the response to the caller started and was cut at the deadline (3.0 s); after some events they counted as progress, so the stream was never resumed elsewhere. A timeout around reads that are always ready did not expire either. Ruled out: endless header values and lines, chunk extensions and events at full speed were answered by the other target before.

Change: bytes before the head of a response are bounded at 256 KB a response; a buffered response has the time limit of its first bytes until it is complete, and then a retry if the budget has one; only events with data start a stream or count as progress; the time is checked before each read. The store and other routers are called through the same connection type.

Not changed: a call that may run at most once and drips is held to its deadline, since there is nothing truthful to tell its caller before.

--- a/crates/briarrail_gateway/src/net/http_connection.rs
+++ b/crates/briarrail_gateway/src/net/http_connection.rs
@@ -13,6 +13,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use super::head_limit::{HeadBudget, LimitedStream};
+
 /// Time after which unacknowledged data closes a connection; many round trips within a site.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Idle time before the first keepalive probe and between probes; the shortest time that the
@@ -35,6 +37,7 @@
 pub(crate) struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    head_budget: HeadBudget,
 }
 
 impl HttpConnection {
@@ -47,8 +50,10 @@
         let connecting = TcpStream::connect(address);
         let stream = tokio::time::timeout(timeout, connecting).await??;
         set_socket_options(&stream)?;
+        let head_budget = HeadBudget::default();
+        let limited = LimitedStream::new(stream, head_budget.clone());
         let (sender, connection) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(limited))
             .await
             .map_err(std::io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
@@ -56,7 +61,11 @@
                 tracing::trace!(%error, "client connection failed");
             }
         });
-        Ok(Self { sender, driver })
+        Ok(Self {
+            sender,
+            driver,
+            head_budget,
+        })
     }
 
     /// Sends a request and waits for the head of the response.
@@ -67,7 +76,9 @@
         if let Err(error) = self.sender.ready().await {
             return Err(SendError::NotSent(error));
         }
+        self.head_budget.start();
         let sent = self.sender.try_send_request(request).await;
+        self.head_budget.end();
         sent.map_err(|mut error| {
             if error.take_message().is_some() {
                 SendError::NotSent(error.into_error())
--- a/crates/briarrail_gateway/src/net/mod.rs
+++ b/crates/briarrail_gateway/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP client connections.
 
 mod call_client;
+mod head_limit;
 mod http_connection;
 
 pub use call_client::{CallClient, CallError, CallErrorKind, CallReply};
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use briarrail_dispatch::{RefusalCause, SendOutcome, retry_after};
-use briarrail_model::{CallSemantics, MilliDuration};
+use briarrail_model::{CallSemantics, MilliDuration, MilliTime};
 use briarrail_outcome::{
     AttemptEvent, NotRunReason, RequestOutcome, RetryMachine, RetryPolicy, RetryStep,
     StreamChecker, UnknownReason,
@@ -26,7 +26,8 @@
 
 /// Maximum number of retries after a target that provably did not run the request.
 const MAX_UNCOUNTED_RETRIES: u32 = 3;
-/// Maximum size of a response that is not a stream; it is read completely before it is relayed, so
+/// Maximum size of a response that is not a stream, and of the part of a stream before its first
+/// event with data. A response that is not a stream is read completely before it is relayed, so
 /// that an interrupted one can be retried or reported as a failure.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
 /// Maximum number of stream chunks buffered for a slow caller.
@@ -79,6 +80,14 @@
     retry_taken: bool,
 }
 
+/// Returns a failure for which no retry was taken from the budget yet.
+const fn failure(event: AttemptEvent) -> ResponseFailure {
+    ResponseFailure {
+        event,
+        retry_taken: false,
+    }
+}
+
 impl<D> RequestHandler<D>
 where
     D: WireDialect,
@@ -189,23 +198,21 @@
     ) -> Result<(StreamChecker, Vec<Bytes>), ResponseFailure> {
         let mut checker = StreamChecker::without_terminal_event(self.context.caller.last_event);
         let mut events = Vec::new();
-        let failure = |event| ResponseFailure {
-            event,
-            retry_taken: false,
-        };
-        let may_retry = self.may_retry();
-        let timeout = self.state.response_timeout(&self.context);
-        let retry_at = self.state.clock.now() + timeout;
-        let mut timeout_at = may_retry.then_some(retry_at);
+        let mut read_bytes = 0;
+        let mut timeout_at = self.read_timeout();
         loop {
             let deadline = self.context.deadline;
             match read_body_chunk(&self.state, &mut response.body, timeout_at, deadline).await {
                 BodyRead::Chunk(chunk) => {
+                    read_bytes += chunk.len();
                     let result = checker.push(chunk, &mut events);
-                    if !events.is_empty() {
+                    if checker.data_events() > 0 {
                         return Ok((checker, events));
                     }
                     result.map_err(|_| failure(AttemptEvent::BadAnswer))?;
+                    if read_bytes > MAX_BUFFERED_RESPONSE_BYTES {
+                        return Err(failure(AttemptEvent::BadAnswer));
+                    }
                 }
                 BodyRead::End => {
                     let result = checker.finish();
@@ -217,20 +224,30 @@
                 BodyRead::DeadlinePassed => return Err(failure(AttemptEvent::DeadlinePassed)),
                 BodyRead::TimedOut => {
                     timeout_at = None;
-                    if self.state.try_take_retry(&self.context.service) {
-                        return Err(ResponseFailure {
-                            event: AttemptEvent::SendFailed,
-                            retry_taken: true,
-                        });
-                    }
+                    self.check_read_timeout()?;
                 }
             }
         }
     }
 
-    fn may_retry(&self) -> bool {
-        self.context.semantics.call_semantics() == CallSemantics::Idempotent
-            && (self.tried.0.len() as u32) < self.context.max_attempts
+    /// Returns the time until which a target may take to complete its response, or its first event,
+    /// before the request is retried, if it can be.
+    fn read_timeout(&self) -> Option<MilliTime> {
+        let may_retry = self.context.semantics.call_semantics() == CallSemantics::Idempotent
+            && (self.tried.0.len() as u32) < self.context.max_attempts;
+        let timeout = self.state.response_timeout(&self.context);
+        may_retry.then(|| self.state.clock.now() + timeout)
+    }
+
+    /// Fails if the budget has a retry left for a response that did not arrive in time.
+    fn check_read_timeout(&self) -> Result<(), ResponseFailure> {
+        if !self.state.try_take_retry(&self.context.service) {
+            return Ok(());
+        }
+        Err(ResponseFailure {
+            event: AttemptEvent::SendFailed,
+            retry_taken: true,
+        })
     }
 
     /// Starts the response to the caller; a [`StreamRelay`] task relays the rest.
@@ -309,13 +326,10 @@
         response: &mut TargetResponse<D>,
     ) -> Result<Bytes, ResponseFailure> {
         let mut buffer = BytesMut::new();
-        let failure = |event| ResponseFailure {
-            event,
-            retry_taken: false,
-        };
+        let mut timeout_at = self.read_timeout();
         loop {
             let deadline = self.context.deadline;
-            match read_body_chunk(&self.state, &mut response.body, None, deadline).await {
+            match read_body_chunk(&self.state, &mut response.body, timeout_at, deadline).await {
                 BodyRead::Chunk(chunk)
                     if buffer.len() + chunk.len() <= MAX_BUFFERED_RESPONSE_BYTES =>
                 {
@@ -324,8 +338,10 @@
                 BodyRead::Chunk(_) => return Err(failure(AttemptEvent::BadAnswer)),
                 BodyRead::End => return Ok(buffer.freeze()),
                 BodyRead::DeadlinePassed => return Err(failure(AttemptEvent::DeadlinePassed)),
-                BodyRead::Interrupted(_) | BodyRead::TimedOut => {
-                    return Err(failure(AttemptEvent::SendFailed));
+                BodyRead::Interrupted(_) => return Err(failure(AttemptEvent::SendFailed)),
+                BodyRead::TimedOut => {
+                    timeout_at = None;
+                    self.check_read_timeout()?;
                 }
             }
         }
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -45,6 +45,10 @@
     deadline: MilliTime,
 ) -> BodyRead {
     let limit = timeout_at.map_or(deadline, |at| at.min(deadline));
+    // A timeout around a read that is always ready would never expire.
+    if state.clock.now() >= limit {
+        return time_limit_read(limit, deadline);
+    }
     let frame = tokio::time::timeout_at(state.clock.instant(limit), body.frame()).await;
     match frame {
         Ok(Some(Ok(frame))) => match frame.into_data() {
@@ -54,8 +58,15 @@
         },
         Ok(Some(Err(error))) => BodyRead::Interrupted(error.to_string()),
         Ok(None) => BodyRead::End,
-        Err(_) if limit == deadline => BodyRead::DeadlinePassed,
-        Err(_) => BodyRead::TimedOut,
+        Err(_) => time_limit_read(limit, deadline),
+    }
+}
+
+fn time_limit_read(limit: MilliTime, deadline: MilliTime) -> BodyRead {
+    if limit == deadline {
+        BodyRead::DeadlinePassed
+    } else {
+        BodyRead::TimedOut
     }
 }
 
@@ -129,14 +140,19 @@
             MilliDuration::from_millis(self.context.event_gap.as_millis() * GAP_TIMEOUT_FACTOR);
         let max_gap = max_gap.max(MIN_GAP_TIMEOUT);
         let mut is_gap_limited = is_resumable;
+        let mut progress_at = self.state.clock.now();
         loop {
-            let timeout_at = is_gap_limited.then(|| self.state.clock.now() + max_gap);
+            let timeout_at = is_gap_limited.then_some(progress_at + max_gap);
             let deadline = self.context.deadline;
             match read_body_chunk(&self.state, &mut self.response.body, timeout_at, deadline).await
             {
                 BodyRead::Chunk(chunk) => {
                     let mut events = Vec::new();
+                    let events_before = self.checker.data_events();
                     let result = self.checker.push(chunk, &mut events);
+                    if self.checker.data_events() > events_before {
+                        progress_at = self.state.clock.now();
+                    }
                     for event in events {
                         self.trace.events += 1;
                         if self.chunk_sender.send(Ok(event)).await.is_err() {
--- a/crates/briarrail_outcome/src/stream_checker.rs
+++ b/crates/briarrail_outcome/src/stream_checker.rs
@@ -47,6 +47,8 @@
     is_complete: bool,
     /// Events that were dropped as duplicates since the start.
     duplicate_events: u64,
+    /// Accepted events with data since the start.
+    data_events: u64,
     /// Whether the response ends with its body instead of a terminal event.
     ends_with_body: bool,
     /// Whether the id of the next event with one is accepted as the first id.
@@ -70,6 +72,7 @@
             has_ids: None,
             is_complete: false,
             duplicate_events: 0,
+            data_events: 0,
             ends_with_body: false,
             accepts_any_first_id: false,
         }
@@ -172,6 +175,12 @@
         self.duplicate_events
     }
 
+    /// Returns the number of accepted events with data; comments are not progress of the stream.
+    #[must_use]
+    pub const fn data_events(&self) -> u64 {
+        self.data_events
+    }
+
     /// Appends bytes to the partial event until it is complete, and returns the rest of the chunk.
     fn complete_partial(
         &mut self,
@@ -235,6 +244,7 @@
         if self.ends_with_body {
             let is_new = event.id.is_none() || self.accept_id(event.id)?;
             self.duplicate_events += u64::from(!is_new);
+            self.data_events += u64::from(is_new && event.has_data);
             return Ok(is_new);
         }
         if event.is_error {
@@ -246,11 +256,13 @@
         }
         if event.is_terminal && event.id.is_none() {
             self.is_complete = true;
+            self.data_events += 1;
             return Ok(true);
         }
         let is_new = self.accept_id(event.id)?;
         self.is_complete |= is_new && event.is_terminal;
         self.duplicate_events += u64::from(!is_new);
+        self.data_events += u64::from(is_new);
         Ok(is_new)
     }
 
