--- a/crates/briarrail_dispatch/src/service_time_meter.rs
+++ b/crates/briarrail_dispatch/src/service_time_meter.rs
@@ -14,13 +14,15 @@
 
 /// Number of completed requests after which a measurement has lost most of its weight.
 const MEMORY_REQUESTS: f32 = 25.0;
-/// Maximum of the minimum time for that, in milliseconds.
+/// Upper bound of the time for which each measurement keeps weight, however many requests complete,
+/// in milliseconds.
 const MAX_MIN_MEMORY_MS: f32 = 3_000.0;
-/// Time between two measurements, in milliseconds.
+/// Usual time between two measurements, in milliseconds.
 const EXCHANGE_INTERVAL_MS: f32 = 300.0;
 /// Number of service times after which the slots in use say little about the present ones.
 const VALID_SERVICE_TIMES: f32 = 3.0;
-/// Maximum time for that, in milliseconds: a target that completed nothing may have recovered.
+/// Time after which a measurement has lost most of its weight even if no request completes, in
+/// milliseconds: the target may have recovered.
 const MAX_MEMORY_MS: f32 = 15_000.0;
 /// Part of the window of the outcomes that must be measured before the service time is.
 const MIN_WINDOW_COVERAGE: f32 = 0.75;
--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -302,10 +302,10 @@
 
 /// Moves each load towards the mean, further for older peer counts.
 ///
-/// Plain calls last some tens of milliseconds, while peer counts can be 600 ms old. After a burst fills a few
-/// targets, routers that treat old counts as the current load fill the target that was empty then
-/// and avoid the one that was full then. That oscillation would sustain itself long after the
-/// burst.
+/// Plain calls last some tens of milliseconds, while peer counts can be 600 ms old. After a burst
+/// fills a few targets, routers that treat old counts as the current load fill the target that was
+/// empty then and avoid the one that was full then. That oscillation would sustain itself long after
+/// the burst.
 fn damp_stale_counts(candidates: &mut [Candidate], turnover_ms: f32) {
     let loads_per_slot = candidates
         .iter()
@@ -326,8 +326,9 @@
 
 /// Selects a random candidate, weighted by its free capacity, and returns its index.
 ///
-/// Plain calls last about 30 ms, while the counts of other routers are about 300 ms old. If every
-/// router selected the least loaded target, all would send to the same one until the next exchange.
+/// Plain calls last some tens of milliseconds, while the counts of other routers are about 300 ms old.
+/// If every router selected the least loaded target, all would send to the same one until the next
+/// exchange.
 fn pick_weighted_by_headroom(candidates: &[Candidate], seed: StableHash) -> Option<usize> {
     let headroom = |candidate: &Candidate| {
         let capacity = candidate.slots * candidate.speed;
