feat(exchange): hubs make themselves known to routers they don't hear from

Ruled out: the time of the start itself (0.3 s over the fleet), the retries at the store (each gets 503 at once), the seeds of the settings (the role serves no control address, so there are none).

Change: the hub of a data centre calls listed routers of its data centre that it has not heard from for a second, 16 at a time, again after 1, 2, 4 up to 32 seconds. The call is a sync request with a new flag: the receiver learns the sender, follows it as the choice of hubs says, and its next sync brings the configuration and the targets. Older routers ignore the flag; the request carries no counts. The decision is greeting_policy.rs, with its own test.

Test: a_router_that_restarts_without_store_access_is_found_by_the_others fails without the change (not ready after the 4 s that a router has to catch up) and passes with it after 2.8 s for the whole test.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod adaptive_timeout;
 mod admission_controller;
+mod greeting_policy;
 mod hub_choice;
 mod outcome_window;
 mod outlier_detector;
@@ -30,6 +31,7 @@
 
 pub use adaptive_timeout::AdaptiveTimeout;
 pub use admission_controller::{AdmissionController, AdmissionRatio};
+pub use greeting_policy::GreetingState;
 pub use hub_choice::{HubCandidate, choose_hub, choose_view_sources};
 pub use outcome_window::{OutcomeTotals, OutcomeWindow};
 pub use outlier_detector::{OutlierDetector, SendOutcome};
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod ejection;
 mod fixtures;
 mod fleet_outcomes;
+mod greetings;
 mod hub_choice;
 mod placement;
 mod plain_calls;
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 
 use briarrail_dispatch::{
-    HubCandidate, RosterChange, RoutingTable, TargetRoster, ViewTracker, choose_hub,
+    GreetingState, HubCandidate, RosterChange, RoutingTable, TargetRoster, ViewTracker, choose_hub,
     choose_view_sources,
 };
 use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash, hash_pair};
@@ -34,6 +34,8 @@
 const VIEW_REQUEST_WINDOW: MilliDuration = MilliDuration::from_millis(1_500);
 /// Time after the last contact for which a router is kept although it is missing from a list.
 const RECENT_CONTACT_WINDOW: MilliDuration = MilliDuration::from_millis(3_000);
+/// Maximum number of routers that are called at once to make this router known.
+const MAX_GREETINGS: usize = 16;
 /// Time for which a router is avoided after its first failed sync.
 const INITIAL_AVOIDANCE: MilliDuration = MilliDuration::from_millis(2_000);
 /// Maximum time for which a router is avoided after failed syncs.
@@ -51,6 +53,8 @@
     pub(crate) view_avoided_until: Option<MilliTime>,
     /// Number of consecutive failed syncs.
     failed_syncs: u32,
+    /// Calls that make this router known to it.
+    greeting: GreetingState,
     /// Counts that it sent as a follower of this router.
     counts: FleetCounts,
     counts_at: Option<MilliTime>,
@@ -222,7 +226,7 @@
     }
 
     /// Adds or updates a router, from a list or from its own message.
-    pub(crate) fn upsert_router(&mut self, router: SyncRouter) {
+    pub(crate) fn upsert_router(&mut self, router: SyncRouter, now: MilliTime) {
         if router.name == self.local.name {
             return;
         }
@@ -240,6 +244,7 @@
             avoided_until: None,
             view_avoided_until: None,
             failed_syncs: 0,
+            greeting: GreetingState::heard(now),
             counts: FleetCounts::default(),
             counts_at: None,
             counted_routers: 0,
@@ -261,9 +266,41 @@
             peer.counts_at = Some(now);
             peer.last_contact_at = Some(now);
             peer.failed_syncs = 0;
+            peer.greeting = GreetingState::heard(now);
         }
     }
 
+    /// Returns the routers of this data centre to which this router makes itself known now, and
+    /// records the calls; none if it is not the hub of the data centre or has no current view.
+    pub(crate) fn take_greetings(&mut self, now: MilliTime) -> Vec<SyncRouter> {
+        let is_current = self.view_age(now).is_some_and(|age| age <= MAX_VIEW_AGE);
+        if !is_current || !self.is_local_hub(now) {
+            return Vec::new();
+        }
+        let data_centre = self.local.data_centre.clone();
+        let peers = self.peers.values_mut();
+        let silent = peers
+            .filter(|peer| peer.router.data_centre == data_centre && peer.greeting.is_due(now));
+        silent
+            .take(MAX_GREETINGS)
+            .map(|peer| {
+                peer.greeting.record_greeting(now);
+                peer.router.clone()
+            })
+            .collect()
+    }
+
+    /// Returns whether the other routers of the data centre follow this one.
+    fn is_local_hub(&self, now: MilliTime) -> bool {
+        let local = hub_candidate(&self.local, None);
+        let peers = self.peers.values();
+        let in_data_centre = peers.filter(|peer| peer.router.data_centre == local.data_centre);
+        let others: Vec<HubCandidate> = in_data_centre
+            .map(|peer| hub_candidate(&peer.router, peer.avoided_until))
+            .collect();
+        choose_hub(&local, &others, now).is_none()
+    }
+
     /// Returns all known routers including this one, sorted by name.
     pub(crate) fn known_routers(&self) -> Vec<SyncRouter> {
         let others = self.peers.values().map(|peer| peer.router.clone());
@@ -282,7 +319,7 @@
         self.peers
             .retain(|name, peer| listed(name) || is_recent(peer));
         for router in routers {
-            self.upsert_router(router);
+            self.upsert_router(router, now);
         }
     }
 
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -108,11 +108,13 @@
             .codec
             .open(MessageKind::SyncRequest, &local_name, frame)?;
     let request = envelope.body;
-    state.upsert_router(request.sender);
+    state.upsert_router(request.sender, now);
     if request.is_stopping {
         state.avoid(&envelope.from, now + STOPPING_ROUTER_AVOIDANCE);
     }
-    if request.wants_view {
+    if request.is_greeting {
+        tracing::info!(event = "greeted", router = %envelope.from);
+    } else if request.wants_view {
         state.view_requested_at = Some(now);
     } else {
         let counts = FleetCounts {
@@ -143,11 +145,13 @@
         next_round_ms: sync_interval_ms(state.follower_count(now)),
         counts: counts.targets,
         demands: counts.demands,
-        config: newer_config.map(|(revision, body)| StoredConfig {
-            revision: *revision,
-            body: body.clone(),
-        }),
-        roster: roster.filter(|_| state.has_target_list),
+        config: newer_config
+            .filter(|_| !request.is_greeting)
+            .map(|(revision, body)| StoredConfig {
+                revision: *revision,
+                body: body.clone(),
+            }),
+        roster: roster.filter(|_| state.has_target_list && !request.is_greeting),
     };
     let envelope = Envelope {
         from: local_name,
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -10,7 +10,8 @@
 };
 use briarrail_model::{HostName, MilliDuration, MilliTime};
 use briarrail_peer::{
-    Envelope, MessageKind, RosterUpdate, StoredConfig, SyncReply, SyncRequest, SyncRouter,
+    Envelope, FrameError, MessageKind, RosterUpdate, StoredConfig, SyncReply, SyncRequest,
+    SyncRouter,
 };
 use bytes::Bytes;
 use tokio::sync::oneshot;
@@ -65,6 +66,7 @@
                 MIN_SYNC_INTERVAL_MS
             }
         };
+        greet_silent_routers(&state);
         {
             let state = state.borrow();
             let counts = state.peer_counts(now);
@@ -127,25 +129,20 @@
         let now = state.clock.now();
         let position = state.view_tracker.position();
         let counts = state.covered_counts(None, now);
-        let envelope = Envelope {
-            from: state.local.name.clone(),
-            incarnation: state.incarnation,
-            to: name.clone(),
-            body: SyncRequest {
-                sender: state.local.clone(),
-                config_revision: state.config.as_ref().map_or(0, |(revision, _)| *revision),
-                roster_epoch: position.epoch,
-                roster_sequence: position.sequence,
-                counts: counts.targets,
-                demands: counts.demands,
-                counted_routers: state.counted_routers(now),
-                routers_digest: state.routers_digest(),
-                wants_view,
-                is_stopping: state.shared.stop_phase() != StopPhase::Serving,
-            },
+        let request = SyncRequest {
+            sender: state.local.clone(),
+            config_revision: state.config.as_ref().map_or(0, |(revision, _)| *revision),
+            roster_epoch: position.epoch,
+            roster_sequence: position.sequence,
+            counts: counts.targets,
+            demands: counts.demands,
+            counted_routers: state.counted_routers(now),
+            routers_digest: state.routers_digest(),
+            wants_view,
+            is_stopping: state.shared.stop_phase() != StopPhase::Serving,
+            is_greeting: false,
         };
-        let frame = state.codec.seal(MessageKind::SyncRequest, &envelope);
-        (frame, now)
+        (seal_request(&state, name, request), now)
     };
     let frame = match frame {
         Ok(frame) => frame,
@@ -172,6 +169,59 @@
     }
 }
 
+/// Encodes a sync request to another router.
+fn seal_request(
+    state: &ControlState,
+    name: &HostName,
+    request: SyncRequest,
+) -> Result<Bytes, FrameError> {
+    let envelope = Envelope {
+        from: state.local.name.clone(),
+        incarnation: state.incarnation,
+        to: name.clone(),
+        body: request,
+    };
+    state.codec.seal(MessageKind::SyncRequest, &envelope)
+}
+
+/// Makes this router known to listed routers of its data centre that it does not hear from, so that
+/// they can follow it even if they cannot read the store.
+fn greet_silent_routers(state: &SharedControlState) {
+    let now = state.borrow().clock.now();
+    let routers = state.borrow_mut().take_greetings(now);
+    for router in routers {
+        let state = Rc::clone(state);
+        tokio::task::spawn_local(async move {
+            if let Err(error) = greet(&state, &router).await {
+                tracing::info!(event = "greeting_failed", router = %router.name, error);
+            }
+        });
+    }
+}
+
+async fn greet(state: &SharedControlState, router: &SyncRouter) -> Result<(), String> {
+    let frame = {
+        let state = state.borrow();
+        let request = SyncRequest {
+            sender: state.local.clone(),
+            config_revision: 0,
+            roster_epoch: 0,
+            roster_sequence: 0,
+            counts: Vec::new(),
+            demands: Vec::new(),
+            counted_routers: 0,
+            routers_digest: state.routers_digest(),
+            wants_view: false,
+            is_stopping: false,
+            is_greeting: true,
+        };
+        seal_request(&state, &router.name, request)
+    };
+    let frame = frame.map_err(|error| error.to_string())?;
+    send_sync_request(state, &CallClient::new(router.address), frame).await?;
+    Ok(())
+}
+
 async fn send_sync_request(
     state: &SharedControlState,
     client: &CallClient,
--- a/crates/briarrail_gateway/src/control/router_registration.rs
+++ b/crates/briarrail_gateway/src/control/router_registration.rs
@@ -110,12 +110,13 @@
     let listed: BTreeSet<HostName> = records.iter().map(|record| record.name.clone()).collect();
     let now = state.clock.now();
     for record in records {
-        state.upsert_router(SyncRouter {
+        let router = SyncRouter {
             name: record.name,
             address: record.address,
             data_centre: record.data_centre,
             capacity: record.capacity,
-        });
+        };
+        state.upsert_router(router, now);
     }
     let is_inactive = |at: MilliTime| now.since(at) >= MAX_CONTACT_AGE;
     state.peers.retain(|name, peer| {
--- a/crates/briarrail_peer/src/sync_message.rs
+++ b/crates/briarrail_peer/src/sync_message.rs
@@ -71,6 +71,9 @@
     /// Whether the sender is shutting down.
     #[serde(rename = "x", default)]
     pub is_stopping: bool,
+    /// Whether the message only makes the sender known to the receiver, which can then follow it.
+    #[serde(rename = "h", default)]
+    pub is_greeting: bool,
 }
 
 /// A configuration with its revision in the store.
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -64,6 +64,7 @@
         routers_digest: 11,
         wants_view: true,
         is_stopping: false,
+        is_greeting: true,
     };
     assert_eq!(
         round_trip(MessageKind::SyncRequest, request.clone()).0,
