feat(telemetry): log prompt parts, and check targets that break off before an answer

The line of a request now lists the hashes of its shared parts. After a connection that broke before the answer began, the router connects to the target once more and logs whether it crashed (refused), is alive or is silent, with the parts of the requests that were lost; losses during a check share it, and the connection goes to the pool. Nothing is decided by it yet.

--- a/crates/briarrail_dispatch/src/prompt_parts.rs
+++ b/crates/briarrail_dispatch/src/prompt_parts.rs
@@ -40,7 +40,9 @@
         tokens.fold(0, u32::saturating_add)
     }
 
-    fn shared_parts(&self) -> &[(StableHash, u32)] {
+    /// Returns the parts that other requests can have too: all but the last, or the only one.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[(StableHash, u32)] {
         match self.parts.len() {
             0 => &[],
             1 => &self.parts,
--- a/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
@@ -24,6 +24,7 @@
     requests: Counter<u64>,
     sends: Counter<u64>,
     ejections: Counter<u64>,
+    target_checks: Counter<u64>,
     store_calls: Counter<u64>,
     syncs: Counter<u64>,
     request_seconds: Histogram<f64>,
@@ -62,6 +63,10 @@
             requests: counter("briarrail_requests", "Requests by service and outcome"),
             sends: counter("briarrail_sends", "Sends to targets by service and outcome"),
             ejections: counter("briarrail_ejections", "Ejections of targets by service"),
+            target_checks: counter(
+                "briarrail_target_checks",
+                "Checks of targets after a lost connection by service and outcome",
+            ),
             store_calls: counter("briarrail_store_calls", "Calls to the store by outcome"),
             syncs: counter("briarrail_syncs", "Rounds with the hub by outcome"),
             request_seconds: histogram("briarrail_request_seconds", "Time to the whole answer"),
@@ -102,6 +107,12 @@
         self.ejections.add(1, &[service_label(service)]);
     }
 
+    /// Counts a check of a target after a lost connection.
+    pub(crate) fn count_target_check(&self, service: &str, outcome: &'static str) {
+        let labels = [service_label(service), KeyValue::new("outcome", outcome)];
+        self.target_checks.add(1, &labels);
+    }
+
     /// Counts a call to the store.
     pub(crate) fn count_store_call(&self, call: &'static str, outcome: &'static str) {
         let labels = [
--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -3,7 +3,9 @@
 mod caller_server;
 mod connection_activity;
 mod connection_pool;
+mod crash_check;
 mod gateway_reply;
+mod part_list;
 mod receive_request;
 mod request_context;
 mod request_handler;
--- a/crates/briarrail_gateway/src/traffic/receive_request.rs
+++ b/crates/briarrail_gateway/src/traffic/receive_request.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Incoming};
 
 use super::gateway_reply::gateway_reply;
+use super::part_list::PartList;
 use super::request_context::{RequestContext, forwarded_headers};
 use super::request_trace::RequestTrace;
 use super::response_body::ResponseBody;
@@ -79,6 +80,7 @@
     let affinity_key = caller.prompt.affinity_key();
     trace.context_hash = affinity_key.map(|key| key.0 as u32);
     trace.shared_tokens = caller.prompt.shared_tokens();
+    trace.shared_parts = PartList::new(&caller.prompt);
     let seed = hash_bytes(&caller.request_id);
     let router_unavailable = |reason| Refusal {
         retry_after: Some(retry_after(RefusalCause::RouterUnavailable, seed)),
@@ -113,6 +115,7 @@
     trace.customer = customer.map(|customer| customer.name.to_string());
     let priority = customer.and_then(|customer| customer.priority);
     let mut context = new_context(state, head, caller, service);
+    context.shared_parts = trace.shared_parts.clone();
     context.customer.clone_from(&trace.customer);
     context.priority = priority.unwrap_or(route.priority);
     context.apply_route(&table, route, arrived_at);
@@ -140,6 +143,7 @@
         method: head.method.clone(),
         uri: path_and_query.map_or_else(|| Uri::from_static("/"), Uri::from),
         body: Bytes::new(),
+        shared_parts: PartList::default(),
         route: String::new(),
         service: service.to_owned(),
         customer: None,
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -74,18 +74,13 @@
 }
 
 /// Failure to read a response, before any of it was relayed.
-struct ResponseFailure {
-    event: AttemptEvent,
-    /// Whether a retry was already taken from the budget.
-    retry_taken: bool,
-}
-
-/// Returns a failure for which no retry was taken from the budget yet.
-const fn failure(event: AttemptEvent) -> ResponseFailure {
-    ResponseFailure {
-        event,
-        retry_taken: false,
-    }
+enum ResponseFailure {
+    /// The connection broke.
+    ConnectionLost,
+    /// The response is invalid, or the deadline passed.
+    Failed(AttemptEvent),
+    /// The response did not arrive in time; a retry was already taken from the budget.
+    TimedOut,
 }
 
 impl<D> RequestHandler<D>
@@ -178,17 +173,26 @@
         mut response: TargetResponse<D>,
         failure: ResponseFailure,
     ) -> RetryStep {
-        let outcome = if failure.retry_taken {
-            SendOutcome::Slow
-        } else {
-            SendOutcome::Broken
+        let guard = &mut response.guard;
+        let (event, retry_taken) = match failure {
+            ResponseFailure::ConnectionLost => {
+                guard.record_connection_loss();
+                (AttemptEvent::SendFailed, false)
+            }
+            ResponseFailure::Failed(event) => {
+                guard.record_outcome(SendOutcome::Broken);
+                (event, false)
+            }
+            ResponseFailure::TimedOut => {
+                guard.record_outcome(SendOutcome::Slow);
+                (AttemptEvent::SendFailed, true)
+            }
         };
-        response.guard.record_outcome(outcome);
         self.trace.log_failed_send("answer_lost", "");
         self.state
             .metrics
             .count_send(&self.context.service, "answer_lost");
-        self.next_step(failure.event, failure.retry_taken)
+        self.next_step(event, retry_taken)
     }
 
     /// Reads a stream up to its first complete event, or to its end.
@@ -209,19 +213,21 @@
                     if checker.data_events() > 0 {
                         return Ok((checker, events));
                     }
-                    result.map_err(|_| failure(AttemptEvent::BadAnswer))?;
+                    result.map_err(|_| ResponseFailure::Failed(AttemptEvent::BadAnswer))?;
                     if read_bytes > MAX_BUFFERED_RESPONSE_BYTES {
-                        return Err(failure(AttemptEvent::BadAnswer));
+                        return Err(ResponseFailure::Failed(AttemptEvent::BadAnswer));
                     }
                 }
                 BodyRead::End => {
                     let result = checker.finish();
                     return result
                         .map(|()| (checker, events))
-                        .map_err(|_| failure(AttemptEvent::SendFailed));
+                        .map_err(|_| ResponseFailure::ConnectionLost);
+                }
+                BodyRead::Interrupted(_) => return Err(ResponseFailure::ConnectionLost),
+                BodyRead::DeadlinePassed => {
+                    return Err(ResponseFailure::Failed(AttemptEvent::DeadlinePassed));
                 }
-                BodyRead::Interrupted(_) => return Err(failure(AttemptEvent::SendFailed)),
-                BodyRead::DeadlinePassed => return Err(failure(AttemptEvent::DeadlinePassed)),
                 BodyRead::TimedOut => {
                     timeout_at = None;
                     self.check_read_timeout()?;
@@ -244,10 +250,7 @@
         if !self.state.try_take_retry(&self.context.service) {
             return Ok(());
         }
-        Err(ResponseFailure {
-            event: AttemptEvent::SendFailed,
-            retry_taken: true,
-        })
+        Err(ResponseFailure::TimedOut)
     }
 
     /// Starts the response to the caller; a [`StreamRelay`] task relays the rest.
@@ -260,6 +263,7 @@
         let now = self.state.clock.now();
         let event = AttemptEvent::HeadReceived;
         self.machine.handle(event, now, &mut || false);
+        response.guard.record_begin();
         response.guard.record_outcome(SendOutcome::Good);
         let elapsed = response.guard.elapsed();
         self.state
@@ -290,6 +294,7 @@
                 return AttemptResult::NextStep(self.handle_response_failure(response, failure));
             }
         };
+        response.guard.record_begin();
         response.guard.record_outcome(SendOutcome::Good);
         let elapsed = response.guard.elapsed();
         self.state
@@ -335,10 +340,14 @@
                 {
                     buffer.extend_from_slice(&chunk);
                 }
-                BodyRead::Chunk(_) => return Err(failure(AttemptEvent::BadAnswer)),
+                BodyRead::Chunk(_) => {
+                    return Err(ResponseFailure::Failed(AttemptEvent::BadAnswer));
+                }
                 BodyRead::End => return Ok(buffer.freeze()),
-                BodyRead::DeadlinePassed => return Err(failure(AttemptEvent::DeadlinePassed)),
-                BodyRead::Interrupted(_) => return Err(failure(AttemptEvent::SendFailed)),
+                BodyRead::DeadlinePassed => {
+                    return Err(ResponseFailure::Failed(AttemptEvent::DeadlinePassed));
+                }
+                BodyRead::Interrupted(_) => return Err(ResponseFailure::ConnectionLost),
                 BodyRead::TimedOut => {
                     timeout_at = None;
                     self.check_read_timeout()?;
--- a/crates/briarrail_gateway/src/traffic/send_guard.rs
+++ b/crates/briarrail_gateway/src/traffic/send_guard.rs
@@ -5,6 +5,8 @@
 use briarrail_dispatch::{SendOutcome, TargetKey};
 use briarrail_model::{MilliDuration, MilliTime};
 
+use super::crash_check::check_target;
+use super::part_list::PartList;
 use super::traffic_state::TrafficState;
 
 /// Counts a request as in flight at a target until it is dropped, and records its outcome.
@@ -15,15 +17,19 @@
     started_at: MilliTime,
     /// Time after which a cancellation by the caller counts as a failure of the target.
     cancellation_threshold: MilliDuration,
+    shared_parts: PartList,
+    /// Whether the target began to write the answer.
+    has_begun: bool,
     is_recorded: bool,
 }
 
 impl<D> SendGuard<D> {
-    /// Counts a request to a target as started.
+    /// Counts a request with the given shared parts in its prompt as started at a target.
     pub(crate) fn start(
         state: &Rc<TrafficState<D>>,
         key: TargetKey,
         cancellation_threshold: MilliDuration,
+        shared_parts: PartList,
     ) -> Self {
         let now = state.clock.now();
         state.registry.borrow_mut().start_request(key, now);
@@ -32,6 +38,8 @@
             key,
             started_at: now,
             cancellation_threshold,
+            shared_parts,
+            has_begun: false,
             is_recorded: false,
         }
     }
@@ -53,6 +61,22 @@
         self.state.record_outcome(self.key, outcome);
     }
 
+    /// Records that the target began to write the answer.
+    pub(crate) const fn record_begin(&mut self) {
+        self.has_begun = true;
+    }
+
+    /// Records that the connection broke before the answer was complete.
+    pub(crate) fn record_connection_loss(&mut self)
+    where
+        D: 'static,
+    {
+        self.record_outcome(SendOutcome::Broken);
+        if !self.has_begun {
+            check_target(&self.state, self.key, &self.shared_parts);
+        }
+    }
+
     /// Records no outcome, because the request says nothing about the target.
     pub(crate) const fn ignore_outcome(&mut self) {
         self.is_recorded = true;
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -122,9 +122,13 @@
                 RelayEnd::DeadlinePassed => AttemptEvent::DeadlinePassed,
                 RelayEnd::TimedOut => {
                     retry_taken = true;
+                    self.response.guard.record_outcome(SendOutcome::Broken);
                     self.record_interruption("silent", "")
                 }
-                RelayEnd::Interrupted(cause, detail) => self.record_interruption(cause, &detail),
+                RelayEnd::Interrupted(cause, detail) => {
+                    self.response.guard.record_connection_loss();
+                    self.record_interruption(cause, &detail)
+                }
             };
             let step = self.next_step(event, retry_taken);
             if !self.resume(step).await {
@@ -152,6 +156,7 @@
                     let result = self.checker.push(chunk, &mut events);
                     if self.checker.data_events() > events_before {
                         progress_at = self.state.clock.now();
+                        self.response.guard.record_begin();
                     }
                     for event in events {
                         self.trace.events += 1;
@@ -181,7 +186,6 @@
 
     /// Records an interrupted stream and returns the event for the retry machine.
     fn record_interruption(&mut self, cause: &'static str, detail: &str) -> AttemptEvent {
-        self.response.guard.record_outcome(SendOutcome::Broken);
         self.trace.log_failed_send(cause, detail);
         self.state.metrics.count_send(&self.context.service, cause);
         let is_resumable = self.context.semantics == RouteSemantics::ResumableStream;
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -22,7 +22,7 @@
 use crate::net::{HttpConnection, SendError};
 
 /// Time limit for opening a connection to a target; many round trips within a site.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Minimum time after which a cancellation by the caller counts as a failure of the target.
 const MIN_CANCELLATION_THRESHOLD: MilliDuration = MilliDuration::from_millis(400);
 /// That time as a multiple of the route's latency objective.
@@ -92,7 +92,8 @@
         return SendResult::Failed(AttemptEvent::NoTarget);
     };
     tried.0.push(key);
-    let mut guard = SendGuard::start(state, key, cancellation_threshold(context));
+    let parts = context.shared_parts.clone();
+    let mut guard = SendGuard::start(state, key, cancellation_threshold(context), parts);
     let mut connection = match acquire_connection(state, context, key).await {
         Ok(connection) => connection,
         Err(ConnectError::LimitReached) => {
@@ -132,7 +133,7 @@
             return fail_attempt(state, trace, "unsent", &error, AttemptEvent::ConnectFailed);
         }
         HeadResult::Failed(SendError::MaybeSent(error)) => {
-            guard.record_outcome(SendOutcome::Broken);
+            guard.record_connection_loss();
             return fail_attempt(state, trace, "lost", &error, AttemptEvent::SendFailed);
         }
     };
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use super::connection_pool::ConnectionPool;
+use super::crash_check::CrashChecks;
 use super::request_context::RequestContext;
 use crate::ProcessClock;
 use crate::fleet_counts::FleetCounts;
@@ -103,6 +104,8 @@
     admissions: RefCell<HashMap<String, AdmissionController>>,
     /// Timeouts for the first response bytes, by route.
     timeouts: RefCell<HashMap<String, AdaptiveTimeout>>,
+    /// Checks of targets that are in progress.
+    pub(super) crash_checks: RefCell<CrashChecks>,
 }
 
 impl<D> TrafficState<D> {
@@ -123,6 +126,7 @@
             retry_budgets: RefCell::default(),
             admissions: RefCell::default(),
             timeouts: RefCell::default(),
+            crash_checks: RefCell::default(),
         }
     }
 
