fix(dispatch): block prompt parts that crash targets

Cause: failures are remembered by target only. An ended target is ejected, so the next request with the part goes to the next target of its rendezvous order and ends that one. Nothing connects the ends with what the requests have in common, and each router sees only some of the requests. The test that failed shows the same with sound targets, single sends and little load; retries (one send a request in the logs) and load (it ends idle targets too) are ruled out.

Change: PromptQuarantine keeps evidence by prompt part. When a connection breaks before an answer began and the target refuses a new one, the shared parts of the requests that waited there become suspect; an answer that begins and whose target survives it by 100 ms clears its parts. Three crashes without an answer in between block a part; five, if an answer to it is known, since such a part is more likely there by chance. Crashes within 250 ms count once, and those that a blocked part explains don't count against its companions. Requests with a blocked part are refused as not run, with the rest of the ten minutes as Retry-After. Evidence travels in the sync (at most 64 parts a message, nothing without crashes), with ages corrected by half the round trip; the reader keeps blocked parts in the store for restarts of all routers. A crash that the check proves ejects the target at once.

Replay of 1 to 300 routers, syncs of 200 and 600 ms with delays of 5 to 400 ms, bad part first or second, waits up to 1.2 s: only the bad part blocked, no sound request refused; 15 to 100 % of the targets crashing together without a bad part: nothing blocked.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -3,7 +3,8 @@
 //! Time-dependent functions take the current time as an argument. [`RoutingTable`] resolves the
 //! route and the customer of a request. [`TargetRegistry`] holds the known state of each target and
 //! places requests. [`AdmissionController`] decides which share of the calls of a busy service is
-//! sent at all. [`RetryBudget`] limits retries across the fleet. [`TargetRoster`] decides which
+//! sent at all.
+//! [`PromptQuarantine`] blocks prompt parts that crash targets. [`RetryBudget`] limits retries across the fleet. [`TargetRoster`] decides which
 //! listed targets are in use while the store is unavailable. [`choose_hub`] selects the router that
 //! reads the store for the others, and [`ViewTracker`] decides whether another router's view of the
 //! targets is newer than the current one.
@@ -14,7 +15,11 @@
 mod hub_choice;
 mod outcome_window;
 mod outlier_detector;
+mod part_record;
+mod part_report;
+mod past_time;
 mod prompt_parts;
+mod prompt_quarantine;
 mod retry_after;
 mod retry_budget;
 mod routing_table;
@@ -35,7 +40,9 @@
 pub use hub_choice::{HubCandidate, choose_hub, choose_view_sources};
 pub use outcome_window::{OutcomeTotals, OutcomeWindow};
 pub use outlier_detector::{OutlierDetector, SendOutcome};
+pub use part_report::{BlockReport, CrashReport, PartReport};
 pub use prompt_parts::PromptParts;
+pub use prompt_quarantine::{BlockedPart, PartChange, PromptQuarantine};
 pub use retry_after::{RefusalCause, retry_after};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use routing_table::{RouteKey, RouteLookup, RoutingTable};
--- /dev/null
+++ b/crates/briarrail_dispatch/src/part_report.rs
@@ -0,0 +1,51 @@
+//! What routers tell each other about one prompt part.
+
+use briarrail_model::{MilliDuration, StableHash};
+use serde::{Deserialize, Serialize};
+
+/// A crash of a target while requests with a prompt part waited for their answer to begin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Low 32 bits of the hash of the target's identity.
+    pub target: u32,
+    /// Time since the crash.
+    pub age: MilliDuration,
+}
+
+/// A time for which requests with a prompt part are not sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BlockReport {
+    /// Time since the part was blocked.
+    pub age: MilliDuration,
+    /// Time until requests are sent again.
+    pub remaining: MilliDuration,
+}
+
+/// Evidence for and against one prompt part; times are relative, since routers share no clock.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartReport {
+    /// Hash of the part's identifier.
+    pub part: StableHash,
+    /// Crashes since an answer to a request with the part last began, oldest first.
+    pub crashes: Vec<CrashReport>,
+    /// Time since an answer to a request with the part began.
+    pub begun_age: Option<MilliDuration>,
+    /// The last decision to block the part.
+    pub block: Option<BlockReport>,
+}
+
+impl PartReport {
+    /// Adds the time that the report spends on its way to all ages.
+    #[must_use]
+    pub fn aged(mut self, transit: MilliDuration) -> Self {
+        for crash in &mut self.crashes {
+            crash.age = crash.age + transit;
+        }
+        self.begun_age = self.begun_age.map(|age| age + transit);
+        self.block = self.block.map(|block| BlockReport {
+            age: block.age + transit,
+            ..block
+        });
+        self
+    }
+}
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod hub_choice;
 mod placement;
 mod plain_calls;
+mod prompt_quarantine;
 mod retry_after;
 mod retry_budget;
 mod routing;
--- /dev/null
+++ b/crates/briarrail_dispatch/tests/suite/prompt_quarantine.rs
@@ -0,0 +1,437 @@
+//! Replays of prompt parts that crash targets, at fleets of several sizes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use briarrail_dispatch::{PartChange, PartReport, PromptQuarantine};
+use briarrail_model::{MilliDuration, StableHash, hash_bytes, hash_pair};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::fixtures::at;
+
+const TICK_MS: u64 = 5;
+/// Number of crashes after which the part must be known (BUDGET).
+const MAX_CRASHES: usize = 5;
+/// Number of requests with the part that may still be sent after that (BUDGET).
+const MAX_LATE_REQUESTS: usize = 3;
+
+fn part(name: &str) -> StableHash {
+    hash_bytes(name.as_bytes())
+}
+
+/// Which part of the prompts crashes targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BadPart {
+    /// The first one; sound requests share the other parts.
+    First,
+    /// The second one, beside one of the common first parts.
+    Second,
+    None,
+}
+
+/// Conditions of a replay.
+#[derive(Debug, Clone, Copy)]
+struct Conditions {
+    routers: usize,
+    targets: usize,
+    sync_period_ms: u64,
+    /// Delay of a sync request; the reply takes a fifth of it.
+    sync_delay_ms: u64,
+    /// Mean time from a request to the start of its answer.
+    wait_ms: u64,
+    sound_per_s: u64,
+    bad_per_s: u64,
+    bad_part: BadPart,
+    /// Time for which routers act on evidence after the fifth crash.
+    contact_ms: u64,
+    /// Share of the targets that crash together each time, for other reasons.
+    crash_share: f64,
+    crash_period_ms: u64,
+    /// Time between two restarts of a router, one after the other.
+    restart_period_ms: u64,
+    seed: u64,
+}
+
+const SMALL_SITE: Conditions = Conditions {
+    routers: 9,
+    targets: 12,
+    sync_period_ms: 200,
+    sync_delay_ms: 5,
+    wait_ms: 100,
+    sound_per_s: 130,
+    bad_per_s: 3,
+    bad_part: BadPart::Second,
+    contact_ms: 3_000,
+    crash_share: 0.0,
+    crash_period_ms: 4_000,
+    restart_period_ms: u64::MAX,
+    seed: 1,
+};
+
+#[derive(Debug, Clone)]
+struct WaitingRequest {
+    router: usize,
+    parts: Vec<StableHash>,
+    begins_at: u64,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Target {
+    lifetime: u32,
+    up_at: u64,
+    waiting: Vec<WaitingRequest>,
+}
+
+/// Reports on their way to a router.
+#[derive(Debug)]
+struct Message {
+    receiver: usize,
+    arrives_at: u64,
+    reports: Vec<PartReport>,
+    /// Router that gets a reply.
+    reply_to: Option<usize>,
+}
+
+/// Result of a replay.
+#[derive(Debug, Default)]
+struct Totals {
+    /// Times of the crashes that requests caused.
+    crashes: Vec<u64>,
+    /// Times at which requests with the bad part were sent to a target.
+    bad_sends: Vec<u64>,
+    sound_sends: usize,
+    sound_refusals: usize,
+    blocked: BTreeSet<StableHash>,
+    released: usize,
+    max_report_count: usize,
+}
+
+impl Totals {
+    /// Returns the requests with the bad part that were sent after all routers had to know it.
+    fn late_sends(&self, contact_ms: u64) -> usize {
+        let Some(fifth) = self.crashes.get(MAX_CRASHES - 1) else {
+            return 0;
+        };
+        let is_late = |sent_at: &&u64| **sent_at > fifth + contact_ms;
+        self.bad_sends.iter().filter(is_late).count()
+    }
+}
+
+struct Replay {
+    conditions: Conditions,
+    routers: Vec<PromptQuarantine>,
+    targets: Vec<Target>,
+    messages: Vec<Message>,
+    random: SmallRng,
+    totals: Totals,
+}
+
+impl Replay {
+    fn new(conditions: Conditions) -> Self {
+        Self {
+            routers: vec![PromptQuarantine::default(); conditions.routers],
+            targets: vec![Target::default(); conditions.targets],
+            messages: Vec::new(),
+            random: SmallRng::seed_from_u64(conditions.seed),
+            totals: Totals::default(),
+            conditions,
+        }
+    }
+
+    fn run(mut self, duration_ms: u64) -> Totals {
+        for now in (0..duration_ms).step_by(TICK_MS as usize) {
+            self.crash_targets(now);
+            self.begin_answers(now);
+            self.exchange(now);
+            self.restart_router(now);
+            for _ in 0..self.arrivals(self.conditions.sound_per_s) {
+                self.send_request(now, false);
+            }
+            // The routers and the caches are in use for a second before the part appears.
+            if now > 1_000 && self.conditions.bad_part != BadPart::None {
+                for _ in 0..self.arrivals(self.conditions.bad_per_s) {
+                    self.send_request(now, true);
+                }
+            }
+        }
+        self.totals
+    }
+
+    fn arrivals(&mut self, per_s: u64) -> usize {
+        let expected = (per_s * TICK_MS) as f64 / 1_000.0;
+        expected as usize + usize::from(self.random.random_bool(expected.fract()))
+    }
+
+    fn parts(&mut self, is_bad: bool) -> Vec<StableHash> {
+        // A few first parts are common; subjects differ in popularity.
+        let first = self.random.random_range(0..3);
+        let spread: f64 = self.random.random_range(0.0..1.0);
+        let subject = (spread * spread * 100.0) as u32;
+        let sound = [
+            part(&format!("first {first}")),
+            part(&format!("subject {subject}")),
+        ];
+        match self.conditions.bad_part {
+            BadPart::First if is_bad => vec![part("bad"), sound[1]],
+            BadPart::Second if is_bad => vec![part("first 0"), part("bad")],
+            _ => sound.to_vec(),
+        }
+    }
+
+    fn send_request(&mut self, now: u64, is_bad: bool) {
+        let router = self.random.random_range(0..self.routers.len());
+        let parts = self.parts(is_bad);
+        if self.routers[router]
+            .blocked_until(&parts, at(now))
+            .is_some()
+        {
+            self.totals.sound_refusals += usize::from(!is_bad);
+            return;
+        }
+        let affinity = hash_pair(parts[0], parts[1]);
+        let up = (0..self.targets.len()).filter(|&index| self.targets[index].up_at <= now);
+        let chosen = up.max_by_key(|&index| {
+            let lifetime = u64::from(self.targets[index].lifetime);
+            hash_pair(affinity, StableHash(index as u64 * 1_000 + lifetime))
+        });
+        let Some(chosen) = chosen else {
+            return;
+        };
+        if is_bad {
+            self.totals.bad_sends.push(now);
+        } else {
+            self.totals.sound_sends += 1;
+        }
+        let wait_ms = self.random.random_range(1..=self.conditions.wait_ms * 2);
+        self.targets[chosen].waiting.push(WaitingRequest {
+            router,
+            parts,
+            begins_at: now + wait_ms,
+        });
+    }
+
+    /// Begins the answers that are due; one with the bad part crashes its target.
+    fn begin_answers(&mut self, now: u64) {
+        for index in 0..self.targets.len() {
+            let waiting = std::mem::take(&mut self.targets[index].waiting);
+            let (due, rest): (Vec<_>, Vec<_>) = waiting
+                .into_iter()
+                .partition(|request| request.begins_at <= now);
+            let is_crash = due
+                .iter()
+                .any(|request| request.parts.contains(&part("bad")));
+            if is_crash {
+                self.totals.crashes.push(now);
+                self.crash_target(index, due.into_iter().chain(rest).collect(), now);
+                continue;
+            }
+            for request in due {
+                let changes = self.routers[request.router].record_begin(&request.parts, at(now));
+                self.note(&changes);
+            }
+            self.targets[index].waiting = rest;
+        }
+    }
+
+    fn crash_target(&mut self, index: usize, waiting: Vec<WaitingRequest>, now: u64) {
+        let target = &mut self.targets[index];
+        let id = target.lifetime * 1_000 + index as u32;
+        target.lifetime += 1;
+        target.up_at = now + self.random.random_range(1_500..4_500);
+        let mut lost: BTreeMap<usize, Vec<Vec<StableHash>>> = BTreeMap::new();
+        for request in waiting {
+            lost.entry(request.router).or_default().push(request.parts);
+        }
+        for (router, lost) in lost {
+            let parts = lost.iter().map(Vec::as_slice);
+            let changes = self.routers[router].record_crash(id, parts, at(now));
+            self.note(&changes);
+        }
+    }
+
+    /// Crashes a share of the targets at once, for a reason other than a request.
+    fn crash_targets(&mut self, now: u64) {
+        let Conditions {
+            crash_share,
+            crash_period_ms,
+            ..
+        } = self.conditions;
+        if crash_share == 0.0 || now == 0 || !now.is_multiple_of(crash_period_ms) {
+            return;
+        }
+        for index in 0..self.targets.len() {
+            if self.targets[index].up_at <= now && self.random.random_bool(crash_share) {
+                let waiting = std::mem::take(&mut self.targets[index].waiting);
+                self.crash_target(index, waiting, now);
+            }
+        }
+    }
+
+    /// Exchanges reports with the hub, router 0.
+    fn exchange(&mut self, now: u64) {
+        let Conditions {
+            sync_period_ms,
+            sync_delay_ms,
+            ..
+        } = self.conditions;
+        for router in 1..self.routers.len() {
+            let phase = router as u64 * TICK_MS;
+            if (now + phase).is_multiple_of(sync_period_ms) {
+                self.send_message(router, 0, Some(router), sync_delay_ms, now);
+            }
+        }
+        let messages = std::mem::take(&mut self.messages);
+        let (arrived, rest): (Vec<_>, Vec<_>) = messages
+            .into_iter()
+            .partition(|message| message.arrives_at <= now);
+        self.messages = rest;
+        for message in arrived {
+            let changes = self.routers[message.receiver].merge(&message.reports, at(now));
+            self.note(&changes);
+            if let Some(follower) = message.reply_to {
+                self.send_message(0, follower, None, sync_delay_ms / 5, now);
+            }
+        }
+    }
+
+    fn send_message(
+        &mut self,
+        sender: usize,
+        receiver: usize,
+        reply_to: Option<usize>,
+        delay_ms: u64,
+        now: u64,
+    ) {
+        // Routers know only the round trip, and assume that both ways take the same time.
+        let transit = MilliDuration::from_millis(self.conditions.sync_delay_ms * 6 / 5 / 2);
+        let reports = self.routers[sender].reports(at(now)).into_iter();
+        let reports: Vec<_> = reports.map(|report| report.aged(transit)).collect();
+        self.totals.max_report_count = self.totals.max_report_count.max(reports.len());
+        self.messages.push(Message {
+            receiver,
+            arrives_at: now + delay_ms,
+            reports,
+            reply_to,
+        });
+    }
+
+    /// Restarts the routers in turn; the hub keeps what it knows in the store.
+    fn restart_router(&mut self, now: u64) {
+        let period_ms = self.conditions.restart_period_ms;
+        if now == 0 || !now.is_multiple_of(period_ms) {
+            return;
+        }
+        let router = (now / period_ms) as usize % self.routers.len();
+        if router > 0 {
+            self.routers[router] = PromptQuarantine::default();
+        }
+    }
+
+    fn note(&mut self, changes: &[PartChange]) {
+        for change in changes {
+            match change {
+                PartChange::Blocked(part, _) => {
+                    self.totals.blocked.insert(*part);
+                }
+                PartChange::Released(_) => self.totals.released += 1,
+            }
+        }
+    }
+}
+
+/// Fleets and exchanges under which a bad part must be found.
+fn fleets() -> Vec<Conditions> {
+    let sizes = [
+        (1, 4, 60, 2),
+        (3, 4, 60, 3),
+        (9, 12, 130, 3),
+        (89, 90, 800, 8),
+        (300, 160, 1_500, 12),
+    ];
+    let mut fleets = Vec::new();
+    for (routers, targets, sound_per_s, bad_per_s) in sizes {
+        for (sync_period_ms, sync_delay_ms) in [(200, 5), (600, 50), (600, 400)] {
+            for bad_part in [BadPart::First, BadPart::Second] {
+                for seed in 1..=2 {
+                    fleets.push(Conditions {
+                        routers,
+                        targets,
+                        sync_period_ms,
+                        sync_delay_ms,
+                        sound_per_s,
+                        bad_per_s,
+                        bad_part,
+                        seed,
+                        ..SMALL_SITE
+                    });
+                }
+            }
+        }
+    }
+    fleets
+}
+
+fn assert_only_the_bad_part_is_blocked(conditions: Conditions) {
+    let totals = Replay::new(conditions).run(20_000);
+    let late = totals.late_sends(conditions.contact_ms);
+    assert!(late <= MAX_LATE_REQUESTS, "{late} late: {conditions:?}");
+    assert_eq!(
+        totals.blocked,
+        BTreeSet::from([part("bad")]),
+        "{conditions:?} {totals:?}"
+    );
+    assert_eq!(totals.sound_refusals, 0, "{conditions:?}");
+    assert_eq!(totals.released, 0, "{conditions:?}");
+}
+
+/// Guards against a prompt part that crashes one target after the other
+/// (docs/incidents/saltlog-ke-inc1.md).
+#[test]
+fn a_part_that_crashes_targets_is_blocked_at_fleets_of_any_size() {
+    for conditions in fleets() {
+        assert_only_the_bad_part_is_blocked(conditions);
+    }
+}
+
+/// Guards against blocked sound parts while answers wait long at overloaded targets.
+#[test]
+fn only_the_part_that_crashes_targets_is_blocked_under_overload() {
+    for conditions in fleets() {
+        assert_only_the_bad_part_is_blocked(Conditions {
+            wait_ms: 600,
+            ..conditions
+        });
+    }
+}
+
+/// Guards against evidence that restarts discard: nine routers that restart in turn.
+#[test]
+fn restarting_routers_learn_the_blocked_parts() {
+    for seed in 1..=5 {
+        assert_only_the_bad_part_is_blocked(Conditions {
+            restart_period_ms: 700,
+            seed,
+            ..SMALL_SITE
+        });
+    }
+}
+
+/// Guards against blocked sound parts when targets crash for other reasons, alone or together.
+#[test]
+fn crashes_with_another_cause_block_nothing() {
+    // The bad part does not appear, so one of its places is enough.
+    let has_own_conditions =
+        |fleet: &Conditions| fleet.seed == 2 && fleet.bad_part == BadPart::First;
+    for conditions in fleets().into_iter().filter(has_own_conditions) {
+        for (crash_share, crash_period_ms) in [(0.15, 1_000), (0.5, 2_000), (1.0, 5_000)] {
+            let conditions = Conditions {
+                bad_part: BadPart::None,
+                crash_share,
+                crash_period_ms,
+                ..conditions
+            };
+            let totals = Replay::new(conditions).run(20_000);
+            assert_eq!(totals.blocked, BTreeSet::new(), "{conditions:?} {totals:?}");
+        }
+    }
+}
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -7,7 +7,8 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use briarrail_dispatch::{TargetRoster, ViewTracker};
+use briarrail_dispatch::{PromptQuarantine, TargetRoster, ViewTracker};
+use briarrail_model::MilliDuration;
 use briarrail_peer::{FrameCodec, KeyRing, SharedKey, SyncRouter};
 use briarrail_settings::{FleetLimits, GatewaySettings};
 use bytes::Bytes;
@@ -24,6 +25,7 @@
 use super::hub_server::serve_peers;
 use super::hub_sync::run_hub_sync;
 use super::monitoring_server::serve_monitoring;
+use super::part_exchange::maintain_blocked_parts;
 use super::roster_log::RosterLog;
 use super::router_registration::maintain_registration;
 use super::store_watcher::run_watcher;
@@ -100,6 +102,7 @@
     };
     tokio::task::spawn_local(run_watcher(Rc::clone(&state), target_watcher));
     tokio::task::spawn_local(maintain_registration(Rc::clone(&state), store.clone()));
+    tokio::task::spawn_local(maintain_blocked_parts(Rc::clone(&state), store.clone()));
     let readiness_state = Rc::clone(&state);
     let path = inputs.dialect.readiness_path();
     tokio::task::spawn_local(serve_monitoring(readiness, move |request| {
@@ -168,6 +171,8 @@
         listed: Rc::default(),
         has_target_list: false,
         local_counts: FleetCounts::default(),
+        quarantine: PromptQuarantine::default(),
+        sync_round_trip: MilliDuration::ZERO,
     }
 }
 
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::Ordering;
 
 use briarrail_dispatch::{
-    GreetingState, HubCandidate, RosterChange, RoutingTable, TargetRoster, ViewTracker, choose_hub,
-    choose_view_sources,
+    GreetingState, HubCandidate, PromptQuarantine, RosterChange, RoutingTable, TargetRoster,
+    ViewTracker, choose_hub, choose_view_sources,
 };
 use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash, hash_pair};
 use briarrail_peer::{FrameCodec, SyncRouter};
@@ -105,6 +105,10 @@
     pub(crate) has_target_list: bool,
     /// This router's own counts at its last sync.
     pub(crate) local_counts: FleetCounts,
+    /// Evidence of all routers on prompt parts that crash targets.
+    pub(crate) quarantine: PromptQuarantine,
+    /// Time from the request of the last successful sync to its reply.
+    pub(crate) sync_round_trip: MilliDuration,
 }
 
 impl ControlState {
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -112,6 +112,8 @@
     if request.is_stopping {
         state.avoid(&envelope.from, now + STOPPING_ROUTER_AVOIDANCE);
     }
+    // The sender accounts for the transit, since only it knows the round trip.
+    state.merge_encoded_part_reports(&request.part_reports, MilliDuration::ZERO, "router");
     if request.is_greeting {
         tracing::info!(event = "greeted", router = %envelope.from);
     } else if request.wants_view {
@@ -145,6 +147,7 @@
         next_round_ms: sync_interval_ms(state.follower_count(now)),
         counts: counts.targets,
         demands: counts.demands,
+        part_reports: state.encode_part_reports(MilliDuration::ZERO, now),
         config: newer_config
             .filter(|_| !request.is_greeting)
             .map(|(revision, body)| StoredConfig {
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -28,8 +28,8 @@
 const SYNC_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a router that cannot read the store either is not asked for its view.
 const STALE_VIEW_AVOIDANCE: MilliDuration = MilliDuration::from_millis(1_000);
-/// Timeout for reading the traffic thread's counts.
-const COUNTS_TIMEOUT: Duration = Duration::from_millis(100);
+/// Timeout for reading the traffic thread's report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Syncs with the hub, or with several other routers while there is no hub and the store fails,
 /// indefinitely.
@@ -37,7 +37,7 @@
     let mut clients: HashMap<SocketAddr, CallClient> = HashMap::new();
     let mut followed_name: Option<HostName> = None;
     loop {
-        update_local_counts(&state).await;
+        update_local_report(&state).await;
         let (now, hub) = {
             let mut state = state.borrow_mut();
             let now = state.clock.now();
@@ -103,15 +103,19 @@
     requests.join_all().await;
 }
 
-async fn update_local_counts(state: &SharedControlState) {
-    let (reply, counts) = oneshot::channel();
+async fn update_local_report(state: &SharedControlState) {
+    let (reply, report) = oneshot::channel();
     state
         .borrow()
-        .send_update(ControlUpdate::LocalCounts(reply));
-    match tokio::time::timeout(COUNTS_TIMEOUT, counts).await {
-        Ok(Ok(counts)) => state.borrow_mut().local_counts = counts,
+        .send_update(ControlUpdate::LocalReport(reply));
+    match tokio::time::timeout(REPORT_TIMEOUT, report).await {
+        Ok(Ok(report)) => {
+            let mut state = state.borrow_mut();
+            state.local_counts = report.counts;
+            state.merge_local_part_reports(&report.part_reports);
+        }
         Ok(Err(_)) | Err(_) => {
-            tracing::debug!("failed to read the counts of the traffic thread");
+            tracing::debug!("failed to read the report of the traffic thread");
         }
     }
 }
@@ -136,6 +140,7 @@
             roster_sequence: position.sequence,
             counts: counts.targets,
             demands: counts.demands,
+            part_reports: state.encode_part_reports(state.sync_transit(), now),
             counted_routers: state.counted_routers(now),
             routers_digest: state.routers_digest(),
             wants_view,
@@ -209,6 +214,7 @@
             roster_sequence: 0,
             counts: Vec::new(),
             demands: Vec::new(),
+            part_reports: Bytes::new(),
             counted_routers: 0,
             routers_digest: state.routers_digest(),
             wants_view: false,
@@ -251,6 +257,9 @@
 ) {
     let now = state.clock.now();
     state.record_contact(hub, now);
+    state.sync_round_trip = now.since(requested_at);
+    let transit = state.sync_transit();
+    state.merge_encoded_part_reports(&reply.part_reports, transit, "hub");
     if !wants_view {
         state.hub_counts = Some(HubCounts {
             counts: FleetCounts {
--- a/crates/briarrail_gateway/src/control/mod.rs
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod hub_server;
 mod hub_sync;
 mod monitoring_server;
+mod part_exchange;
 mod roster_log;
 mod router_registration;
 mod store_health;
--- a/crates/briarrail_gateway/src/lib.rs
+++ b/crates/briarrail_gateway/src/lib.rs
@@ -20,8 +20,8 @@
 pub use net::{CallClient, CallError, CallErrorKind, CallReply};
 pub use process_clock::ProcessClock;
 pub use site_store::{
-    ConfigListing, ReadConsistency, RouterRecord, SiteStore, TargetEvent, TargetListing,
-    VersionedConfig, WatchOutcome,
+    BlockedPartRecord, ConfigListing, ReadConsistency, RouterRecord, SiteStore, TargetEvent,
+    TargetListing, VersionedConfig, WatchOutcome,
 };
 pub use telemetry::{GatewayMetrics, init_json_logs};
 pub use wire_dialect::{
--- a/crates/briarrail_gateway/src/site_store.rs
+++ b/crates/briarrail_gateway/src/site_store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use briarrail_dispatch::{SiteConfig, TargetRecord};
-use briarrail_model::{DataCentre, HostName};
+use briarrail_model::{DataCentre, HostName, StableHash};
 use briarrail_platform::StoreError;
 
 /// A configuration and its revision in the store.
@@ -74,6 +74,17 @@
     pub capacity: u8,
 }
 
+/// A prompt part that crashes targets, as the store keeps it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BlockedPartRecord {
+    /// Hash of the part's identifier.
+    pub part: StableHash,
+    /// Unix time in milliseconds at which the part was blocked.
+    pub blocked_unix_ms: u64,
+    /// Unix time in milliseconds until which it is blocked.
+    pub until_unix_ms: u64,
+}
+
 /// How current the result of a read must be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadConsistency {
@@ -148,4 +159,31 @@
     ///
     /// Fails if the store is unreachable or rejects the call.
     fn remove_router(&self, name: &HostName) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Lists the blocked prompt parts; the result may be some seconds old.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is unreachable or rejects the call.
+    fn list_blocked_parts(
+        &self,
+    ) -> impl Future<Output = Result<Vec<BlockedPartRecord>, StoreError>>;
+
+    /// Adds or replaces the entry of a blocked prompt part.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is unreachable or rejects the call.
+    fn put_blocked_part(
+        &self,
+        record: &BlockedPartRecord,
+    ) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Removes the entry of a blocked prompt part, if it exists.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is unreachable or rejects the call.
+    fn remove_blocked_part(&self, part: StableHash)
+    -> impl Future<Output = Result<(), StoreError>>;
 }
--- a/crates/briarrail_gateway/src/traffic/crash_check.rs
+++ b/crates/briarrail_gateway/src/traffic/crash_check.rs
@@ -7,7 +7,7 @@
 use std::io::ErrorKind;
 use std::rc::Rc;
 
-use briarrail_dispatch::TargetKey;
+use briarrail_dispatch::{SendOutcome, TargetKey};
 
 use super::part_list::PartList;
 use super::target_send::CONNECT_TIMEOUT;
@@ -62,7 +62,11 @@
             pool.put(key, connection, None, now);
             "alive"
         }
-        Err(error) if error.kind() == ErrorKind::ConnectionRefused => "crashed",
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            state.record_outcome(key, SendOutcome::Unreachable);
+            state.record_crash(key, &lost_requests);
+            "crashed"
+        }
         Err(_) => "silent",
     };
     state.metrics.count_target_check(&target.service, outcome);
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -103,6 +103,11 @@
 
     async fn run(mut self) -> Response<ResponseBody> {
         self.state.record_request(&self.context.service);
+        if let Some(until) = self.state.blocked_until(&self.context.shared_parts) {
+            let remaining = until.since(self.state.clock.now());
+            let cause = RefusalCause::PartBlocked(remaining);
+            return self.refuse(cause, "prompt part crashes targets");
+        }
         if !self.is_admitted() {
             let cause = RefusalCause::AtCapacity(self.context.objective);
             return self.refuse(cause, "over capacity");
@@ -263,7 +268,7 @@
         let now = self.state.clock.now();
         let event = AttemptEvent::HeadReceived;
         self.machine.handle(event, now, &mut || false);
-        response.guard.record_begin();
+        response.guard.record_event();
         response.guard.record_outcome(SendOutcome::Good);
         let elapsed = response.guard.elapsed();
         self.state
@@ -294,8 +299,7 @@
                 return AttemptResult::NextStep(self.handle_response_failure(response, failure));
             }
         };
-        response.guard.record_begin();
-        response.guard.record_outcome(SendOutcome::Good);
+        response.guard.record_completion();
         let elapsed = response.guard.elapsed();
         self.state
             .record_response_time(&self.context.route, elapsed);
--- a/crates/briarrail_gateway/src/traffic/send_guard.rs
+++ b/crates/briarrail_gateway/src/traffic/send_guard.rs
@@ -9,6 +9,10 @@
 use super::part_list::PartList;
 use super::traffic_state::TrafficState;
 
+/// Time after the first event for which a target must stay up before its answer counts as begun; a
+/// crash breaks its connections within milliseconds.
+const MIN_SURVIVAL: MilliDuration = MilliDuration::from_millis(100);
+
 /// Counts a request as in flight at a target until it is dropped, and records its outcome.
 #[derive(Debug)]
 pub(crate) struct SendGuard<D> {
@@ -18,7 +22,8 @@
     /// Time after which a cancellation by the caller counts as a failure of the target.
     cancellation_threshold: MilliDuration,
     shared_parts: PartList,
-    /// Whether the target began to write the answer.
+    first_event_at: Option<MilliTime>,
+    /// Whether the target began to write the answer and survived it.
     has_begun: bool,
     is_recorded: bool,
 }
@@ -39,6 +44,7 @@
             started_at: now,
             cancellation_threshold,
             shared_parts,
+            first_event_at: None,
             has_begun: false,
             is_recorded: false,
         }
@@ -61,12 +67,32 @@
         self.state.record_outcome(self.key, outcome);
     }
 
-    /// Records that the target began to write the answer.
-    pub(crate) const fn record_begin(&mut self) {
-        self.has_begun = true;
+    /// Records that an event of the answer arrived.
+    ///
+    /// The answer counts as begun once the target has survived it for a while.
+    pub(crate) fn record_event(&mut self) {
+        let now = self.state.clock.now();
+        let first_event_at = *self.first_event_at.get_or_insert(now);
+        if now.since(first_event_at) >= MIN_SURVIVAL {
+            self.record_begin();
+        }
+    }
+
+    /// Records that the answer is complete.
+    pub(crate) fn record_completion(&mut self) {
+        self.record_outcome(SendOutcome::Good);
+        self.record_begin();
+    }
+
+    fn record_begin(&mut self) {
+        if !self.has_begun {
+            self.has_begun = true;
+            self.state.record_begin(&self.shared_parts);
+        }
     }
 
-    /// Records that the connection broke before the answer was complete.
+    /// Records that the connection broke before the answer was complete, which may be a crash that
+    /// the request caused.
     pub(crate) fn record_connection_loss(&mut self)
     where
         D: 'static,
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -156,7 +156,7 @@
                     let result = self.checker.push(chunk, &mut events);
                     if self.checker.data_events() > events_before {
                         progress_at = self.state.clock.now();
-                        self.response.guard.record_begin();
+                        self.response.guard.record_event();
                     }
                     for event in events {
                         self.trace.events += 1;
@@ -255,7 +255,7 @@
             head,
             ..
         } = *response;
-        guard.record_outcome(SendOutcome::Good);
+        guard.record_completion();
         state.metrics.count_send(&context.service, "good");
         if let Some(keep_alive) = reuse_timeout(&head.headers) {
             let now = state.clock.now();
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -7,9 +7,9 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use briarrail_dispatch::{
-    AdaptiveTimeout, AdmissionController, AdmissionRatio, OutcomeTotals, PlacementLimits,
-    RetryBudget, RetryBudgetLimits, RosterChange, RoutingTable, SendOutcome, TargetKey,
-    TargetRegistry, TargetState,
+    AdaptiveTimeout, AdmissionController, AdmissionRatio, OutcomeTotals, PartChange, PartReport,
+    PlacementLimits, PromptQuarantine, RetryBudget, RetryBudgetLimits, RosterChange, RoutingTable,
+    SendOutcome, TargetKey, TargetRegistry, TargetState,
 };
 use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
 use briarrail_peer::{ServiceDemand, TargetCount};
@@ -18,6 +18,7 @@
 
 use super::connection_pool::ConnectionPool;
 use super::crash_check::CrashChecks;
+use super::part_list::PartList;
 use super::request_context::RequestContext;
 use crate::ProcessClock;
 use crate::fleet_counts::FleetCounts;
@@ -84,8 +85,19 @@
     Roster(Vec<RosterChange>),
     /// Current requests, recent outcomes and demand of the other routers.
     PeerCounts(FleetCounts),
-    /// Asks for the requests, recent outcomes and demand of this router.
-    LocalCounts(oneshot::Sender<FleetCounts>),
+    /// Evidence of other routers on prompt parts that crash targets.
+    PartReports(Vec<PartReport>, &'static str),
+    /// Asks for the counts and the evidence of this router.
+    LocalReport(oneshot::Sender<LocalReport>),
+}
+
+/// What the traffic thread tells the control thread for the exchange.
+#[derive(Debug, Default)]
+pub(crate) struct LocalReport {
+    /// Requests, recent outcomes and demand.
+    pub(crate) counts: FleetCounts,
+    /// Evidence on prompt parts that crash targets.
+    pub(crate) part_reports: Vec<PartReport>,
 }
 
 /// State of the traffic thread.
@@ -104,6 +116,8 @@
     admissions: RefCell<HashMap<String, AdmissionController>>,
     /// Timeouts for the first response bytes, by route.
     timeouts: RefCell<HashMap<String, AdaptiveTimeout>>,
+    /// Prompt parts that are not sent to targets.
+    quarantine: RefCell<PromptQuarantine>,
     /// Checks of targets that are in progress.
     pub(super) crash_checks: RefCell<CrashChecks>,
 }
@@ -126,6 +140,7 @@
             retry_budgets: RefCell::default(),
             admissions: RefCell::default(),
             timeouts: RefCell::default(),
+            quarantine: RefCell::default(),
             crash_checks: RefCell::default(),
         }
     }
@@ -198,6 +213,60 @@
         budget.try_take_retry(self.clock.now(), &limits, routers)
     }
 
+    /// Returns the time until which requests with some shared parts are not sent, if one of them
+    /// crashes targets.
+    pub(crate) fn blocked_until(&self, parts: &PartList) -> Option<MilliTime> {
+        let quarantine = self.quarantine.borrow();
+        quarantine.blocked_until(parts.as_slice(), self.clock.now())
+    }
+
+    /// Records that the answer to a request with some shared parts began.
+    pub(crate) fn record_begin(&self, parts: &PartList) {
+        let now = self.clock.now();
+        let changes = self
+            .quarantine
+            .borrow_mut()
+            .record_begin(parts.as_slice(), now);
+        self.log_part_changes(&changes, "local", now);
+    }
+
+    /// Records that a target crashed while requests waited there for their answers to begin.
+    pub(crate) fn record_crash(&self, key: TargetKey, lost_requests: &[PartList]) {
+        let now = self.clock.now();
+        let hash = self.registry.borrow().get(key).map(|target| target.hash);
+        let Some(hash) = hash else {
+            return;
+        };
+        let lost_parts = lost_requests.iter().map(PartList::as_slice);
+        let mut quarantine = self.quarantine.borrow_mut();
+        let changes = quarantine.record_crash(hash.0 as u32, lost_parts, now);
+        self.log_part_changes(&changes, "local", now);
+    }
+
+    fn log_part_changes(&self, changes: &[PartChange], source: &'static str, now: MilliTime) {
+        for change in changes {
+            match change {
+                PartChange::Blocked(part, until) => {
+                    self.metrics.count_part_change("blocked");
+                    tracing::warn!(
+                        event = "part_blocked",
+                        source,
+                        part = format!("{:016x}", part.0),
+                        for_ms = until.since(now).as_millis(),
+                    );
+                }
+                PartChange::Released(part) => {
+                    self.metrics.count_part_change("released");
+                    tracing::info!(
+                        event = "part_released",
+                        source,
+                        part = format!("{:016x}", part.0),
+                    );
+                }
+            }
+        }
+    }
+
     /// Records the outcome of a request to a target, and logs an ejection or restoration that
     /// results from it.
     pub(crate) fn record_outcome(&self, key: TargetKey, outcome: SendOutcome) {
@@ -253,9 +322,18 @@
                     .for_each(|change| self.apply_roster_change(change));
             }
             ControlUpdate::PeerCounts(counts) => self.apply_peer_counts(&counts, self.clock.now()),
-            ControlUpdate::LocalCounts(reply) => {
-                if reply.send(self.local_counts()).is_err() {
-                    tracing::debug!("control thread dropped the request for local counts");
+            ControlUpdate::PartReports(reports, source) => {
+                let now = self.clock.now();
+                let changes = self.quarantine.borrow_mut().merge(&reports, now);
+                self.log_part_changes(&changes, source, now);
+            }
+            ControlUpdate::LocalReport(reply) => {
+                let report = LocalReport {
+                    counts: self.local_counts(),
+                    part_reports: self.quarantine.borrow().reports(self.clock.now()),
+                };
+                if reply.send(report).is_err() {
+                    tracing::debug!("control thread dropped the request for the local report");
                 }
             }
         }
--- a/crates/briarrail_peer/src/sync_message.rs
+++ b/crates/briarrail_peer/src/sync_message.rs
@@ -59,6 +59,9 @@
     /// Demand that the sender and the routers that follow it received.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub demands: Vec<ServiceDemand>,
+    /// Encoded evidence on prompt parts that crash targets; empty without any.
+    #[serde(rename = "b", default, skip_serializing_if = "Bytes::is_empty")]
+    pub part_reports: Bytes,
     /// Number of live routers that the counts cover, including the sender.
     #[serde(rename = "w")]
     pub counted_routers: u32,
@@ -152,6 +155,9 @@
     /// Demand that all routers received, without those that the requester's demand covers.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub demands: Vec<ServiceDemand>,
+    /// Encoded evidence on prompt parts that crash targets; empty without any.
+    #[serde(rename = "b", default, skip_serializing_if = "Bytes::is_empty")]
+    pub part_reports: Bytes,
     /// The configuration, if the requester's one is older.
     #[serde(rename = "c")]
     pub config: Option<StoredConfig>,
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -60,6 +60,7 @@
         roster_sequence: 9,
         counts: counts(3),
         demands: demands(2),
+        part_reports: Bytes::from_static(b"reports"),
         counted_routers: 2,
         routers_digest: 11,
         wants_view: true,
@@ -78,6 +79,7 @@
         next_round_ms: 200,
         counts: counts(2),
         demands: demands(2),
+        part_reports: Bytes::from_static(b"reports"),
         config: Some(StoredConfig {
             revision: 8,
             body: Bytes::from_static(b"config"),
@@ -107,6 +109,7 @@
         next_round_ms: 200,
         counts: counts(94),
         demands: demands(2),
+        part_reports: Bytes::new(),
         config: None,
         roster: None,
     };
