fix(gateway): take a stream that ends with its connection before an event as lost

For the quarantine such an end would also have cleared the part that crashed the target.

Cause: the end of a body without length or chunks was taken as its proper end, also without any event.

Change: such an end before the first event of a target counts as a lost connection, so the request is retried or resumed where its route allows it, and fails otherwise. With chunks or a length an empty stream is still complete.

--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -18,7 +18,7 @@
 use super::request_context::{RequestContext, remove_hop_by_hop_headers};
 use super::request_trace::RequestTrace;
 use super::response_body::ResponseBody;
-use super::response_class::{ResponseClass, reuse_timeout};
+use super::response_class::{ResponseClass, is_close_delimited, reuse_timeout};
 use super::stream_relay::{BodyRead, StreamRelay, read_body_chunk, unknown_reason_text};
 use super::target_send::{SendResult, TargetResponse, TriedTargets, send_to_target};
 use super::traffic_state::TrafficState;
@@ -223,6 +223,9 @@
                         return Err(ResponseFailure::Failed(AttemptEvent::BadAnswer));
                     }
                 }
+                BodyRead::End if is_close_delimited(&response.head.headers) => {
+                    return Err(ResponseFailure::ConnectionLost);
+                }
                 BodyRead::End => {
                     let result = checker.finish();
                     return result
--- a/crates/briarrail_gateway/src/traffic/response_class.rs
+++ b/crates/briarrail_gateway/src/traffic/response_class.rs
@@ -51,6 +51,14 @@
     ResponseClass::Relay
 }
 
+/// Returns whether the body has no length and no chunks, and so ends with its connection.
+///
+/// A target that crashes can end such a body without an error.
+pub(crate) fn is_close_delimited(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns `None` if the connection can't be reused, and otherwise the idle timeout that the target
 /// announced, if any.
 pub(crate) fn reuse_timeout(headers: &HeaderMap) -> Option<Option<MilliDuration>> {
--- a/crates/briarrail_gateway/src/traffic/send_guard.rs
+++ b/crates/briarrail_gateway/src/traffic/send_guard.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Returns whether an event of the answer arrived.
+    pub(crate) const fn has_event(&self) -> bool {
+        self.first_event_at.is_some()
+    }
+
     /// Records that the answer is complete.
     pub(crate) fn record_completion(&mut self) {
         self.record_outcome(SendOutcome::Good);
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -14,7 +14,7 @@
 use super::request_context::RequestContext;
 use super::request_trace::RequestTrace;
 use super::response_body::BodyInterrupted;
-use super::response_class::{ResponseClass, reuse_timeout};
+use super::response_class::{ResponseClass, is_close_delimited, reuse_timeout};
 use super::target_send::{SendResult, TargetResponse, TriedTargets, send_to_target};
 use super::traffic_state::TrafficState;
 use crate::WireDialect;
@@ -168,6 +168,10 @@
                         return RelayEnd::Interrupted("bad_stream", error.to_string());
                     }
                 }
+                BodyRead::End if self.ended_before_event() => {
+                    let detail = "the connection ended before an event".to_owned();
+                    return RelayEnd::Interrupted("cut_event", detail);
+                }
                 BodyRead::End => match self.checker.finish() {
                     Ok(()) => return RelayEnd::Complete,
                     Err(error) => return RelayEnd::Interrupted("cut_event", error.to_string()),
@@ -184,6 +188,12 @@
         }
     }
 
+    /// Returns whether the body is complete only by the end of its connection, and the target sent
+    /// no event.
+    fn ended_before_event(&self) -> bool {
+        !self.response.guard.has_event() && is_close_delimited(&self.response.head.headers)
+    }
+
     /// Records an interrupted stream and returns the event for the retry machine.
     fn record_interruption(&mut self, cause: &'static str, detail: &str) -> AttemptEvent {
         self.trace.log_failed_send(cause, detail);
