--- a/crates/briarrail_dispatch/src/prompt_quarantine.rs
+++ b/crates/briarrail_dispatch/src/prompt_quarantine.rs
@@ -24,9 +24,9 @@
 /// Time for which a change is reported; several rounds of a slow exchange.
 const REPORT_TIME: MilliDuration = MilliDuration::from_secs(5);
 /// Maximum number of parts in one message.
-const MAX_REPORTS: usize = 64;
+const MAX_REPORTS: usize = 32;
 /// Number of parts among them that are chosen by their weight.
-const MAX_HEAVIEST_REPORTS: usize = 32;
+const MAX_HEAVIEST_REPORTS: usize = 16;
 /// Maximum number of parts with evidence.
 const MAX_RECORDS: usize = 512;
 /// Time for which the start of an answer is remembered at least; several times the time between two
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -1,5 +1,7 @@
 //! Messages between a router and its hub.
 
+use briarrail_dispatch::PromptQuarantine;
+use briarrail_model::{MilliTime, StableHash, hash_bytes};
 use briarrail_peer::{
     Envelope, FrameCodec, KeyRing, MessageKind, RosterUpdate, ServiceDemand, SharedKey,
     StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount,
@@ -117,3 +119,24 @@
     let per_second = bytes * 25 * 5;
     assert!(per_second * 8 <= 10_000_000 / 5, "{bytes} bytes per reply");
 }
+
+/// Guards against evidence on prompt parts that takes more than the control budget, 5,000 bytes a
+/// second sent and received, while many targets crash; rounds of a large fleet are 600 ms apart.
+#[test]
+fn evidence_on_prompt_parts_fits_the_control_budget() {
+    let mut quarantine = PromptQuarantine::default();
+    for crash in 0_u64..2 {
+        for request in 0_u64..200 {
+            let part = |name: &str| hash_bytes(format!("{name} {request}").as_bytes());
+            let parts: [StableHash; 2] = [part("first"), part("second")];
+            let target = (crash * 1_000 + request) as u32;
+            let now = MilliTime::from_millis(1_000 + crash * 2_000);
+            let changes = quarantine.record_crash(target, [parts.as_slice()], now);
+            assert_eq!(changes, []);
+        }
+    }
+    let reports = quarantine.reports(MilliTime::from_millis(3_200));
+    let bytes = rmp_serde::to_vec(&reports).unwrap().len();
+    let per_second = 2 * bytes * 1_000 / 600;
+    assert!(per_second <= 5_000, "{bytes} bytes, {per_second} a second");
+}
