feat(telemetry): log rate limits that targets name

The logs did not show which targets name a limit; a line now tells each change. Nothing follows from it yet.

--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -48,6 +48,8 @@
     /// Requests of the other routers at the target, and the time of that count.
     peer_requests: Option<(f32, MilliTime)>,
     reported_load: Option<ReportedLoad>,
+    /// Requests per second that the target takes from all routers together, by its last answer.
+    rate_limit: Option<f32>,
     /// Outcomes of this router's requests.
     local_outcomes: OutcomeWindow,
     peer_outcomes: OutcomeTotals,
@@ -142,6 +144,7 @@
             if restarted {
                 state.outlier_detector = OutlierDetector::default();
                 state.reported_load = None;
+                state.rate_limit = None;
                 state.peer_requests = None;
                 state.local_outcomes.clear();
                 state.peer_outcomes = OutcomeTotals::default();
@@ -160,6 +163,7 @@
             local_requests: 0,
             peer_requests: None,
             reported_load: None,
+            rate_limit: None,
             local_outcomes: OutcomeWindow::default(),
             peer_outcomes: OutcomeTotals::default(),
             service_time: ServiceTimeMeter::default(),
@@ -306,6 +310,14 @@
         by_target
     }
 
+    /// Records the rate limit of a response, and returns whether it differs from the last one.
+    pub fn record_rate_limit(&mut self, key: TargetKey, limit: Option<f32>) -> bool {
+        let Some(state) = self.targets.get_mut(key) else {
+            return false;
+        };
+        std::mem::replace(&mut state.rate_limit, limit) != limit
+    }
+
     /// Records a load that a target reported with a response.
     pub fn record_reported_load(
         &mut self,
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -147,6 +147,9 @@
         registry.record_reported_load(key, running, waiting, state.clock.now());
     }
     let class = classify_response(&head, &marks, &context.caller.request_id);
+    if class != ResponseClass::WrongTarget {
+        state.record_rate_limit(key, marks.rate_limit);
+    }
     let refusal = AttemptEvent::Refused { not_run: true };
     match class {
         ResponseClass::NotRun => {
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -213,6 +213,22 @@
         budget.try_take_retry(self.clock.now(), &limits, routers)
     }
 
+    /// Records the rate limit that a target named in a response, or that it named none.
+    pub(crate) fn record_rate_limit(&self, key: TargetKey, limit: Option<f32>) {
+        let mut registry = self.registry.borrow_mut();
+        if !registry.record_rate_limit(key, limit) {
+            return;
+        }
+        if let Some(target) = registry.get(key) {
+            tracing::info!(
+                event = "target_limited",
+                target_id = target.record.id,
+                service = target.record.service,
+                requests_per_s = limit,
+            );
+        }
+    }
+
     /// Returns the time until which requests with some shared parts are not sent, if one of them
     /// crashes targets.
     pub(crate) fn blocked_until(&self, parts: &PartList) -> Option<MilliTime> {
--- a/crates/briarrail_gateway/src/wire_dialect.rs
+++ b/crates/briarrail_gateway/src/wire_dialect.rs
@@ -57,7 +57,7 @@
 }
 
 /// Decoded headers of a target's response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseHeaders {
     /// Identifier of the request that the response belongs to.
     pub request_id: Option<Bytes>,
@@ -67,6 +67,8 @@
     pub not_run: bool,
     /// Numbers of running and of queued requests, if the target reports them.
     pub load: Option<(u32, u32)>,
+    /// Requests per second that the target takes from all routers together, if it limits them.
+    pub rate_limit: Option<f32>,
 }
 
 /// Values of the headers that the gateway adds to its own error responses.
