--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -147,7 +147,10 @@
         registry.record_reported_load(key, running, waiting, state.clock.now());
     }
     let class = classify_response(&head, &marks, &context.caller.request_id);
-    if class != ResponseClass::WrongTarget {
+    if !matches!(
+        class,
+        ResponseClass::WrongTarget | ResponseClass::Invalid(_)
+    ) {
         state.record_rate_limit(key, marks.rate_limit);
     }
     let refusal = AttemptEvent::Refused { not_run: true };
