refactor(dispatch): one type a file in the new modules

LimitStatement, LimitReport, LimitedRequest, PartChange and BlockedPart move to files of their own, and the entry of a blocked part is built in one place. No change of behaviour.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -11,11 +11,15 @@
 
 mod adaptive_timeout;
 mod admission_controller;
+mod blocked_part;
 mod fleet_size;
 mod greeting_policy;
 mod hub_choice;
+mod limit_report;
+mod limited_request;
 mod outcome_window;
 mod outlier_detector;
+mod part_change;
 mod part_record;
 mod part_report;
 mod past_time;
@@ -38,14 +42,18 @@
 
 pub use adaptive_timeout::AdaptiveTimeout;
 pub use admission_controller::{AdmissionController, AdmissionRatio};
+pub use blocked_part::BlockedPart;
 pub use fleet_size::FleetSize;
 pub use greeting_policy::GreetingState;
 pub use hub_choice::{HubCandidate, choose_hub, choose_view_sources};
+pub use limit_report::{LimitReport, LimitStatement};
+pub use limited_request::LimitedRequest;
 pub use outcome_window::{OutcomeTotals, OutcomeWindow};
 pub use outlier_detector::{OutlierDetector, SendOutcome};
+pub use part_change::PartChange;
 pub use part_report::{BlockReport, CrashReport, PartReport};
 pub use prompt_parts::PromptParts;
-pub use prompt_quarantine::{BlockedPart, PartChange, PromptQuarantine};
+pub use prompt_quarantine::PromptQuarantine;
 pub use retry_after::{RefusalCause, retry_after};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use routing_table::{RouteKey, RouteLookup, RoutingTable};
@@ -55,7 +63,6 @@
     SiteConfig,
 };
 pub use store_read_policy::{ReadConditions, ReadReason, retry_delay};
-pub use target_limiter::{LimitReport, LimitStatement, LimitedRequest};
 pub use target_placement::{Placement, PlacementLimits, PlacementRequest};
 pub use target_record::{TargetPhase, TargetRecord};
 pub use target_registry::{TargetKey, TargetRegistry, TargetState};
--- a/crates/briarrail_dispatch/src/prompt_quarantine.rs
+++ b/crates/briarrail_dispatch/src/prompt_quarantine.rs
@@ -12,9 +12,9 @@
 
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_pair};
 
-use crate::PartReport;
 use crate::part_record::{PartRecord, TargetCrash};
 use crate::past_time::PastTime;
+use crate::{BlockedPart, PartChange, PartReport};
 
 /// Number of crashes, without an answer in between, that block a part of which no answer is known.
 const MIN_CRASHES: usize = 3;
@@ -35,24 +35,6 @@
 /// Maximum number of parts whose last start of an answer is remembered.
 const MAX_BEGUN_PARTS: usize = 4_096;
 
-/// A change of the blocked parts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PartChange {
-    /// The part is blocked until a time.
-    Blocked(StableHash, MilliTime),
-    /// The part is not blocked any more, because an answer to a request with it began.
-    Released(StableHash),
-}
-
-/// A blocked part, for the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BlockedPart {
-    /// Hash of the part's identifier.
-    pub part: StableHash,
-    /// End of the block.
-    pub until: MilliTime,
-}
-
 /// Evidence by prompt part, and the parts that are blocked.
 #[derive(Debug, Clone, Default)]
 pub struct PromptQuarantine {
--- a/crates/briarrail_dispatch/src/target_limiter.rs
+++ b/crates/briarrail_dispatch/src/target_limiter.rs
@@ -11,8 +11,8 @@
 
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_pair};
 
-use crate::FleetSize;
 use crate::sliding_window::SlidingWindow;
+use crate::{FleetSize, LimitReport, LimitStatement, LimitedRequest};
 
 /// Length of the window over which the demand for a target is counted; long enough that random
 /// changes move few prompts.
@@ -41,37 +41,6 @@
 const LIFT_REPORT_TIME: MilliDuration = MilliDuration::from_secs(5);
 const LIMIT_SALT: StableHash = StableHash(0x6c69_6d69_7400);
 
-/// What an answer of a target said of its limit.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LimitStatement {
-    /// Requests per second from all routers together; `None` for no limit.
-    pub limit: Option<f32>,
-    /// Time of the answer.
-    pub at: MilliTime,
-}
-
-/// What some routers know of the limit of a target, and how much they need it.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct LimitReport {
-    /// The newest statement, if there is one.
-    pub statement: Option<LimitStatement>,
-    /// Requests of the last two seconds that would have been sent without a limit.
-    pub demand: u32,
-    /// Requests of the last second with prompts that stay at the target.
-    pub kept: u32,
-    /// Requests that were sent in the last three seconds.
-    pub sent: u32,
-}
-
-/// A request that was placed at a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LimitedRequest {
-    /// Identifies the prompt; the same for all requests that share it.
-    pub prompt: StableHash,
-    /// Identifies the request.
-    pub seed: StableHash,
-}
-
 /// Limit of one target, and the demand for it.
 #[derive(Debug, Clone)]
 pub(crate) struct TargetLimiter {
--- a/crates/briarrail_gateway/src/control/part_exchange.rs
+++ b/crates/briarrail_gateway/src/control/part_exchange.rs
@@ -131,7 +131,7 @@
 where
     S: SiteStore,
 {
-    let mut stored = store.list_blocked_parts().await?;
+    let stored = store.list_blocked_parts().await?;
     let (now, blocked) = {
         let mut state = state.borrow_mut();
         let unix_ms = unix_millis();
@@ -142,12 +142,7 @@
         (now, state.quarantine.blocked_parts(now))
     };
     for part in blocked.iter().filter(|part| !is_stored(part, &stored, now)) {
-        let unix_ms = unix_millis();
-        let record = BlockedPartRecord {
-            part: part.part,
-            blocked_unix_ms: unix_ms,
-            until_unix_ms: unix_ms + part.until.since(now).as_millis(),
-        };
+        let record = to_record(part, unix_millis(), now);
         store.put_blocked_part(&record).await?;
         tracing::info!(
             event = "part_stored",
@@ -160,15 +155,18 @@
         }
     }
     let unix_ms = unix_millis();
-    stored = blocked
+    Ok(blocked
         .iter()
-        .map(|part| BlockedPartRecord {
-            part: part.part,
-            blocked_unix_ms: unix_ms,
-            until_unix_ms: unix_ms + part.until.since(now).as_millis(),
-        })
-        .collect();
-    Ok(stored)
+        .map(|part| to_record(part, unix_ms, now))
+        .collect())
+}
+
+fn to_record(blocked: &BlockedPart, unix_ms: u64, now: MilliTime) -> BlockedPartRecord {
+    BlockedPartRecord {
+        part: blocked.part,
+        blocked_unix_ms: unix_ms,
+        until_unix_ms: unix_ms + blocked.until.since(now).as_millis(),
+    }
 }
 
 fn to_report(record: &BlockedPartRecord, unix_ms: u64) -> PartReport {
