fix(control): order configurations by version, not by revision of the store

Cause: a configuration was adopted only with a higher store revision than the one in effect, and followers were sent it only with a higher revision. The restored store gives out revisions again: the reader's log shows version 15 at revision 30 passed over because version 12 has revision 30. Ruled out: the watch (the reader listed again after 410 and followed targets) and the exchange alone (the reader itself did not adopt).

Change: adoption and exchange compare versions only, so a restore neither holds back a newer configuration nor brings back an older one. A router that starts on the restored store reads an old configuration, and if it ranks first the others follow it; it now asks one follower for the newer one that a sync names (config_version, wants_config, config). Syncs of releases without the version are still answered by revision. Adoption and exchange moved to config_exchange.rs.

Cost: three bytes a sync.

--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -160,6 +160,8 @@
         roster: TargetRoster::default(),
         roster_log: RosterLog::default(),
         config: None,
+        config_requested_at: None,
+        config_requested_by: None,
         peers: std::collections::BTreeMap::new(),
         hub_counts: None,
         hub_starting_at: None,
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -6,20 +6,20 @@
 use std::sync::atomic::Ordering;
 
 use briarrail_dispatch::{
-    GreetingState, HubCandidate, PromptQuarantine, RosterChange, RoutingTable, TargetRoster,
-    ViewTracker, choose_hub, choose_view_sources,
+    GreetingState, HubCandidate, PromptQuarantine, RosterChange, TargetRoster, ViewTracker,
+    choose_hub, choose_view_sources,
 };
 use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash, hash_pair};
 use briarrail_peer::{FrameCodec, SyncRouter};
-use bytes::Bytes;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
+use super::config_exchange::HeldConfig;
 use super::roster_log::RosterLog;
 use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
 use crate::traffic::{ControlUpdate, SharedState};
-use crate::{ProcessClock, StoreRevision, VersionedConfig};
+use crate::{ProcessClock, StoreRevision};
 
 /// Maximum age of the counts of a follower or of the hub; a few syncs at the shortest interval, and
 /// more than one at the longest. Older counts are ignored, and a follower with older counts is not
@@ -82,8 +82,12 @@
     pub(crate) updates: UnboundedSender<ControlUpdate>,
     pub(crate) roster: TargetRoster,
     pub(crate) roster_log: RosterLog,
-    /// Revision of the configuration in effect, and its encoded form for other routers.
-    pub(crate) config: Option<(u64, Bytes)>,
+    /// The configuration in effect, as it is passed on to other routers.
+    pub(crate) config: Option<HeldConfig>,
+    /// Time at which a follower was last asked for its configuration.
+    pub(crate) config_requested_at: Option<MilliTime>,
+    /// Router that asked for this router's configuration.
+    pub(crate) config_requested_by: Option<HostName>,
     pub(crate) peers: BTreeMap<HostName, PeerState>,
     pub(crate) hub_counts: Option<HubCounts>,
     /// Time of the last reply of a hub that had no view of the store yet because it was starting.
@@ -170,44 +174,6 @@
         self.config.is_some() && self.has_target_list
     }
 
-    /// Adopts a configuration unless it is older than the one in effect.
-    pub(crate) fn adopt_config(&mut self, stored: VersionedConfig, source: &'static str) {
-        let known = self.config.as_ref().map_or(0, |(revision, _)| *revision);
-        let running = self.shared.routing_table.load();
-        let running_version = running.as_ref().map_or(0, |table| table.version());
-        if stored.revision <= known || stored.config.version < running_version {
-            if stored.config.version != running_version {
-                tracing::warn!(
-                    event = "config_passed_over",
-                    source,
-                    revision = stored.revision,
-                    version = stored.config.version,
-                    running_revision = known,
-                    running_version,
-                );
-            }
-            return;
-        }
-        let encoded = match super::config_codec::encode_config(&stored.config) {
-            Ok(encoded) => encoded,
-            Err(error) => {
-                tracing::error!(event = "config_not_encoded", %error);
-                return;
-            }
-        };
-        tracing::info!(
-            event = "config_adopted",
-            source,
-            revision = stored.revision,
-            version = stored.config.version,
-            routes = stored.config.routes.len(),
-            replaced_version = running_version,
-        );
-        let table = RoutingTable::new(stored.config);
-        self.shared.routing_table.store(Some(Arc::new(table)));
-        self.config = Some((stored.revision, encoded));
-    }
-
     /// Logs roster changes and forwards them to the traffic thread.
     pub(crate) fn apply_roster_changes(
         &mut self,
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use briarrail_model::MilliDuration;
-use briarrail_peer::{
-    Envelope, FrameError, MAX_FRAME_BYTES, MessageKind, StoredConfig, SyncReply, SyncRequest,
-};
+use briarrail_peer::{Envelope, FrameError, MAX_FRAME_BYTES, MessageKind, SyncReply, SyncRequest};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -108,7 +106,12 @@
             .codec
             .open(MessageKind::SyncRequest, &local_name, frame)?;
     let request = envelope.body;
-    state.upsert_router(request.sender, now);
+    state.upsert_router(request.sender.clone(), now);
+    if let Some(stored) = &request.config {
+        state.adopt_encoded_config(stored, "router");
+    }
+    let config = state.config_for(&request);
+    let wants_config = state.requests_config(&request, now);
     if request.is_stopping {
         state.avoid(&envelope.from, now + STOPPING_ROUTER_AVOIDANCE);
     }
@@ -126,8 +129,6 @@
         };
         state.record_follower_counts(&envelope.from, counts, request.counted_routers, now);
     }
-    let config = state.config.as_ref();
-    let newer_config = config.filter(|(revision, _)| *revision > request.config_revision);
     let update = state.roster_log.update_since(
         state.incarnation,
         request.roster_epoch,
@@ -150,12 +151,8 @@
         demands: counts.demands,
         limits: counts.limits,
         part_reports: state.encode_part_reports(MilliDuration::ZERO, now),
-        config: newer_config
-            .filter(|_| !request.is_greeting)
-            .map(|(revision, body)| StoredConfig {
-                revision: *revision,
-                body: body.clone(),
-            }),
+        config,
+        wants_config,
         roster: roster.filter(|_| state.has_target_list && !request.is_greeting),
     };
     let envelope = Envelope {
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -10,19 +10,17 @@
 };
 use briarrail_model::{HostName, MilliDuration, MilliTime};
 use briarrail_peer::{
-    Envelope, FrameError, MessageKind, RosterUpdate, StoredConfig, SyncReply, SyncRequest,
-    SyncRouter,
+    Envelope, FrameError, MessageKind, RosterUpdate, SyncReply, SyncRequest, SyncRouter,
 };
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
 use super::SharedControlState;
-use super::config_codec::decode_config;
 use super::control_state::{ControlState, HubCounts, MAX_VIEW_AGE};
 use super::hub_server::{MIN_SYNC_INTERVAL_MS, SYNC_PATH};
+use crate::CallClient;
 use crate::fleet_counts::FleetCounts;
 use crate::traffic::{ControlUpdate, StopPhase};
-use crate::{CallClient, VersionedConfig};
 
 /// Timeout of a sync; several round trips within a site, with a configuration in the reply.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(500);
@@ -129,13 +127,16 @@
     wants_view: bool,
 ) -> u32 {
     let (frame, requested_at) = {
-        let state = state.borrow();
+        let mut state = state.borrow_mut();
         let now = state.clock.now();
         let position = state.view_tracker.position();
         let counts = state.covered_counts(None, now);
+        let config = state.take_requested_config(name);
         let request = SyncRequest {
             sender: state.local.clone(),
-            config_revision: state.config.as_ref().map_or(0, |(revision, _)| *revision),
+            config_revision: state.config_revision(),
+            config_version: Some(state.config_version()),
+            config,
             roster_epoch: position.epoch,
             roster_sequence: position.sequence,
             counts: counts.targets,
@@ -211,6 +212,8 @@
         let request = SyncRequest {
             sender: state.local.clone(),
             config_revision: 0,
+            config_version: None,
+            config: None,
             roster_epoch: 0,
             roster_sequence: 0,
             counts: Vec::new(),
@@ -277,7 +280,10 @@
         state.replace_routers(routers, now);
     }
     if let Some(stored) = reply.config {
-        adopt_config(state, &stored);
+        state.adopt_encoded_config(&stored, "hub");
+    }
+    if reply.wants_config {
+        state.config_requested_by = Some(hub.clone());
     }
     let age = reply.view_age_ms.map(MilliDuration::from_millis);
     if age.is_none() && !reply.store_read_failed && !wants_view {
@@ -320,19 +326,6 @@
     state.metrics.count_sync("good");
 }
 
-fn adopt_config(state: &mut ControlState, stored: &StoredConfig) {
-    match decode_config(&stored.body) {
-        Ok(config) => state.adopt_config(
-            VersionedConfig {
-                revision: stored.revision,
-                config,
-            },
-            "hub",
-        ),
-        Err(error) => tracing::error!(event = "hub_config_unreadable", %error),
-    }
-}
-
 /// Applies another router's roster update, and returns whether it could be decoded.
 fn apply_roster_update(state: &mut ControlState, update: &RosterUpdate) -> bool {
     let records = match rmp_serde::from_slice::<Vec<TargetRecord>>(&update.rows) {
--- a/crates/briarrail_gateway/src/control/mod.rs
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 mod config_codec;
+mod config_exchange;
 mod config_watcher;
 mod control_loop;
 mod control_state;
--- a/crates/briarrail_peer/src/sync_message.rs
+++ b/crates/briarrail_peer/src/sync_message.rs
@@ -61,15 +61,26 @@
     *number == 0
 }
 
+const fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
 /// State that a router sends to its hub, with the versions of the data that it holds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncRequest {
     /// The sender.
     #[serde(rename = "a")]
     pub sender: SyncRouter,
-    /// Store revision of the sender's configuration; 0 when it has none.
+    /// Store revision of the sender's configuration; 0 when it has none. Only routers of releases
+    /// that do not send `config_version` decide by it.
     #[serde(rename = "c")]
     pub config_revision: u64,
+    /// Version of the sender's configuration; 0 when it has none.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    pub config_version: Option<u64>,
+    /// The sender's configuration, if the receiver asked for it.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub config: Option<StoredConfig>,
     /// Incarnation of the hub that the sender's roster comes from.
     #[serde(rename = "e")]
     pub roster_epoch: u64,
@@ -190,6 +201,9 @@
     /// The configuration, if the requester's one is older.
     #[serde(rename = "c")]
     pub config: Option<StoredConfig>,
+    /// Whether the requester's configuration is newer and is to be sent with its next sync.
+    #[serde(rename = "g", default, skip_serializing_if = "is_false")]
+    pub wants_config: bool,
     /// Roster changes, if there are any.
     #[serde(rename = "r")]
     pub roster: Option<RosterUpdate>,
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -58,6 +58,11 @@
     let request = SyncRequest {
         sender: router(1),
         config_revision: 7,
+        config_version: Some(4),
+        config: Some(StoredConfig {
+            revision: 7,
+            body: Bytes::from_static(b"config"),
+        }),
         roster_epoch: 5,
         roster_sequence: 9,
         counts: counts(3),
@@ -102,6 +107,7 @@
             revision: 8,
             body: Bytes::from_static(b"config"),
         }),
+        wants_config: true,
         roster: Some(RosterUpdate {
             epoch: 5,
             sequence: 10,
@@ -130,6 +136,7 @@
         limits: Vec::new(),
         part_reports: Bytes::new(),
         config: None,
+        wants_config: false,
         roster: None,
     };
     let (_, bytes) = round_trip(MessageKind::SyncReply, reply);
