fix(control): list the store again when its history was replaced

What callers would see: changes that are written right after a restore never take effect. Cause: a watch goes on from a revision of the lost history. If the restored store has given out that revision again by the time of the next watch, the watch succeeds instead of failing with 410, and the changes before it are skipped.

Change: a watch whose reply names another epoch than the revision from which it started leads to a listing.

--- a/crates/briarrail_gateway/src/control/store_watcher.rs
+++ b/crates/briarrail_gateway/src/control/store_watcher.rs
@@ -62,8 +62,8 @@
         health.record(&state, &outcome);
         match outcome {
             Ok(next) => {
-                revision = next;
-                if next.is_none() {
+                revision = next.filter(|next| continues_history(revision, *next));
+                if revision.is_none() {
                     tokio::time::sleep(LIST_DELAY).await;
                 }
             }
@@ -78,6 +78,12 @@
     }
 }
 
+/// Returns whether a reply belongs to the same history of the store as the revision from which it
+/// was requested. If not, it lacks the changes before that revision was given out again.
+fn continues_history(watched: Option<StoreRevision>, found: StoreRevision) -> bool {
+    watched.is_none_or(|watched| watched.epoch == found.epoch)
+}
+
 const fn read_consistency(reason: ReadReason) -> ReadConsistency {
     match reason {
         ReadReason::Initial => ReadConsistency::AllowStale,
