fix(dispatch): keep the roster through a restore of the store

What callers would see: requests to targets that left, and refusals while the only ready targets are missing.

Cause: the roster takes each listing as newer than what it holds. After a restore the listing is older: targets that drained are ready, targets that left are listed until their entries lapse, and targets that registered since are missing; a grace period was granted only if the view was older than 2.5 s, so not after a short outage.

Change: a rise of the epoch, noticed in a reply of the store or of the hub (store_epoch), starts the grace period. A target that drains never becomes ready again within its run. Targets that left before the restore (DepartedTargets) count as listed only once they changed their entry, started anew, or, since a renewal makes no event, raised its sequence between two listings 2.2 s apart. The reader lists again while such entries remain.

Cost: three bytes a sync reply, one listing each 2.2 s while an entry is unconfirmed.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod adaptive_timeout;
 mod admission_controller;
 mod blocked_part;
+mod departed_targets;
 mod fleet_size;
 mod greeting_policy;
 mod hub_choice;
--- a/crates/briarrail_dispatch/src/target_roster.rs
+++ b/crates/briarrail_dispatch/src/target_roster.rs
@@ -2,11 +2,15 @@
 //!
 //! While the store is unavailable for some seconds, entries of live targets expire. Once the store
 //! is back, those targets register again within about two seconds.
+//!
+//! A store that is restored from a copy forgets what was written since: targets that registered are
+//! missing until they write their entries again, and targets that left are listed again.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use briarrail_model::{MilliDuration, MilliTime};
 
+use crate::departed_targets::DepartedTargets;
 use crate::{TargetPhase, TargetRecord};
 
 /// Time after an outage within which targets with expired entries register again.
@@ -30,6 +34,8 @@
     /// End of the grace period for which another router retains the target although its entry is
     /// missing.
     pub retained_until: Option<MilliTime>,
+    /// Number of the write with which the target last renewed its entry; `None` if it is unknown.
+    pub write_sequence: Option<u64>,
 }
 
 impl From<TargetRecord> for RosterRecord {
@@ -37,6 +43,7 @@
         Self {
             record,
             retained_until: None,
+            write_sequence: None,
         }
     }
 }
@@ -69,6 +76,9 @@
     entries: BTreeMap<String, RosterEntry>,
     /// Time at which the view was last found to be interrupted.
     last_outage_at: Option<MilliTime>,
+    departed: DepartedTargets,
+    /// Time of the last listing of the store.
+    listed_at: Option<MilliTime>,
 }
 
 impl TargetRoster {
@@ -83,8 +93,31 @@
         }
     }
 
+    /// Records that the store was restored from a copy.
+    ///
+    /// Entries that are newer than the copy get the grace period that follows an outage.
+    pub fn observe_restore(&mut self, now: MilliTime) {
+        self.last_outage_at = Some(now);
+        self.departed.observe_restore();
+    }
+
+    /// Returns whether the store must be listed again to tell whether targets that left before a
+    /// restore are there.
+    #[must_use]
+    pub fn needs_listing(&self, now: MilliTime) -> bool {
+        let is_due = |at: MilliTime| now.since(at) >= REREGISTRATION_GRACE;
+        self.departed.unconfirmed().next().is_some() && self.listed_at.is_some_and(is_due)
+    }
+
+    /// Returns the ids of listed targets that left before a restore and have not written their
+    /// entries since.
+    pub fn unconfirmed(&self) -> impl Iterator<Item = &str> {
+        self.departed.unconfirmed()
+    }
+
     /// Adds or updates an entry.
     ///
+    /// A target that drains never returns to the ready phase, so an entry that says so is older.
     /// The return of a missing entry counts as a change, because the followers were told that the
     /// entry is missing.
     pub fn upsert<R>(&mut self, record: R) -> Vec<RosterChange>
@@ -92,11 +125,16 @@
         R: Into<RosterRecord>,
     {
         let RosterRecord {
-            record,
+            mut record,
             retained_until,
+            ..
         } = record.into();
         let id = record.id.clone();
+        self.departed.forget(&id);
         let known = self.entries.get(&id);
+        if known.is_some_and(|entry| is_drain_of(&entry.record, &record)) {
+            record.phase = TargetPhase::Draining;
+        }
         let was_missing = known.is_some_and(|entry| entry.retained_until.is_some());
         let is_new = known.is_none_or(|entry| entry.record != record);
         let is_back = was_missing && retained_until.is_none();
@@ -125,12 +163,16 @@
                 until.filter(|&until| until > now)
             }
         };
+        if policy != RemovalPolicy::Immediate {
+            self.departed.record_unlisted(id);
+        }
         let entry = self.entries.get_mut(id)?;
         let is_ready = entry.record.phase == TargetPhase::Ready;
         if let Some(until) = grace.filter(|_| is_ready) {
             entry.retained_until = Some(until);
             return Some(RosterChange::Retained(id.to_owned(), until));
         }
+        self.departed.record_departure(&entry.record);
         self.entries.remove(id);
         Some(RosterChange::Removed(id.to_owned()))
     }
@@ -142,15 +184,31 @@
     {
         let mut missing: Vec<String> = self.entries.keys().cloned().collect();
         let mut changes = Vec::new();
+        let mut listed = BTreeSet::new();
         for record in records {
-            let record = record.into();
+            let record: RosterRecord = record.into();
+            if let RemovalPolicy::AfterGracePeriod(_) = policy {
+                listed.insert(record.record.id.clone());
+                if !self.departed.admits(&record.record, record.write_sequence) {
+                    continue;
+                }
+            }
             if let Ok(found) = missing.binary_search(&record.record.id) {
                 missing.remove(found);
             }
             changes.extend(self.upsert(record));
         }
-        if policy != RemovalPolicy::Immediate {
+        if let RemovalPolicy::AfterGracePeriod(now) = policy {
             missing.retain(|id| self.entries[id].retained_until.is_none());
+            let unlisted = self.departed.unconfirmed();
+            let unlisted: Vec<String> = unlisted
+                .filter(|id| !listed.contains(*id))
+                .map(str::to_owned)
+                .collect();
+            for id in unlisted {
+                self.departed.record_unlisted(&id);
+            }
+            self.listed_at = Some(now);
         }
         changes.extend(missing.iter().filter_map(|id| self.remove(id, policy)));
         changes
@@ -163,7 +221,9 @@
         let expired = self.entries.iter().filter(|(_, entry)| is_expired(entry));
         let ids: Vec<String> = expired.map(|(id, _)| id.clone()).collect();
         for id in &ids {
-            self.entries.remove(id);
+            if let Some(entry) = self.entries.remove(id) {
+                self.departed.record_departure(&entry.record);
+            }
         }
         ids.into_iter().map(RosterChange::Removed).collect()
     }
@@ -173,3 +233,8 @@
         self.entries.values().map(|entry| &entry.record)
     }
 }
+
+/// Returns whether a listed record is an older state of a target that is known to drain.
+fn is_drain_of(known: &TargetRecord, listed: &TargetRecord) -> bool {
+    known.phase == TargetPhase::Draining && known.started_unix_ms == listed.started_unix_ms
+}
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod plain_calls;
 mod prompt_quarantine;
 mod rate_limits;
+mod restored_roster;
 mod retry_after;
 mod retry_budget;
 mod routing;
--- a/crates/briarrail_dispatch/tests/suite/target_roster.rs
+++ b/crates/briarrail_dispatch/tests/suite/target_roster.rs
@@ -121,6 +121,7 @@
     let retained = |id: &str| RosterRecord {
         record: target(id),
         retained_until: Some(at(3_200)),
+        write_sequence: None,
     };
     let mut roster = roster();
     let changes = roster.replace_all([retained("a"), target("b").into()], Immediate);
@@ -140,3 +141,103 @@
     );
     assert_eq!(ids(&roster), ["b", "c"]);
 }
+
+fn listed(id: &str, write_sequence: u64) -> RosterRecord {
+    RosterRecord {
+        record: target(id),
+        retained_until: None,
+        write_sequence: Some(write_sequence),
+    }
+}
+
+/// A store that was restored from a copy listed targets that had left; one of them still served.
+#[test]
+fn a_restored_entry_counts_once_its_target_writes_it_again() {
+    let mut roster = roster();
+    roster.remove("a", AfterGracePeriod(at(1_000)));
+    roster.observe_restore(at(5_000));
+    let list = |roster: &mut TargetRoster, sequence, now| {
+        let records = [listed("a", sequence), listed("b", 1)];
+        roster.replace_all(records, AfterGracePeriod(at(now)))
+    };
+    assert_eq!(list(&mut roster, 7, 5_000), []);
+    assert_eq!(ids(&roster), ["b"]);
+    assert!(!roster.needs_listing(at(7_199)));
+    assert!(roster.needs_listing(at(7_200)));
+    assert_eq!(list(&mut roster, 7, 7_200), []);
+    assert_eq!(roster.unconfirmed().collect::<Vec<_>>(), ["a"]);
+    let changes = list(&mut roster, 8, 9_400);
+    assert_eq!(changes, [RosterChange::Upserted(target("a"))]);
+    assert!(!roster.needs_listing(at(20_000)));
+}
+
+#[test]
+fn a_change_or_a_new_start_confirms_a_restored_entry() {
+    let mut roster = roster();
+    roster.remove("a", AfterGracePeriod(at(1_000)));
+    roster.remove("b", AfterGracePeriod(at(1_000)));
+    roster.observe_restore(at(5_000));
+    let mut restarted = listed("b", 1);
+    restarted.record.started_unix_ms = 9;
+    let records = [listed("a", 7), restarted.clone()];
+    let changes = roster.replace_all(records, AfterGracePeriod(at(5_000)));
+    assert_eq!(changes, [RosterChange::Upserted(restarted.record)]);
+    let changes = roster.upsert(target("a"));
+    assert_eq!(changes, [RosterChange::Upserted(target("a"))]);
+    assert!(!roster.needs_listing(at(20_000)));
+}
+
+#[test]
+fn a_restored_entry_that_expires_needs_no_listing_and_stays_out_after_the_next_restore() {
+    let mut roster = roster();
+    roster.remove("a", AfterGracePeriod(at(1_000)));
+    for restored_at in [5_000, 30_000] {
+        roster.observe_restore(at(restored_at));
+        let records = [listed("a", 7), listed("b", 1)];
+        let changes = roster.replace_all(records, AfterGracePeriod(at(restored_at)));
+        assert_eq!(changes, []);
+        assert_eq!(
+            roster.remove("a", AfterGracePeriod(at(restored_at + 900))),
+            None
+        );
+        assert!(!roster.needs_listing(at(restored_at + 10_000)));
+    }
+    assert_eq!(ids(&roster), ["b"]);
+}
+
+#[test]
+fn a_target_that_registers_again_after_it_left_is_used_without_a_restore() {
+    let mut roster = roster();
+    roster.remove("a", AfterGracePeriod(at(1_000)));
+    let records = [listed("a", 7), listed("b", 1)];
+    let changes = roster.replace_all(records, AfterGracePeriod(at(1_100)));
+    assert_eq!(changes, [RosterChange::Upserted(target("a"))]);
+}
+
+/// A restored store listed a draining target as ready, and it got requests again.
+#[test]
+fn a_draining_target_does_not_become_ready_again() {
+    let mut roster = roster();
+    let mut draining = target("a");
+    draining.phase = TargetPhase::Draining;
+    roster.upsert(draining);
+    roster.observe_restore(at(5_000));
+    let records = [listed("a", 3), listed("b", 3)];
+    assert_eq!(roster.replace_all(records, AfterGracePeriod(at(5_000))), []);
+    let mut restarted = target("a");
+    restarted.started_unix_ms = 9;
+    assert_eq!(
+        roster.upsert(restarted.clone()),
+        [RosterChange::Upserted(restarted)]
+    );
+}
+
+/// A restored store lacked a target that had registered after the copy, and requests were refused.
+#[test]
+fn entries_that_are_newer_than_the_copy_get_a_grace_period() {
+    let mut roster = roster();
+    roster.observe_view_age(at(5_000), Some(MilliDuration::from_millis(300)));
+    roster.observe_restore(at(5_000));
+    let changes = roster.replace_all([listed("b", 3)], AfterGracePeriod(at(5_000)));
+    assert_eq!(changes, [RosterChange::Retained("a".into(), at(7_200))]);
+}
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -131,8 +131,9 @@
         self.config_observed_at = self.config_observed_at.max(Some(at));
     }
 
-    /// Records the revision that a reply of the store named, and logs a restore of the store.
-    pub(crate) fn observe_store_revision(&mut self, found: StoreRevision, call: &'static str) {
+    /// Records the revision that the store or another router named, and notices a restore of the
+    /// store.
+    pub(crate) fn observe_store_revision(&mut self, found: StoreRevision, source: &'static str) {
         let Some(known) = self.store_revision else {
             self.store_revision = Some(found);
             return;
@@ -140,13 +141,14 @@
         if found.epoch > known.epoch {
             tracing::warn!(
                 event = "store_restored",
-                call,
+                source,
                 epoch = found.epoch,
                 revision = found.number,
                 previous_epoch = known.epoch,
                 previous_revision = known.number,
             );
             self.store_revision = Some(found);
+            self.roster.observe_restore(self.clock.now());
         } else if found.epoch == known.epoch && found.number > known.number {
             self.store_revision = Some(found);
         }
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -151,6 +151,7 @@
         demands: counts.demands,
         limits: counts.limits,
         part_reports: state.encode_part_reports(MilliDuration::ZERO, now),
+        store_epoch: state.store_revision.map(|revision| revision.epoch),
         config,
         wants_config,
         roster: roster.filter(|_| state.has_target_list && !request.is_greeting),
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -18,9 +18,9 @@
 use super::SharedControlState;
 use super::control_state::{ControlState, HubCounts, MAX_VIEW_AGE};
 use super::hub_server::{MIN_SYNC_INTERVAL_MS, SYNC_PATH};
-use crate::CallClient;
 use crate::fleet_counts::FleetCounts;
 use crate::traffic::{ControlUpdate, StopPhase};
+use crate::{CallClient, StoreRevision};
 
 /// Timeout of a sync; several round trips within a site, with a configuration in the reply.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(500);
@@ -279,6 +279,9 @@
     if let Some(routers) = reply.routers {
         state.replace_routers(routers, now);
     }
+    if let Some(epoch) = reply.store_epoch {
+        state.observe_store_revision(StoreRevision { epoch, number: 0 }, "hub");
+    }
     if let Some(stored) = reply.config {
         state.adopt_encoded_config(&stored, "hub");
     }
@@ -345,6 +348,7 @@
         let remaining_ms = expiring.get(record.id.as_str()).copied();
         RosterRecord {
             retained_until: remaining_ms.map(|millis| now + MilliDuration::from_millis(millis)),
+            write_sequence: None,
             record,
         }
     });
--- a/crates/briarrail_gateway/src/control/target_watcher.rs
+++ b/crates/briarrail_gateway/src/control/target_watcher.rs
@@ -59,6 +59,13 @@
             .view_tracker
             .record_store_read(bounds, !changes.is_empty());
         state.apply_roster_changes(changes, "store");
+        let unconfirmed: Vec<&str> = state.roster.unconfirmed().collect();
+        if !unconfirmed.is_empty() {
+            tracing::info!(
+                event = "targets_unconfirmed",
+                target_ids = unconfirmed.join(",")
+            );
+        }
         state.has_target_list = true;
         Ok(is_current.then_some(listing.revision))
     }
@@ -77,7 +84,9 @@
         if is_changed {
             tokio::time::sleep(BATCH_DELAY).await;
         }
-        Ok(Some(revision))
+        let state = self.state.borrow();
+        let needs_listing = state.roster.needs_listing(state.clock.now());
+        Ok(Some(revision).filter(|_| !needs_listing))
     }
 
     fn on_failure(&self) {
--- a/crates/briarrail_gateway/src/site_store.rs
+++ b/crates/briarrail_gateway/src/site_store.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use briarrail_dispatch::{SiteConfig, TargetRecord};
+use briarrail_dispatch::{RosterRecord, SiteConfig, TargetRecord};
 use briarrail_model::{DataCentre, HostName, StableHash};
 use briarrail_platform::StoreError;
 
@@ -34,8 +34,8 @@
 pub struct TargetListing {
     /// Store revision from which to watch.
     pub revision: StoreRevision,
-    /// Records of the usable targets.
-    pub records: Vec<TargetRecord>,
+    /// Records of the usable targets, with the sequence of their last writes.
+    pub records: Vec<RosterRecord>,
     /// Names of the entries that cannot be decoded.
     pub unreadable: Vec<String>,
 }
--- a/crates/briarrail_peer/src/sync_message.rs
+++ b/crates/briarrail_peer/src/sync_message.rs
@@ -198,6 +198,9 @@
     /// Encoded evidence on prompt parts that crash targets; empty without any.
     #[serde(rename = "b", default, skip_serializing_if = "Bytes::is_empty")]
     pub part_reports: Bytes,
+    /// Number of times the store was restored from a copy, as far as the sender knows.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub store_epoch: Option<u64>,
     /// The configuration, if the requester's one is older.
     #[serde(rename = "c")]
     pub config: Option<StoredConfig>,
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -103,6 +103,7 @@
             sent: 16,
         }],
         part_reports: Bytes::from_static(b"reports"),
+        store_epoch: Some(2),
         config: Some(StoredConfig {
             revision: 8,
             body: Bytes::from_static(b"config"),
@@ -135,6 +136,7 @@
         demands: demands(2),
         limits: Vec::new(),
         part_reports: Bytes::new(),
+        store_epoch: Some(2),
         config: None,
         wants_config: false,
         roster: None,
