fix(control): write router entries again that a restore of the store lost

What callers would see: routers that registered within the age of the copy are in no list any more, so a router that starts without access to the others can't find them, and only the reader would have noticed its own loss after ten seconds.

Cause: a router that was listed once never looks for its entry again unless it reads the store for the others.

Change: each router remembers the epoch in which its entry was written or listed; once it learns of a later one, from the store or its hub, it lists the routers (a stale read, a tenth of a call) and writes the entry if it is missing. Lists of an earlier epoch are ignored. For six seconds after a restore unlisted routers are kept.

--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -168,6 +168,7 @@
         config_observed_at: None,
         view_tracker: ViewTracker::default(),
         store_revision: None,
+        restored_at: None,
         failing_calls: std::collections::BTreeSet::new(),
         view_requested_at: None,
         is_listed: false,
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -98,6 +98,8 @@
     pub(crate) view_tracker: ViewTracker,
     /// Newest revision of the store that a reply named; a stale reply may name an older one.
     pub(crate) store_revision: Option<StoreRevision>,
+    /// Time at which this router learned of the last restore of the store.
+    pub(crate) restored_at: Option<MilliTime>,
     /// Kinds of store calls whose last call failed.
     pub(crate) failing_calls: BTreeSet<&'static str>,
     /// Time at which a router that cannot read the store last requested this router's view.
@@ -148,12 +150,19 @@
                 previous_revision = known.number,
             );
             self.store_revision = Some(found);
-            self.roster.observe_restore(self.clock.now());
+            let now = self.clock.now();
+            self.restored_at = Some(now);
+            self.roster.observe_restore(now);
         } else if found.epoch == known.epoch && found.number > known.number {
             self.store_revision = Some(found);
         }
     }
 
+    /// Returns the newest known epoch of the store; 0 if there is none.
+    pub(crate) fn store_epoch(&self) -> u64 {
+        self.store_revision.map_or(0, |revision| revision.epoch)
+    }
+
     /// Records that a list of the routers contains this router's own entry.
     pub(crate) fn record_listed(&mut self) {
         self.is_listed = true;
--- a/crates/briarrail_gateway/src/site_store.rs
+++ b/crates/briarrail_gateway/src/site_store.rs
@@ -76,6 +76,15 @@
     pub capacity: u8,
 }
 
+/// Routers at a revision of the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RouterListing {
+    /// Store revision of the listing.
+    pub revision: StoreRevision,
+    /// Entries of the routers.
+    pub records: Vec<RouterRecord>,
+}
+
 /// A prompt part that crashes targets, as the store keeps it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BlockedPartRecord {
@@ -146,7 +155,7 @@
     /// # Errors
     ///
     /// Fails if the store is unreachable or rejects the call.
-    fn list_routers(&self) -> impl Future<Output = Result<Vec<RouterRecord>, StoreError>>;
+    fn list_routers(&self) -> impl Future<Output = Result<RouterListing, StoreError>>;
 
     /// Creates or replaces a router's entry.
     ///
