feat(telemetry): log a fingerprint of each request, and check targets after any lost request

The line of a request now has a hash of its method, host, path, key and body, and target_checked is logged for plain calls too, with the fingerprints of the requests that were lost. Nothing is decided by either yet.

--- a/crates/briarrail_gateway/src/traffic/crash_check.rs
+++ b/crates/briarrail_gateway/src/traffic/crash_check.rs
@@ -9,7 +9,7 @@
 
 use briarrail_dispatch::{SendOutcome, TargetKey};
 
-use super::part_list::PartList;
+use super::request_traits::RequestTraits;
 use super::target_send::CONNECT_TIMEOUT;
 use super::traffic_state::TrafficState;
 use crate::net::HttpConnection;
@@ -17,28 +17,25 @@
 /// Maximum number of requests in the log line of a crash.
 const MAX_LOGGED_REQUESTS: usize = 8;
 
-/// Checks in progress, with the shared parts of the requests that lost their connection to the
+/// Checks in progress, with the traits of the requests that lost their connection to the
 /// target before it began to write the answer.
 #[derive(Debug, Default)]
-pub(super) struct CrashChecks(HashMap<TargetKey, Vec<PartList>>);
+pub(super) struct CrashChecks(HashMap<TargetKey, Vec<RequestTraits>>);
 
 /// Checks in the background whether a target crashed, after a request lost its connection before
 /// the answer began.
 ///
 /// Losses during a check share its result, so that a crash costs one connection.
-pub(super) fn check_target<D>(state: &Rc<TrafficState<D>>, key: TargetKey, parts: &PartList)
+pub(super) fn check_target<D>(state: &Rc<TrafficState<D>>, key: TargetKey, traits: &RequestTraits)
 where
     D: 'static,
 {
-    if parts.as_slice().is_empty() {
-        return;
-    }
     let mut checks = state.crash_checks.borrow_mut();
     if let Some(lost_requests) = checks.0.get_mut(&key) {
-        lost_requests.push(parts.clone());
+        lost_requests.push(traits.clone());
         return;
     }
-    checks.0.insert(key, vec![parts.clone()]);
+    checks.0.insert(key, vec![traits.clone()]);
     tokio::task::spawn_local(run_check(Rc::clone(state), key));
 }
 
@@ -63,21 +60,26 @@
             "alive"
         }
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-            state.record_outcome(key, SendOutcome::Unreachable);
-            state.record_crash(key, &lost_requests);
+            let is_prompt = |lost: &RequestTraits| !lost.shared_parts.as_slice().is_empty();
+            if lost_requests.iter().any(is_prompt) {
+                state.record_outcome(key, SendOutcome::Unreachable);
+                state.record_crash(key, &lost_requests);
+            }
             "crashed"
         }
         Err(_) => "silent",
     };
     state.metrics.count_target_check(&target.service, outcome);
-    let logged = lost_requests.iter().take(MAX_LOGGED_REQUESTS);
-    let parts: Vec<String> = logged.map(ToString::to_string).collect();
+    let logged = || lost_requests.iter().take(MAX_LOGGED_REQUESTS);
+    let parts: Vec<String> = logged().map(|lost| lost.shared_parts.to_string()).collect();
+    let fingerprints: Vec<String> = logged().map(RequestTraits::fingerprint_text).collect();
     tracing::info!(
         event = "target_checked",
         target_id = target.id,
         service = target.service,
         outcome,
         lost_requests = lost_requests.len(),
+        fingerprints = fingerprints.join(" "),
         parts = parts.join(" "),
     );
 }
--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod request_context;
 mod request_handler;
 mod request_trace;
+mod request_traits;
 mod response_body;
 mod response_class;
 mod send_guard;
--- a/crates/briarrail_gateway/src/traffic/receive_request.rs
+++ b/crates/briarrail_gateway/src/traffic/receive_request.rs
@@ -13,6 +13,7 @@
 use super::part_list::PartList;
 use super::request_context::{RequestContext, forwarded_headers};
 use super::request_trace::RequestTrace;
+use super::request_traits::{RequestTraits, request_fingerprint};
 use super::response_body::ResponseBody;
 use super::traffic_state::{StopPhase, TrafficState};
 use crate::{CallerHeaders, WireDialect};
@@ -80,7 +81,7 @@
     let affinity_key = caller.prompt.affinity_key();
     trace.context_hash = affinity_key.map(|key| key.0 as u32);
     trace.shared_tokens = caller.prompt.shared_tokens();
-    trace.shared_parts = PartList::new(&caller.prompt);
+    trace.traits.shared_parts = PartList::new(&caller.prompt);
     let seed = hash_bytes(&caller.request_id);
     let router_unavailable = |reason| Refusal {
         retry_after: Some(retry_after(RefusalCause::RouterUnavailable, seed)),
@@ -115,7 +116,6 @@
     trace.customer = customer.map(|customer| customer.name.to_string());
     let priority = customer.and_then(|customer| customer.priority);
     let mut context = new_context(state, head, caller, service);
-    context.shared_parts = trace.shared_parts.clone();
     context.customer.clone_from(&trace.customer);
     context.priority = priority.unwrap_or(route.priority);
     context.apply_route(&table, route, arrived_at);
@@ -124,6 +124,8 @@
     let body = tokio::time::timeout_at(deadline, body).await;
     let timed_out = |_| Refusal::new(StatusCode::REQUEST_TIMEOUT, "the body came too slowly");
     context.body = body.map_err(timed_out)??;
+    trace.traits.fingerprint = Some(request_fingerprint(&context, host));
+    context.traits = trace.traits.clone();
     Ok(context)
 }
 
@@ -143,7 +145,7 @@
         method: head.method.clone(),
         uri: path_and_query.map_or_else(|| Uri::from_static("/"), Uri::from),
         body: Bytes::new(),
-        shared_parts: PartList::default(),
+        traits: RequestTraits::default(),
         route: String::new(),
         service: service.to_owned(),
         customer: None,
--- a/crates/briarrail_gateway/src/traffic/request_context.rs
+++ b/crates/briarrail_gateway/src/traffic/request_context.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderName, Method, Request, Uri, header};
 use http_body_util::Full;
 
-use super::part_list::PartList;
+use super::request_traits::RequestTraits;
 use crate::{CallerHeaders, ProcessClock, TargetHeaders, WireDialect};
 
 /// Headers that apply to a single connection and are not forwarded.
@@ -36,8 +36,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    /// Shared parts of the prompt.
-    pub(crate) shared_parts: PartList,
+    /// Traits by which the request is recognised when it is sent again.
+    pub(crate) traits: RequestTraits,
     pub(crate) route: String,
     pub(crate) service: String,
     pub(crate) customer: Option<String>,
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -103,7 +103,7 @@
 
     async fn run(mut self) -> Response<ResponseBody> {
         self.state.record_request(&self.context.service);
-        if let Some(until) = self.state.blocked_until(&self.context.shared_parts) {
+        if let Some(until) = self.state.blocked_until(&self.context.traits.shared_parts) {
             let remaining = until.since(self.state.clock.now());
             let cause = RefusalCause::PartBlocked(remaining);
             return self.refuse(cause, "prompt part crashes targets");
--- a/crates/briarrail_gateway/src/traffic/request_trace.rs
+++ b/crates/briarrail_gateway/src/traffic/request_trace.rs
@@ -7,7 +7,7 @@
 use briarrail_model::{MilliDuration, MilliTime};
 use bytes::Bytes;
 
-use super::part_list::PartList;
+use super::request_traits::RequestTraits;
 use super::traffic_state::TrafficState;
 
 /// Collects the decisions about a request, and logs them as one line when the request ends.
@@ -32,8 +32,8 @@
     pub(crate) context_hash: Option<u32>,
     /// Size of the shared parts of the prompt, in tokens.
     pub(crate) shared_tokens: u32,
-    /// Hashes of the shared parts of the prompt.
-    pub(crate) shared_parts: PartList,
+    /// Traits by which the request is recognised when it is sent again.
+    pub(crate) traits: RequestTraits,
     /// Expected load of the target when it was selected.
     pub(crate) target_load: f32,
     /// Mean load of the service when the target was selected.
@@ -66,7 +66,7 @@
             load_limit: 0.0,
             context_hash: None,
             shared_tokens: 0,
-            shared_parts: PartList::default(),
+            traits: RequestTraits::default(),
             target_load: 0.0,
             mean_load: 0.0,
             counts_age: None,
@@ -148,7 +148,8 @@
             load_limit = self.load_limit,
             context = self.context_hash,
             shared_tokens = self.shared_tokens,
-            parts = %self.shared_parts,
+            fingerprint = self.traits.fingerprint_text(),
+            parts = %self.traits.shared_parts,
             target_load = self.target_load,
             mean_load = self.mean_load,
             counts_age_ms = self.counts_age.map(MilliDuration::as_millis),
--- a/crates/briarrail_gateway/src/traffic/send_guard.rs
+++ b/crates/briarrail_gateway/src/traffic/send_guard.rs
@@ -6,7 +6,7 @@
 use briarrail_model::{MilliDuration, MilliTime};
 
 use super::crash_check::check_target;
-use super::part_list::PartList;
+use super::request_traits::RequestTraits;
 use super::traffic_state::TrafficState;
 
 /// Time after the first event for which a target must stay up before its answer counts as begun; a
@@ -21,7 +21,7 @@
     started_at: MilliTime,
     /// Time after which a cancellation by the caller counts as a failure of the target.
     cancellation_threshold: MilliDuration,
-    shared_parts: PartList,
+    traits: RequestTraits,
     first_event_at: Option<MilliTime>,
     /// Whether the target began to write the answer and survived it.
     has_begun: bool,
@@ -29,12 +29,12 @@
 }
 
 impl<D> SendGuard<D> {
-    /// Counts a request with the given shared parts in its prompt as started at a target.
+    /// Counts a request with the given traits as started at a target.
     pub(crate) fn start(
         state: &Rc<TrafficState<D>>,
         key: TargetKey,
         cancellation_threshold: MilliDuration,
-        shared_parts: PartList,
+        traits: RequestTraits,
     ) -> Self {
         let now = state.clock.now();
         state.registry.borrow_mut().start_request(key, now);
@@ -43,7 +43,7 @@
             key,
             started_at: now,
             cancellation_threshold,
-            shared_parts,
+            traits,
             first_event_at: None,
             has_begun: false,
             is_recorded: false,
@@ -92,7 +92,7 @@
     fn record_begin(&mut self) {
         if !self.has_begun {
             self.has_begun = true;
-            self.state.record_begin(&self.shared_parts);
+            self.state.record_begin(&self.traits.shared_parts);
         }
     }
 
@@ -104,7 +104,7 @@
     {
         self.record_outcome(SendOutcome::Broken);
         if !self.has_begun {
-            check_target(&self.state, self.key, &self.shared_parts);
+            check_target(&self.state, self.key, &self.traits);
         }
     }
 
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -88,15 +88,15 @@
     if context.remaining_time(now).is_none() {
         return SendResult::Failed(AttemptEvent::DeadlinePassed);
     }
-    if state.blocked_until(&context.shared_parts).is_some() {
+    if state.blocked_until(&context.traits.shared_parts).is_some() {
         return fail_attempt(state, trace, "part_blocked", &"", AttemptEvent::NoTarget);
     }
     let Some((key, context_source)) = choose_target(state, context, tried, trace) else {
         return SendResult::Failed(AttemptEvent::NoTarget);
     };
     tried.0.push(key);
-    let parts = context.shared_parts.clone();
-    let mut guard = SendGuard::start(state, key, cancellation_threshold(context), parts);
+    let traits = context.traits.clone();
+    let mut guard = SendGuard::start(state, key, cancellation_threshold(context), traits);
     let mut connection = match acquire_connection(state, context, key).await {
         Ok(connection) => connection,
         Err(ConnectError::LimitReached) => {
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -21,6 +21,7 @@
 use super::crash_check::CrashChecks;
 use super::part_list::PartList;
 use super::request_context::RequestContext;
+use super::request_traits::RequestTraits;
 use crate::ProcessClock;
 use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
@@ -272,13 +273,15 @@
     }
 
     /// Records that a target crashed while requests waited there for their answers to begin.
-    pub(crate) fn record_crash(&self, key: TargetKey, lost_requests: &[PartList]) {
+    pub(crate) fn record_crash(&self, key: TargetKey, lost_requests: &[RequestTraits]) {
         let now = self.clock.now();
         let hash = self.registry.borrow().get(key).map(|target| target.hash);
         let Some(hash) = hash else {
             return;
         };
-        let lost_parts = lost_requests.iter().map(PartList::as_slice);
+        let lost_parts = lost_requests
+            .iter()
+            .map(|lost| lost.shared_parts.as_slice());
         let mut quarantine = self.quarantine.borrow_mut();
         let changes = quarantine.record_crash(hash.0 as u32, lost_parts, now);
         self.log_part_changes(&changes, "local", now);
