refactor(dispatch): name the quarantine by what it contains, crashes

The quarantine of prompt parts is to take whole requests as well. Types, files and functions are renamed: PromptQuarantine to CrashQuarantine, PartRecord, PartReport, PartChange and BlockedPart to Suspect...; nothing else changes. Fields of messages, log events and store kinds keep their names.

--- a/crates/briarrail_dispatch/src/prompt_quarantine.rs
+++ b/crates/briarrail_dispatch/src/crash_quarantine.rs
@@ -12,9 +12,9 @@
 
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_pair};
 
-use crate::part_record::{PartRecord, TargetCrash};
 use crate::past_time::PastTime;
-use crate::{BlockedPart, PartChange, PartReport};
+use crate::suspect_record::{SuspectRecord, TargetCrash};
+use crate::{BlockedSuspect, SuspectChange, SuspectReport};
 
 /// Number of crashes, without an answer in between, that block a part of which no answer is known.
 const MIN_CRASHES: usize = 3;
@@ -37,16 +37,16 @@
 
 /// Evidence by prompt part, and the parts that are blocked.
 #[derive(Debug, Clone, Default)]
-pub struct PromptQuarantine {
-    records: HashMap<StableHash, PartRecord>,
+pub struct CrashQuarantine {
+    records: HashMap<StableHash, SuspectRecord>,
     /// Time of the last answer that began here, by part.
     begun: HashMap<StableHash, MilliTime>,
 }
 
-impl PromptQuarantine {
+impl CrashQuarantine {
     /// Records that the answer to a request with the given shared parts began.
     #[must_use]
-    pub fn record_begin(&mut self, parts: &[StableHash], now: MilliTime) -> Vec<PartChange> {
+    pub fn record_begin(&mut self, parts: &[StableHash], now: MilliTime) -> Vec<SuspectChange> {
         let mut changes = Vec::new();
         for &part in parts {
             self.begun.insert(part, now);
@@ -56,7 +56,7 @@
             let was_blocked = record.blocked_until(now).is_some();
             record.record_begin(now.into(), now);
             if was_blocked && record.blocked_until(now).is_none() {
-                changes.push(PartChange::Released(part));
+                changes.push(SuspectChange::Released(part));
             }
         }
         if self.begun.len() > MAX_BEGUN_PARTS {
@@ -73,7 +73,12 @@
     /// `lost` contains the shared parts of each of these requests. If one of them has a blocked
     /// part, that part explains the crash.
     #[must_use]
-    pub fn record_crash<'p, I>(&mut self, target: u32, lost: I, now: MilliTime) -> Vec<PartChange>
+    pub fn record_crash<'p, I>(
+        &mut self,
+        target: u32,
+        lost: I,
+        now: MilliTime,
+    ) -> Vec<SuspectChange>
     where
         I: IntoIterator<Item = &'p [StableHash]>,
     {
@@ -84,7 +89,7 @@
         let at = PastTime::from(now);
         for part in suspects {
             let record = self.records.entry(part);
-            let record = record.or_insert_with(|| PartRecord::new(now));
+            let record = record.or_insert_with(|| SuspectRecord::new(now));
             record.add_crash(TargetCrash { target, at }, now);
             if let Some(begun_at) = self.begun.get(&part) {
                 record.record_begin((*begun_at).into(), now);
@@ -96,15 +101,15 @@
 
     /// Merges the reports of another router.
     #[must_use]
-    pub fn merge(&mut self, reports: &[PartReport], now: MilliTime) -> Vec<PartChange> {
+    pub fn merge(&mut self, reports: &[SuspectReport], now: MilliTime) -> Vec<SuspectChange> {
         let mut changes = Vec::new();
         for report in reports {
             let before = self.blocked_until(&[report.part], now);
             self.merge_report(report, now);
             let after = self.blocked_until(&[report.part], now);
             match (before, after) {
-                (None, Some(until)) => changes.push(PartChange::Blocked(report.part, until)),
-                (Some(_), None) => changes.push(PartChange::Released(report.part)),
+                (None, Some(until)) => changes.push(SuspectChange::Blocked(report.part, until)),
+                (Some(_), None) => changes.push(SuspectChange::Released(report.part)),
                 (None, None) | (Some(_), Some(_)) => {}
             }
         }
@@ -125,10 +130,10 @@
 
     /// Returns the blocked parts, in order of their hashes.
     #[must_use]
-    pub fn blocked_parts(&self, now: MilliTime) -> Vec<BlockedPart> {
-        let to_blocked = |(part, record): (&StableHash, &PartRecord)| {
+    pub fn blocked_suspects(&self, now: MilliTime) -> Vec<BlockedSuspect> {
+        let to_blocked = |(part, record): (&StableHash, &SuspectRecord)| {
             let until = record.blocked_until(now)?;
-            Some(BlockedPart { part: *part, until })
+            Some(BlockedSuspect { part: *part, until })
         };
         let mut blocked: Vec<_> = self.records.iter().filter_map(to_blocked).collect();
         blocked.sort_unstable_by_key(|blocked| blocked.part);
@@ -139,7 +144,7 @@
     ///
     /// If there are too many, the heaviest ones are always reported, and the others in turn.
     #[must_use]
-    pub fn reports(&self, now: MilliTime) -> Vec<PartReport> {
+    pub fn reports(&self, now: MilliTime) -> Vec<SuspectReport> {
         let records = self.records.iter();
         let mut news: Vec<_> = records
             .filter(|(_, record)| record.is_news(REPORT_TIME, now))
@@ -155,10 +160,10 @@
             .collect()
     }
 
-    fn merge_report(&mut self, report: &PartReport, now: MilliTime) {
+    fn merge_report(&mut self, report: &SuspectReport, now: MilliTime) {
         let part = report.part;
         let record = self.records.entry(part);
-        let record = record.or_insert_with(|| PartRecord::new(now));
+        let record = record.or_insert_with(|| SuspectRecord::new(now));
         if let Some(block) = &report.block {
             record.adopt_block(block, now);
         }
@@ -178,7 +183,7 @@
     }
 
     /// Blocks the parts that must have crashed targets.
-    fn block_suspects(&mut self, now: MilliTime) -> Vec<PartChange> {
+    fn block_suspects(&mut self, now: MilliTime) -> Vec<SuspectChange> {
         let mut changes = Vec::new();
         while let Some(part) = self.main_suspect(now) {
             let Some(record) = self.records.get_mut(&part) else {
@@ -186,7 +191,7 @@
             };
             record.start_block(now);
             if let Some(until) = record.blocked_until(now) {
-                changes.push(PartChange::Blocked(part, until));
+                changes.push(SuspectChange::Blocked(part, until));
             }
         }
         changes
--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -4,14 +4,15 @@
 //! route and the customer of a request. [`TargetRegistry`] holds the known state of each target and
 //! places requests. [`AdmissionController`] decides which share of the calls of a busy service is
 //! sent at all.
-//! [`PromptQuarantine`] blocks prompt parts that crash targets. [`RetryBudget`] limits retries across the fleet. [`TargetRoster`] decides which
+//! [`CrashQuarantine`] blocks prompt parts that crash targets. [`RetryBudget`] limits retries across the fleet. [`TargetRoster`] decides which
 //! listed targets are in use while the store is unavailable. [`choose_hub`] selects the router that
 //! reads the store for the others, and [`ViewTracker`] decides whether another router's view of the
 //! targets is newer than the current one.
 
 mod adaptive_timeout;
 mod admission_controller;
-mod blocked_part;
+mod blocked_suspect;
+mod crash_quarantine;
 mod departed_targets;
 mod fleet_size;
 mod greeting_policy;
@@ -20,12 +21,8 @@
 mod limited_request;
 mod outcome_window;
 mod outlier_detector;
-mod part_change;
-mod part_record;
-mod part_report;
 mod past_time;
 mod prompt_parts;
-mod prompt_quarantine;
 mod retry_after;
 mod retry_budget;
 mod routing_table;
@@ -34,6 +31,9 @@
 mod site_config;
 mod sliding_window;
 mod store_read_policy;
+mod suspect_change;
+mod suspect_record;
+mod suspect_report;
 mod target_limiter;
 mod target_placement;
 mod target_record;
@@ -43,7 +43,8 @@
 
 pub use adaptive_timeout::AdaptiveTimeout;
 pub use admission_controller::{AdmissionController, AdmissionRatio};
-pub use blocked_part::BlockedPart;
+pub use blocked_suspect::BlockedSuspect;
+pub use crash_quarantine::CrashQuarantine;
 pub use fleet_size::FleetSize;
 pub use greeting_policy::GreetingState;
 pub use hub_choice::{HubCandidate, choose_hub, choose_view_sources};
@@ -51,10 +52,7 @@
 pub use limited_request::LimitedRequest;
 pub use outcome_window::{OutcomeTotals, OutcomeWindow};
 pub use outlier_detector::{OutlierDetector, SendOutcome};
-pub use part_change::PartChange;
-pub use part_report::{BlockReport, CrashReport, PartReport};
 pub use prompt_parts::PromptParts;
-pub use prompt_quarantine::PromptQuarantine;
 pub use retry_after::{RefusalCause, retry_after};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use routing_table::{RouteKey, RouteLookup, RoutingTable};
@@ -64,6 +62,8 @@
     SiteConfig,
 };
 pub use store_read_policy::{ReadConditions, ReadReason, retry_delay};
+pub use suspect_change::SuspectChange;
+pub use suspect_report::{BlockReport, CrashReport, SuspectReport};
 pub use target_placement::{Placement, PlacementLimits, PlacementRequest};
 pub use target_record::{TargetPhase, TargetRecord};
 pub use target_registry::{TargetKey, TargetRegistry, TargetState};
--- a/crates/briarrail_dispatch/src/retry_after.rs
+++ b/crates/briarrail_dispatch/src/retry_after.rs
@@ -14,7 +14,7 @@
     /// request.
     RouterUnavailable,
     /// A part of the prompt is blocked for the given time, because it crashes targets.
-    PartBlocked(MilliDuration),
+    SuspectBlocked(MilliDuration),
 }
 
 /// Delay while a service is at capacity and its jitter, as fractions of the objective. A caller that
@@ -38,7 +38,7 @@
         RefusalCause::AtCapacity(objective) => at_capacity_delay(objective),
         RefusalCause::NoTarget => with_usual_jitter(NO_TARGET_DELAY),
         RefusalCause::RouterUnavailable => with_usual_jitter(ROUTER_UNAVAILABLE_DELAY),
-        RefusalCause::PartBlocked(remaining) => with_usual_jitter(remaining),
+        RefusalCause::SuspectBlocked(remaining) => with_usual_jitter(remaining),
     };
     let fraction = (seed.0 >> 40) as f64 / (1_u64 << 24) as f64;
     MilliDuration::from_millis(jitter.mul_add(fraction, base) as u64)
--- a/crates/briarrail_dispatch/src/part_change.rs
+++ b/crates/briarrail_dispatch/src/suspect_change.rs
@@ -4,7 +4,7 @@
 
 /// A change of the blocked parts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PartChange {
+pub enum SuspectChange {
     /// The part is blocked until a time.
     Blocked(StableHash, MilliTime),
     /// The part is not blocked any more, because an answer to a request with it began.
--- a/crates/briarrail_dispatch/src/part_record.rs
+++ b/crates/briarrail_dispatch/src/suspect_record.rs
@@ -3,7 +3,7 @@
 use briarrail_model::{MilliDuration, MilliTime, StableHash};
 
 use crate::past_time::PastTime;
-use crate::{BlockReport, CrashReport, PartReport};
+use crate::{BlockReport, CrashReport, SuspectReport};
 
 /// Minimum time between crashes that count separately; targets that crash at the same moment have a
 /// common cause that is not a request. Covers the error in the ages of reports, which is at most half
@@ -36,25 +36,25 @@
 
 /// A decision to block a part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct PartBlock {
+struct SuspectBlock {
     from: PastTime,
     until: MilliTime,
 }
 
 /// Evidence for and against one prompt part.
 #[derive(Debug, Clone)]
-pub(crate) struct PartRecord {
+pub(crate) struct SuspectRecord {
     /// Crashes since an answer last began, in order of time.
     crashes: Vec<TargetCrash>,
     begun_at: Option<PastTime>,
-    block: Option<PartBlock>,
+    block: Option<SuspectBlock>,
     /// Largest number of crashes so far, including those that an answer refuted.
     peak_crashes: usize,
     /// Time of the last change that other routers need to know.
     changed_at: MilliTime,
 }
 
-impl PartRecord {
+impl SuspectRecord {
     pub(crate) const fn new(now: MilliTime) -> Self {
         Self {
             crashes: Vec::new(),
@@ -118,7 +118,7 @@
 
     /// Blocks the part from now on.
     pub(crate) fn start_block(&mut self, now: MilliTime) {
-        self.block = Some(PartBlock {
+        self.block = Some(SuspectBlock {
             from: now.into(),
             until: now + BLOCK_TIME,
         });
@@ -129,11 +129,11 @@
     pub(crate) fn adopt_block(&mut self, report: &BlockReport, now: MilliTime) {
         // A longer block than this router would decide on is not an estimate of another clock.
         let remaining = report.remaining.min(BLOCK_TIME);
-        let block = PartBlock {
+        let block = SuspectBlock {
             from: PastTime::new(now, report.age),
             until: now + remaining,
         };
-        let is_newer = |known: &PartBlock| {
+        let is_newer = |known: &SuspectBlock| {
             block.until > known.until && block.from.distance(known.from) > MAX_REPORT_SKEW
         };
         if self.block.as_ref().is_none_or(is_newer) {
@@ -193,12 +193,12 @@
         now.since(used_at) > memory
     }
 
-    pub(crate) fn report(&self, part: StableHash, now: MilliTime) -> PartReport {
+    pub(crate) fn report(&self, part: StableHash, now: MilliTime) -> SuspectReport {
         let to_report = |crash: &TargetCrash| CrashReport {
             target: crash.target,
             age: crash.at.age(now),
         };
-        PartReport {
+        SuspectReport {
             part,
             crashes: self.crashes.iter().map(to_report).collect(),
             begun_age: self.begun_at.map(|at| at.age(now)),
--- a/crates/briarrail_dispatch/src/part_report.rs
+++ b/crates/briarrail_dispatch/src/suspect_report.rs
@@ -23,7 +23,7 @@
 
 /// Evidence for and against one prompt part; times are relative, since routers share no clock.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartReport {
+pub struct SuspectReport {
     /// Hash of the part's identifier.
     pub part: StableHash,
     /// Crashes since an answer to a request with the part last began, oldest first.
@@ -34,7 +34,7 @@
     pub block: Option<BlockReport>,
 }
 
-impl PartReport {
+impl SuspectReport {
     /// Adds the time that the report spends on its way to all ages.
     #[must_use]
     pub fn aged(mut self, transit: MilliDuration) -> Self {
--- a/crates/briarrail_dispatch/tests/suite/prompt_quarantine.rs
+++ b/crates/briarrail_dispatch/tests/suite/crash_quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use briarrail_dispatch::{PartChange, PartReport, PromptQuarantine};
+use briarrail_dispatch::{CrashQuarantine, SuspectChange, SuspectReport};
 use briarrail_model::{MilliDuration, StableHash, hash_bytes, hash_pair};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -87,7 +87,7 @@
 struct Message {
     receiver: usize,
     arrives_at: u64,
-    reports: Vec<PartReport>,
+    reports: Vec<SuspectReport>,
     /// Router that gets a reply.
     reply_to: Option<usize>,
 }
@@ -119,7 +119,7 @@
 
 struct Replay {
     conditions: Conditions,
-    routers: Vec<PromptQuarantine>,
+    routers: Vec<CrashQuarantine>,
     targets: Vec<Target>,
     messages: Vec<Message>,
     random: SmallRng,
@@ -129,7 +129,7 @@
 impl Replay {
     fn new(conditions: Conditions) -> Self {
         Self {
-            routers: vec![PromptQuarantine::default(); conditions.routers],
+            routers: vec![CrashQuarantine::default(); conditions.routers],
             targets: vec![Target::default(); conditions.targets],
             messages: Vec::new(),
             random: SmallRng::seed_from_u64(conditions.seed),
@@ -323,17 +323,17 @@
         }
         let router = (now / period_ms) as usize % self.routers.len();
         if router > 0 {
-            self.routers[router] = PromptQuarantine::default();
+            self.routers[router] = CrashQuarantine::default();
         }
     }
 
-    fn note(&mut self, changes: &[PartChange]) {
+    fn note(&mut self, changes: &[SuspectChange]) {
         for change in changes {
             match change {
-                PartChange::Blocked(part, _) => {
+                SuspectChange::Blocked(part, _) => {
                     self.totals.blocked.insert(*part);
                 }
-                PartChange::Released(_) => self.totals.released += 1,
+                SuspectChange::Released(_) => self.totals.released += 1,
             }
         }
     }
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod adaptive_timeout;
 mod admission;
 mod context_source;
+mod crash_quarantine;
 mod ejection;
 mod fixtures;
 mod fleet_outcomes;
@@ -10,7 +11,6 @@
 mod hub_choice;
 mod placement;
 mod plain_calls;
-mod prompt_quarantine;
 mod rate_limits;
 mod restored_roster;
 mod retry_after;
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use briarrail_dispatch::{PromptQuarantine, TargetRoster, ViewTracker};
+use briarrail_dispatch::{CrashQuarantine, TargetRoster, ViewTracker};
 use briarrail_model::MilliDuration;
 use briarrail_peer::{FrameCodec, KeyRing, SharedKey, SyncRouter};
 use briarrail_settings::{FleetLimits, GatewaySettings};
@@ -25,10 +25,10 @@
 use super::hub_server::serve_peers;
 use super::hub_sync::run_hub_sync;
 use super::monitoring_server::serve_monitoring;
-use super::part_exchange::maintain_blocked_parts;
 use super::roster_log::RosterLog;
 use super::router_registration::maintain_registration;
 use super::store_watcher::run_watcher;
+use super::suspect_exchange::maintain_blocked_suspects;
 use super::target_watcher::TargetWatcher;
 use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
@@ -102,7 +102,7 @@
     };
     tokio::task::spawn_local(run_watcher(Rc::clone(&state), target_watcher));
     tokio::task::spawn_local(maintain_registration(Rc::clone(&state), store.clone()));
-    tokio::task::spawn_local(maintain_blocked_parts(Rc::clone(&state), store.clone()));
+    tokio::task::spawn_local(maintain_blocked_suspects(Rc::clone(&state), store.clone()));
     let readiness_state = Rc::clone(&state);
     let path = inputs.dialect.readiness_path();
     tokio::task::spawn_local(serve_monitoring(readiness, move |request| {
@@ -175,7 +175,7 @@
         listed: Rc::default(),
         has_target_list: false,
         local_counts: FleetCounts::default(),
-        quarantine: PromptQuarantine::default(),
+        quarantine: CrashQuarantine::default(),
         sync_round_trip: MilliDuration::ZERO,
     }
 }
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 
 use briarrail_dispatch::{
-    GreetingState, HubCandidate, PromptQuarantine, RosterChange, TargetRoster, ViewTracker,
+    CrashQuarantine, GreetingState, HubCandidate, RosterChange, TargetRoster, ViewTracker,
     choose_hub, choose_view_sources,
 };
 use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash, hash_pair};
@@ -114,7 +114,7 @@
     /// This router's own counts at its last sync.
     pub(crate) local_counts: FleetCounts,
     /// Evidence of all routers on prompt parts that crash targets.
-    pub(crate) quarantine: PromptQuarantine,
+    pub(crate) quarantine: CrashQuarantine,
     /// Time from the request of the last successful sync to its reply.
     pub(crate) sync_round_trip: MilliDuration,
 }
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -116,7 +116,7 @@
         state.avoid(&envelope.from, now + STOPPING_ROUTER_AVOIDANCE);
     }
     // The sender accounts for the transit, since only it knows the round trip.
-    state.merge_encoded_part_reports(&request.part_reports, MilliDuration::ZERO, "router");
+    state.merge_encoded_suspect_reports(&request.part_reports, MilliDuration::ZERO, "router");
     if request.is_greeting {
         tracing::info!(event = "greeted", router = %envelope.from);
     } else if request.wants_view {
@@ -150,7 +150,7 @@
         counts: counts.targets,
         demands: counts.demands,
         limits: counts.limits,
-        part_reports: state.encode_part_reports(MilliDuration::ZERO, now),
+        part_reports: state.encode_suspect_reports(MilliDuration::ZERO, now),
         store_epoch: state.store_revision.map(|revision| revision.epoch),
         config,
         wants_config,
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -110,7 +110,7 @@
         Ok(Ok(report)) => {
             let mut state = state.borrow_mut();
             state.local_counts = report.counts;
-            state.merge_local_part_reports(&report.part_reports);
+            state.merge_local_suspect_reports(&report.part_reports);
         }
         Ok(Err(_)) | Err(_) => {
             tracing::debug!("failed to read the report of the traffic thread");
@@ -142,7 +142,7 @@
             counts: counts.targets,
             demands: counts.demands,
             limits: counts.limits,
-            part_reports: state.encode_part_reports(state.sync_transit(), now),
+            part_reports: state.encode_suspect_reports(state.sync_transit(), now),
             counted_routers: state.counted_routers(now),
             routers_digest: state.routers_digest(),
             wants_view,
@@ -264,7 +264,7 @@
     state.record_contact(hub, now);
     state.sync_round_trip = now.since(requested_at);
     let transit = state.sync_transit();
-    state.merge_encoded_part_reports(&reply.part_reports, transit, "hub");
+    state.merge_encoded_suspect_reports(&reply.part_reports, transit, "hub");
     if !wants_view {
         state.hub_counts = Some(HubCounts {
             counts: FleetCounts {
--- a/crates/briarrail_gateway/src/control/mod.rs
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -11,11 +11,11 @@
 mod hub_server;
 mod hub_sync;
 mod monitoring_server;
-mod part_exchange;
 mod roster_log;
 mod router_registration;
 mod store_health;
 mod store_watcher;
+mod suspect_exchange;
 mod target_watcher;
 
 use control_state::ControlState;
--- a/crates/briarrail_gateway/src/control/part_exchange.rs
+++ b/crates/briarrail_gateway/src/control/suspect_exchange.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use briarrail_dispatch::{BlockReport, BlockedPart, PartReport};
+use briarrail_dispatch::{BlockReport, BlockedSuspect, SuspectReport};
 use briarrail_model::{MilliDuration, MilliTime};
 use briarrail_platform::StoreError;
 use bytes::Bytes;
@@ -12,7 +12,7 @@
 use super::control_state::ControlState;
 use super::store_health::read_conditions;
 use crate::traffic::ControlUpdate;
-use crate::{BlockedPartRecord, SiteStore};
+use crate::{BlockedSuspectRecord, SiteStore};
 
 /// Name of the calls in logs and metrics.
 const CALL: &str = "blocked_parts";
@@ -26,24 +26,28 @@
 
 impl ControlState {
     /// Merges evidence of other routers, and forwards it to the traffic thread.
-    pub(crate) fn merge_part_reports(&mut self, reports: Vec<PartReport>, source: &'static str) {
+    pub(crate) fn merge_suspect_reports(
+        &mut self,
+        reports: Vec<SuspectReport>,
+        source: &'static str,
+    ) {
         if reports.is_empty() {
             return;
         }
         let now = self.clock.now();
         // The traffic thread comes to the same changes and logs them.
         let _changes = self.quarantine.merge(&reports, now);
-        self.send_update(ControlUpdate::PartReports(reports, source));
+        self.send_update(ControlUpdate::SuspectReports(reports, source));
     }
 
     /// Merges the evidence of this router's traffic thread.
-    pub(crate) fn merge_local_part_reports(&mut self, reports: &[PartReport]) {
+    pub(crate) fn merge_local_suspect_reports(&mut self, reports: &[SuspectReport]) {
         let now = self.clock.now();
         let _changes = self.quarantine.merge(reports, now);
     }
 
     /// Merges the encoded evidence of a message that was on its way for a time.
-    pub(crate) fn merge_encoded_part_reports(
+    pub(crate) fn merge_encoded_suspect_reports(
         &mut self,
         encoded: &Bytes,
         transit: MilliDuration,
@@ -52,10 +56,10 @@
         if encoded.is_empty() {
             return;
         }
-        match rmp_serde::from_slice::<Vec<PartReport>>(encoded) {
+        match rmp_serde::from_slice::<Vec<SuspectReport>>(encoded) {
             Ok(reports) => {
                 let aged = reports.into_iter().map(|report| report.aged(transit));
-                self.merge_part_reports(aged.collect(), source);
+                self.merge_suspect_reports(aged.collect(), source);
             }
             Err(error) => tracing::error!(event = "part_reports_unreadable", source, %error),
         }
@@ -68,7 +72,7 @@
 
     /// Encodes what the other routers need to know, for a message that is on its way for a time;
     /// empty if there is nothing.
-    pub(crate) fn encode_part_reports(&self, transit: MilliDuration, now: MilliTime) -> Bytes {
+    pub(crate) fn encode_suspect_reports(&self, transit: MilliDuration, now: MilliTime) -> Bytes {
         let reports = self.quarantine.reports(now);
         if reports.is_empty() {
             return Bytes::new();
@@ -86,12 +90,12 @@
 
 /// Reads the blocked parts once at the start, and keeps them in the store while this router reads
 /// the store for the others.
-pub(crate) async fn maintain_blocked_parts<S>(state: SharedControlState, store: S)
+pub(crate) async fn maintain_blocked_suspects<S>(state: SharedControlState, store: S)
 where
     S: SiteStore,
 {
     let mut has_read = false;
-    let mut stored: Vec<BlockedPartRecord> = Vec::new();
+    let mut stored: Vec<BlockedSuspectRecord> = Vec::new();
     loop {
         let is_reader = {
             let state = state.borrow();
@@ -112,7 +116,7 @@
             tokio::time::sleep(CHECK_INTERVAL).await;
             let state = state.borrow();
             let now = state.clock.now();
-            let blocked = state.quarantine.blocked_parts(now);
+            let blocked = state.quarantine.blocked_suspects(now);
             let has_unstored = blocked.iter().any(|part| !is_stored(part, &stored, now));
             // Followers wait for the same time, and then check whether they became the reader.
             if now.since(read_at) >= LIST_INTERVAL || (has_unstored && is_reader) {
@@ -127,23 +131,23 @@
 async fn synchronize<S>(
     state: &SharedControlState,
     store: &S,
-) -> Result<Vec<BlockedPartRecord>, StoreError>
+) -> Result<Vec<BlockedSuspectRecord>, StoreError>
 where
     S: SiteStore,
 {
-    let stored = store.list_blocked_parts().await?;
+    let stored = store.list_blocked_suspects().await?;
     let (now, blocked) = {
         let mut state = state.borrow_mut();
         let unix_ms = unix_millis();
         let reports = stored.iter().map(|record| to_report(record, unix_ms));
         let reports = reports.collect();
-        state.merge_part_reports(reports, "store");
+        state.merge_suspect_reports(reports, "store");
         let now = state.clock.now();
-        (now, state.quarantine.blocked_parts(now))
+        (now, state.quarantine.blocked_suspects(now))
     };
     for part in blocked.iter().filter(|part| !is_stored(part, &stored, now)) {
         let record = to_record(part, unix_millis(), now);
-        store.put_blocked_part(&record).await?;
+        store.put_blocked_suspect(&record).await?;
         tracing::info!(
             event = "part_stored",
             part = format!("{:016x}", part.part.0)
@@ -151,7 +155,7 @@
     }
     for record in &stored {
         if !blocked.iter().any(|part| part.part == record.part) {
-            store.remove_blocked_part(record.part).await?;
+            store.remove_blocked_suspect(record.part).await?;
         }
     }
     let unix_ms = unix_millis();
@@ -161,18 +165,18 @@
         .collect())
 }
 
-fn to_record(blocked: &BlockedPart, unix_ms: u64, now: MilliTime) -> BlockedPartRecord {
-    BlockedPartRecord {
+fn to_record(blocked: &BlockedSuspect, unix_ms: u64, now: MilliTime) -> BlockedSuspectRecord {
+    BlockedSuspectRecord {
         part: blocked.part,
         blocked_unix_ms: unix_ms,
         until_unix_ms: unix_ms + blocked.until.since(now).as_millis(),
     }
 }
 
-fn to_report(record: &BlockedPartRecord, unix_ms: u64) -> PartReport {
+fn to_report(record: &BlockedSuspectRecord, unix_ms: u64) -> SuspectReport {
     let age_ms = unix_ms.saturating_sub(record.blocked_unix_ms);
     let remaining_ms = record.until_unix_ms.saturating_sub(unix_ms);
-    PartReport {
+    SuspectReport {
         part: record.part,
         crashes: Vec::new(),
         begun_age: None,
@@ -183,7 +187,7 @@
     }
 }
 
-fn is_stored(blocked: &BlockedPart, stored: &[BlockedPartRecord], now: MilliTime) -> bool {
+fn is_stored(blocked: &BlockedSuspect, stored: &[BlockedSuspectRecord], now: MilliTime) -> bool {
     let until_unix_ms = unix_millis() + blocked.until.since(now).as_millis();
     stored.iter().any(|record| {
         record.part == blocked.part
--- a/crates/briarrail_gateway/src/lib.rs
+++ b/crates/briarrail_gateway/src/lib.rs
@@ -21,7 +21,7 @@
 pub use net::{CallClient, CallError, CallErrorKind, CallReply};
 pub use process_clock::ProcessClock;
 pub use site_store::{
-    BlockedPartRecord, ConfigListing, ReadConsistency, RouterListing, RouterRecord, SiteStore,
+    BlockedSuspectRecord, ConfigListing, ReadConsistency, RouterListing, RouterRecord, SiteStore,
     TargetEvent, TargetListing, VersionedConfig, WatchOutcome,
 };
 pub use store_revision::StoreRevision;
--- a/crates/briarrail_gateway/src/site_store.rs
+++ b/crates/briarrail_gateway/src/site_store.rs
@@ -87,7 +87,7 @@
 
 /// A prompt part that crashes targets, as the store keeps it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BlockedPartRecord {
+pub struct BlockedSuspectRecord {
     /// Hash of the part's identifier.
     pub part: StableHash,
     /// Unix time in milliseconds at which the part was blocked.
@@ -176,18 +176,18 @@
     /// # Errors
     ///
     /// Fails if the store is unreachable or rejects the call.
-    fn list_blocked_parts(
+    fn list_blocked_suspects(
         &self,
-    ) -> impl Future<Output = Result<Vec<BlockedPartRecord>, StoreError>>;
+    ) -> impl Future<Output = Result<Vec<BlockedSuspectRecord>, StoreError>>;
 
     /// Adds or replaces the entry of a blocked prompt part.
     ///
     /// # Errors
     ///
     /// Fails if the store is unreachable or rejects the call.
-    fn put_blocked_part(
+    fn put_blocked_suspect(
         &self,
-        record: &BlockedPartRecord,
+        record: &BlockedSuspectRecord,
     ) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Removes the entry of a blocked prompt part, if it exists.
@@ -195,6 +195,8 @@
     /// # Errors
     ///
     /// Fails if the store is unreachable or rejects the call.
-    fn remove_blocked_part(&self, part: StableHash)
-    -> impl Future<Output = Result<(), StoreError>>;
+    fn remove_blocked_suspect(
+        &self,
+        part: StableHash,
+    ) -> impl Future<Output = Result<(), StoreError>>;
 }
--- a/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
@@ -119,7 +119,7 @@
     }
 
     /// Counts a prompt part that was blocked or released.
-    pub(crate) fn count_part_change(&self, change: &'static str) {
+    pub(crate) fn count_suspect_change(&self, change: &'static str) {
         self.part_changes.add(1, &[KeyValue::new("change", change)]);
     }
 
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -105,7 +105,7 @@
         self.state.record_request(&self.context.service);
         if let Some(until) = self.state.blocked_until(&self.context.traits.shared_parts) {
             let remaining = until.since(self.state.clock.now());
-            let cause = RefusalCause::PartBlocked(remaining);
+            let cause = RefusalCause::SuspectBlocked(remaining);
             return self.refuse(cause, "prompt part crashes targets");
         }
         if !self.is_admitted() {
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -7,9 +7,9 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use briarrail_dispatch::{
-    AdaptiveTimeout, AdmissionController, AdmissionRatio, FleetSize, LimitReport, LimitStatement,
-    LimitedRequest, OutcomeTotals, PartChange, PartReport, PlacementLimits, PromptQuarantine,
-    RetryBudget, RetryBudgetLimits, RosterChange, RoutingTable, SendOutcome, TargetKey,
+    AdaptiveTimeout, AdmissionController, AdmissionRatio, CrashQuarantine, FleetSize, LimitReport,
+    LimitStatement, LimitedRequest, OutcomeTotals, PlacementLimits, RetryBudget, RetryBudgetLimits,
+    RosterChange, RoutingTable, SendOutcome, SuspectChange, SuspectReport, TargetKey,
     TargetRegistry, TargetState,
 };
 use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
@@ -88,7 +88,7 @@
     /// Current requests, recent outcomes and demand of the other routers.
     PeerCounts(FleetCounts),
     /// Evidence of other routers on prompt parts that crash targets.
-    PartReports(Vec<PartReport>, &'static str),
+    SuspectReports(Vec<SuspectReport>, &'static str),
     /// Asks for the counts and the evidence of this router.
     LocalReport(oneshot::Sender<LocalReport>),
 }
@@ -99,7 +99,7 @@
     /// Requests, recent outcomes and demand.
     pub(crate) counts: FleetCounts,
     /// Evidence on prompt parts that crash targets.
-    pub(crate) part_reports: Vec<PartReport>,
+    pub(crate) part_reports: Vec<SuspectReport>,
 }
 
 /// State of the traffic thread.
@@ -120,7 +120,7 @@
     timeouts: RefCell<HashMap<String, AdaptiveTimeout>>,
     fleet_size: Cell<FleetSize>,
     /// Prompt parts that are not sent to targets.
-    quarantine: RefCell<PromptQuarantine>,
+    quarantine: RefCell<CrashQuarantine>,
     /// Checks of targets that are in progress.
     pub(super) crash_checks: RefCell<CrashChecks>,
 }
@@ -269,7 +269,7 @@
             .quarantine
             .borrow_mut()
             .record_begin(parts.as_slice(), now);
-        self.log_part_changes(&changes, "local", now);
+        self.log_suspect_changes(&changes, "local", now);
     }
 
     /// Records that a target crashed while requests waited there for their answers to begin.
@@ -284,14 +284,14 @@
             .map(|lost| lost.shared_parts.as_slice());
         let mut quarantine = self.quarantine.borrow_mut();
         let changes = quarantine.record_crash(hash.0 as u32, lost_parts, now);
-        self.log_part_changes(&changes, "local", now);
+        self.log_suspect_changes(&changes, "local", now);
     }
 
-    fn log_part_changes(&self, changes: &[PartChange], source: &'static str, now: MilliTime) {
+    fn log_suspect_changes(&self, changes: &[SuspectChange], source: &'static str, now: MilliTime) {
         for change in changes {
             match change {
-                PartChange::Blocked(part, until) => {
-                    self.metrics.count_part_change("blocked");
+                SuspectChange::Blocked(part, until) => {
+                    self.metrics.count_suspect_change("blocked");
                     tracing::warn!(
                         event = "part_blocked",
                         source,
@@ -299,8 +299,8 @@
                         for_ms = until.since(now).as_millis(),
                     );
                 }
-                PartChange::Released(part) => {
-                    self.metrics.count_part_change("released");
+                SuspectChange::Released(part) => {
+                    self.metrics.count_suspect_change("released");
                     tracing::info!(
                         event = "part_released",
                         source,
@@ -366,10 +366,10 @@
                     .for_each(|change| self.apply_roster_change(change));
             }
             ControlUpdate::PeerCounts(counts) => self.apply_peer_counts(&counts, self.clock.now()),
-            ControlUpdate::PartReports(reports, source) => {
+            ControlUpdate::SuspectReports(reports, source) => {
                 let now = self.clock.now();
                 let changes = self.quarantine.borrow_mut().merge(&reports, now);
-                self.log_part_changes(&changes, source, now);
+                self.log_suspect_changes(&changes, source, now);
             }
             ControlUpdate::LocalReport(reply) => {
                 let report = LocalReport {
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -1,6 +1,6 @@
 //! Messages between a router and its hub.
 
-use briarrail_dispatch::PromptQuarantine;
+use briarrail_dispatch::CrashQuarantine;
 use briarrail_model::{MilliTime, StableHash, hash_bytes};
 use briarrail_peer::{
     Envelope, FrameCodec, KeyRing, MessageKind, RosterUpdate, ServiceDemand, SharedKey,
@@ -150,7 +150,7 @@
 /// second sent and received, while many targets crash; rounds of a large fleet are 600 ms apart.
 #[test]
 fn evidence_on_prompt_parts_fits_the_control_budget() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = CrashQuarantine::default();
     for crash in 0_u64..2 {
         for request in 0_u64..200 {
             let part = |name: &str| hash_bytes(format!("{name} {request}").as_bytes());
