refactor(test): move the replay of crashing targets to a file of its own

Nothing but the place and the visibility of names changes, and one closure's argument in suspect_exchange.rs is named after what it is.

--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod context_source;
 mod crash_quarantine;
+mod crash_replay;
 mod ejection;
 mod fixtures;
 mod fleet_outcomes;
--- a/crates/briarrail_gateway/src/control/suspect_exchange.rs
+++ b/crates/briarrail_gateway/src/control/suspect_exchange.rs
@@ -146,7 +146,9 @@
             let state = state.borrow();
             let now = state.clock.now();
             let blocked = state.quarantine.blocked_suspects(now);
-            let has_unstored = blocked.iter().any(|part| !is_stored(part, &stored, now));
+            let has_unstored = blocked
+                .iter()
+                .any(|suspect| !is_stored(suspect, &stored, now));
             // Followers wait for the same time, and then check whether they became the reader.
             if now.since(read_at) >= LIST_INTERVAL || (has_unstored && is_reader) {
                 break;
