fix(dispatch): count crashes of a request only if it was sent on or they are apart

What callers would see: a request that many callers send alike, such as a poll, is refused for ten minutes after all targets of a service crashed at once, for instance by a loss of power.

Cause: counted each crash of a request, however close. Such a request waits at several targets when they crash together.

Change: each crash carries the time at which the request was first sent to that target. A crash counts if it is 250 ms after the last counted one, as for parts, or if the request was sent after that one: then no common cause explains both. The time of a crash is that of the first lost connection, not of the check after it. Between routers a request counts as sent earlier by the possible error of the exchange, so that it never seems sent after a crash only for that. A part that shares two crashes or more with one repeated request needs five, since the request may be the cause.

--- a/crates/briarrail_dispatch/src/crash_quarantine.rs
+++ b/crates/briarrail_dispatch/src/crash_quarantine.rs
@@ -9,7 +9,7 @@
 //! same decision.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_pair};
 
@@ -17,14 +17,16 @@
 use crate::past_time::PastTime;
 use crate::suspect_record::{SuspectRecord, TargetCrash};
 use crate::{
-    BlockedSuspect, CrashSuspect, SuspectChange, SuspectKind, SuspectReport, SuspectReports,
+    BlockedSuspect, CrashSuspect, LostSuspect, SuspectChange, SuspectKind, SuspectReport,
+    SuspectReports,
 };
 
 /// Number of crashes, without an answer in between, that block a suspect of which no answer is known.
 const MIN_CRASHES: usize = 3;
-/// Number of crashes that block a suspect of which an answer began before them. Such a suspect is
-/// more likely to be sound, with requests that waited by chance at targets that crashed.
-const MIN_CRASHES_OF_KNOWN_SUSPECT: usize = 5;
+/// Number of crashes that block a suspect of which an answer began before them, or a part most of whose
+/// crashes may be those of one request. Such a suspect is more likely to be sound, with requests that
+/// waited by chance at targets that crashed.
+const MIN_CRASHES_OF_AMBIGUOUS_SUSPECT: usize = 5;
 /// Time for which a change is reported; several rounds of a slow exchange.
 const REPORT_TIME: MilliDuration = MilliDuration::from_secs(5);
 /// Maximum number of suspects with evidence, by kind.
@@ -72,25 +74,41 @@
         changes
     }
 
-    /// Records that a target crashed while requests waited there for their answers to begin.
+    /// Records that a target crashed at `crashed_at` while requests waited there for their answers to
+    /// begin.
     ///
     /// `lost` contains the suspects of all these requests. If one of them is blocked, it explains the
     /// crash.
     #[must_use]
-    pub fn record_crash<I>(&mut self, target: u32, lost: I, now: MilliTime) -> Vec<SuspectChange>
+    pub fn record_crash<I>(
+        &mut self,
+        target: u32,
+        lost: I,
+        crashed_at: MilliTime,
+        now: MilliTime,
+    ) -> Vec<SuspectChange>
     where
-        I: IntoIterator<Item = CrashSuspect>,
+        I: IntoIterator<Item = LostSuspect>,
     {
-        let lost: BTreeSet<CrashSuspect> = lost.into_iter().collect();
+        let mut sent_at: BTreeMap<CrashSuspect, MilliTime> = BTreeMap::new();
+        for lost in lost {
+            let first = sent_at.entry(lost.suspect).or_insert(lost.sent_at);
+            *first = lost.sent_at.min(*first);
+        }
         let is_blocked = |suspect: &CrashSuspect| self.blocked_until([*suspect], now).is_some();
-        let blocked: BTreeSet<CrashSuspect> = lost.iter().copied().filter(is_blocked).collect();
-        let suspects = if blocked.is_empty() { lost } else { blocked };
-        let at = PastTime::from(now);
-        for suspect in suspects {
+        if sent_at.keys().any(is_blocked) {
+            sent_at.retain(|suspect, _| self.blocked_until([*suspect], now).is_some());
+        }
+        for (suspect, sent_at) in sent_at {
             let begun_at = self.begun_at(suspect);
             let record = self.records.entry(suspect);
             let record = record.or_insert_with(|| SuspectRecord::new(suspect.kind, now));
-            record.add_crash(TargetCrash { target, at }, now);
+            let crash = TargetCrash {
+                target,
+                at: crashed_at.into(),
+                sent_at: Some(sent_at.into()),
+            };
+            record.add_crash(crash, now);
             if let Some(begun_at) = begun_at {
                 record.record_begin(begun_at.into(), now);
             }
@@ -208,6 +226,7 @@
             let crash = TargetCrash {
                 target: crash.target,
                 at: PastTime::new(now, crash.age),
+                sent_at: crash.sent_age.map(|age| PastTime::new(now, age)),
             };
             record.add_crash(crash, now);
         }
@@ -249,14 +268,17 @@
     fn main_suspect(&self, now: MilliTime) -> Option<CrashSuspect> {
         let explained = self.explained_crashes();
         let suspects = self.records.iter().filter_map(|(suspect, record)| {
-            let min_crashes = if record.has_begun() {
-                MIN_CRASHES_OF_KNOWN_SUSPECT
+            let total = record.separate_crashes(|_| true);
+            if total < MIN_CRASHES || !record.has_new_crash() || record.blocked_until(now).is_some()
+            {
+                return None;
+            }
+            let min_crashes = if record.has_begun() || self.is_ambiguous(*suspect, record) {
+                MIN_CRASHES_OF_AMBIGUOUS_SUSPECT
             } else {
                 MIN_CRASHES
             };
-            let total = record.separate_crashes(|_| true);
-            if total < min_crashes || !record.has_new_crash() || record.blocked_until(now).is_some()
-            {
+            if total < min_crashes {
                 return None;
             }
             let is_unexplained = |crash: &TargetCrash| {
@@ -271,6 +293,20 @@
         suspects.max().map(|(.., suspect)| suspect)
     }
 
+    /// Returns whether a suspect is a part and some of its crashes are those of one request that came
+    /// again, which may be the cause of the others too.
+    fn is_ambiguous(&self, suspect: CrashSuspect, record: &SuspectRecord) -> bool {
+        let is_shared = |crash: &&TargetCrash| {
+            let mut crashes = record.crashes().iter();
+            crashes.any(|known| known.is_same(crash))
+        };
+        let is_repeated = |(other, request): (&CrashSuspect, &SuspectRecord)| {
+            other.kind == SuspectKind::Request
+                && request.crashes().iter().filter(is_shared).count() > 1
+        };
+        suspect.kind == SuspectKind::PromptPart && self.records.iter().any(is_repeated)
+    }
+
     /// Returns the crashes of requests with suspects that were blocked.
     fn explained_crashes(&self) -> Vec<(CrashSuspect, TargetCrash)> {
         let blocked = self.records.iter().filter(|(_, record)| record.has_block());
--- a/crates/briarrail_dispatch/src/suspect_record.rs
+++ b/crates/briarrail_dispatch/src/suspect_record.rs
@@ -5,9 +5,9 @@
 use crate::past_time::PastTime;
 use crate::{BlockReport, CrashReport, SuspectKind, SuspectReport};
 
-/// Minimum time between crashes that count separately for a prompt part; targets that crash at the
-/// same moment have a common cause that is not a request, and many requests share a part. Covers the
-/// error in the ages of reports, which is at most half the timeout of a sync.
+/// Minimum time between crashes that count separately; targets that crash at the same moment have a
+/// common cause that is not a request. Covers the error in the ages of reports, which is at most half
+/// the timeout of a sync.
 const MIN_CRASH_SPACING: MilliDuration = MilliDuration::from_millis(250);
 /// Maximum difference between two reports of the same crash; less than the time in which a target
 /// restarts.
@@ -26,6 +26,8 @@
 pub(crate) struct TargetCrash {
     pub(crate) target: u32,
     pub(crate) at: PastTime,
+    /// Earliest time at which such a request was sent to the target, if it is known.
+    pub(crate) sent_at: Option<PastTime>,
 }
 
 impl TargetCrash {
@@ -170,20 +172,20 @@
 
     /// Returns the number of crashes that count separately, of those that `counts` accepts.
     ///
-    /// It is unlikely that a sound request waits at several targets that crash at the same moment,
-    /// so all crashes of a request count.
+    /// A request that was sent to the next target after the last one had crashed is evidence of its
+    /// own however soon that one crashes too. For parts, which many requests share, it is not.
     pub(crate) fn separate_crashes<F>(&self, counts: F) -> usize
     where
         F: Fn(&TargetCrash) -> bool,
     {
-        let spacing = match self.kind {
-            SuspectKind::PromptPart => MIN_CRASH_SPACING,
-            SuspectKind::Request => MilliDuration::ZERO,
-        };
         let mut counted: Option<PastTime> = None;
         let mut number = 0;
         for crash in self.crashes.iter().filter(|crash| counts(crash)) {
-            if counted.is_none_or(|at| crash.at.distance(at) >= spacing) {
+            let is_spaced = |at: PastTime| crash.at.distance(at) >= MIN_CRASH_SPACING;
+            let is_sent_later = |at: PastTime| {
+                self.kind == SuspectKind::Request && crash.sent_at.is_some_and(|sent| sent >= at)
+            };
+            if counted.is_none_or(|at| is_spaced(at) || is_sent_later(at)) {
                 counted = Some(crash.at);
                 number += 1;
             }
@@ -213,6 +215,10 @@
         let to_report = |crash: &TargetCrash| CrashReport {
             target: crash.target,
             age: crash.at.age(now),
+            sent_age: match self.kind {
+                SuspectKind::PromptPart => None,
+                SuspectKind::Request => crash.sent_at.map(|at| at.age(now)),
+            },
         };
         SuspectReport {
             suspect,
--- a/crates/briarrail_dispatch/src/suspect_report.rs
+++ b/crates/briarrail_dispatch/src/suspect_report.rs
@@ -10,6 +10,9 @@
     pub target: u32,
     /// Time since the crash.
     pub age: MilliDuration,
+    /// Time since such a request was first sent to the target, at least; only for whole requests.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sent_age: Option<MilliDuration>,
 }
 
 /// A time for which requests with a suspect are not sent.
@@ -36,10 +39,14 @@
 
 impl SuspectReport {
     /// Adds the time that the report spends on its way to all ages.
+    ///
+    /// The time is half a round trip, and may be wrong by as much. A request must not seem to have
+    /// been sent after a crash only for that, so its age grows by the possible error of both.
     #[must_use]
     pub fn aged(mut self, transit: MilliDuration) -> Self {
         for crash in &mut self.crashes {
             crash.age = crash.age + transit;
+            crash.sent_age = crash.sent_age.map(|age| age + transit + transit + transit);
         }
         self.begun_age = self.begun_age.map(|age| age + transit);
         self.block = self.block.map(|block| BlockReport {
--- a/crates/briarrail_dispatch/tests/suite/crash_quarantine.rs
+++ b/crates/briarrail_dispatch/tests/suite/crash_quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use briarrail_dispatch::{CrashQuarantine, CrashSuspect, SuspectChange};
+use briarrail_dispatch::{CrashQuarantine, CrashSuspect, LostSuspect, SuspectChange};
 use briarrail_model::MilliDuration;
 
 use crate::crash_replay::{BadSuspect, Conditions, Replay, SMALL_SITE, part};
@@ -104,12 +104,13 @@
         |fleet: &Conditions| fleet.seed == 2 && fleet.bad_suspect == BadSuspect::First;
     for conditions in fleets().into_iter().filter(has_own_conditions) {
         for (crash_share, crash_period_ms) in [(0.15, 1_000), (0.5, 2_000), (1.0, 5_000)] {
-            for resends in [0, 3] {
+            for (resends, hot_share) in [(0, 0.0), (3, 0.0), (0, 0.5), (3, 0.5)] {
                 let conditions = Conditions {
                     bad_suspect: BadSuspect::None,
                     crash_share,
                     crash_period_ms,
                     resends,
+                    hot_share,
                     ..conditions
                 };
                 let totals = Replay::new(conditions).run(20_000);
@@ -166,6 +167,51 @@
     }
 }
 
+/// Returns a suspect that was sent to a target 50 ms before the target crashed; the targets crash
+/// 100 ms apart.
+fn lost(suspect: CrashSuspect, target: u32) -> LostSuspect {
+    LostSuspect {
+        suspect,
+        sent_at: at(950 + u64::from(target) * 100),
+    }
+}
+
+/// A sound request that many callers send was at all targets of a service when they lost power.
+#[test]
+fn a_request_at_targets_that_crash_together_is_not_blocked() {
+    let hot = CrashSuspect::request(part("hot"));
+    let mut router = CrashQuarantine::default();
+    for target in 0..12 {
+        let lost = LostSuspect {
+            suspect: hot,
+            sent_at: at(970 + u64::from(target)),
+        };
+        let crashed_at = at(1_000 + u64::from(target));
+        let changes = router.record_crash(target, [lost], crashed_at, crashed_at);
+        assert_eq!(changes, []);
+    }
+}
+
+/// Four servers ended within 0.28 s, one after the other (docs/incidents/saltlog-ke-second1.md).
+#[test]
+fn a_request_that_is_sent_on_after_each_crash_is_blocked_however_fast() {
+    let bad = CrashSuspect::request(part("bad"));
+    let mut router = CrashQuarantine::default();
+    let mut blocked_after = None;
+    for target in 0..4_u32 {
+        let crashed_at = at(1_010 + u64::from(target) * 10);
+        let lost = LostSuspect {
+            suspect: bad,
+            sent_at: at(1_000 + u64::from(target) * 10),
+        };
+        let changes = router.record_crash(target, [lost], crashed_at, crashed_at);
+        if !changes.is_empty() {
+            blocked_after = Some(target + 1);
+        }
+    }
+    assert_eq!(blocked_after, Some(3));
+}
+
 /// A sound request was at three targets that another request crashed, of which its router heard
 /// later; it must not stay blocked.
 #[test]
@@ -176,13 +222,13 @@
     let mut other = CrashQuarantine::default();
     for target in 0..3 {
         let now = at(1_000 + u64::from(target) * 100);
-        let changes = router.record_crash(target, [sound], now);
+        let changes = router.record_crash(target, [lost(sound, target)], now, now);
         let is_blocked = changes.contains(&SuspectChange::Blocked(sound, now + BLOCK_TIME));
         assert_eq!(is_blocked, target == 2);
     }
     for target in 0..4 {
         let now = at(1_000 + u64::from(target) * 100);
-        let _changes = other.record_crash(target, [bad], now);
+        let _changes = other.record_crash(target, [lost(bad, target)], now, now);
     }
     let changes = router.merge(&other.reports(at(1_400)), at(1_400));
     assert!(changes.contains(&SuspectChange::Released(sound)));
@@ -199,9 +245,9 @@
     let mut router = CrashQuarantine::default();
     for target in 0..4 {
         let now = at(1_000 + u64::from(target) * 100);
-        let _changes = router.record_crash(target, [bad], now);
+        let _changes = router.record_crash(target, [lost(bad, target)], now, now);
         if target < 3 {
-            let _changes = late.record_crash(target, [sound], now);
+            let _changes = late.record_crash(target, [lost(sound, target)], now, now);
         }
     }
     let reports = late.reports(at(1_400));
--- a/crates/briarrail_dispatch/tests/suite/crash_replay.rs
+++ b/crates/briarrail_dispatch/tests/suite/crash_replay.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use briarrail_dispatch::{CrashQuarantine, CrashSuspect, SuspectChange, SuspectReports};
+use briarrail_dispatch::{
+    CrashQuarantine, CrashSuspect, LostSuspect, SuspectChange, SuspectReports,
+};
 use briarrail_model::{MilliDuration, StableHash, hash_bytes, hash_pair};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -53,6 +55,8 @@
     pub(crate) restart_period_ms: u64,
     /// Number of times that a request is sent again after its target crashed.
     pub(crate) resends: u32,
+    /// Share of the sound requests that are the same one.
+    pub(crate) hot_share: f64,
     pub(crate) seed: u64,
 }
 
@@ -71,6 +75,7 @@
     restart_period_ms: u64::MAX,
     seed: 1,
     resends: 0,
+    hot_share: 0.0,
 };
 
 #[derive(Debug, Clone)]
@@ -78,6 +83,7 @@
     router: usize,
     suspects: Vec<CrashSuspect>,
     is_bad: bool,
+    sent_at: u64,
     begins_at: u64,
     /// Number of times that it was sent before.
     sends: u32,
@@ -193,7 +199,12 @@
             part(&format!("first {first}")),
             part(&format!("subject {subject}")),
         ];
-        let own = StableHash(self.random.random());
+        let is_hot = self.random.random_bool(self.conditions.hot_share);
+        let own = if is_hot {
+            part("hot")
+        } else {
+            StableHash(self.random.random())
+        };
         let (parts, own) = match self.conditions.bad_suspect {
             BadSuspect::First if is_bad => ([part("bad"), sound[1]], own),
             BadSuspect::Second if is_bad => ([part("first 0"), part("bad")], own),
@@ -209,6 +220,7 @@
             router: self.random.random_range(0..self.routers.len()),
             suspects: self.suspects(is_bad),
             is_bad,
+            sent_at: now,
             begins_at: now,
             sends: 0,
         };
@@ -252,6 +264,7 @@
         } else {
             self.totals.sound_sends += 1;
         }
+        request.sent_at = now;
         request.begins_at = now + self.random.random_range(1..=self.conditions.wait_ms * 2);
         request.sends += 1;
         self.targets[chosen].waiting.push(request);
@@ -282,17 +295,19 @@
         let id = target.lifetime * 1_000 + index as u32;
         target.lifetime += 1;
         target.up_at = now + self.random.random_range(1_500..4_500);
-        let mut lost: BTreeMap<usize, Vec<CrashSuspect>> = BTreeMap::new();
+        let mut lost: BTreeMap<usize, Vec<LostSuspect>> = BTreeMap::new();
         for request in waiting {
             let lost_there = lost.entry(request.router).or_default();
-            lost_there.extend(&request.suspects);
+            let sent_at = at(request.sent_at);
+            let suspects = request.suspects.iter();
+            lost_there.extend(suspects.map(|&suspect| LostSuspect { suspect, sent_at }));
             if request.sends <= self.conditions.resends {
                 let due_at = now + TICK_MS;
                 self.resends.push(Resend { due_at, request });
             }
         }
         for (router, lost) in lost {
-            let changes = self.routers[router].record_crash(id, lost, at(now));
+            let changes = self.routers[router].record_crash(id, lost, at(now), at(now));
             self.note(&changes);
         }
     }
--- a/crates/briarrail_gateway/src/traffic/crash_check.rs
+++ b/crates/briarrail_gateway/src/traffic/crash_check.rs
@@ -7,7 +7,8 @@
 use std::io::ErrorKind;
 use std::rc::Rc;
 
-use briarrail_dispatch::{SendOutcome, TargetKey};
+use briarrail_dispatch::{LostSuspect, SendOutcome, TargetKey};
+use briarrail_model::MilliTime;
 
 use super::request_traits::RequestTraits;
 use super::target_send::CONNECT_TIMEOUT;
@@ -17,25 +18,51 @@
 /// Maximum number of requests in the log line of a crash.
 const MAX_LOGGED_REQUESTS: usize = 8;
 
-/// Checks in progress, with the traits of the requests that lost their connection to the
-/// target before it began to write the answer.
+/// A request that lost its connection to a target before the target began to write the answer.
+#[derive(Debug, Clone)]
+pub(super) struct LostRequest {
+    pub(super) traits: RequestTraits,
+    pub(super) sent_at: MilliTime,
+}
+
+impl LostRequest {
+    pub(super) fn suspects(&self) -> impl Iterator<Item = LostSuspect> {
+        let sent_at = self.sent_at;
+        let suspects = self.traits.suspects();
+        suspects.map(move |suspect| LostSuspect { suspect, sent_at })
+    }
+}
+
+/// A check in progress.
+#[derive(Debug)]
+struct CrashCheck {
+    /// Time of the first loss.
+    lost_at: MilliTime,
+    lost_requests: Vec<LostRequest>,
+}
+
+/// Checks in progress, by target.
 #[derive(Debug, Default)]
-pub(super) struct CrashChecks(HashMap<TargetKey, Vec<RequestTraits>>);
+pub(super) struct CrashChecks(HashMap<TargetKey, CrashCheck>);
 
 /// Checks in the background whether a target crashed, after a request lost its connection before
 /// the answer began.
 ///
 /// Losses during a check share its result, so that a crash costs one connection.
-pub(super) fn check_target<D>(state: &Rc<TrafficState<D>>, key: TargetKey, traits: &RequestTraits)
+pub(super) fn check_target<D>(state: &Rc<TrafficState<D>>, key: TargetKey, lost: LostRequest)
 where
     D: 'static,
 {
     let mut checks = state.crash_checks.borrow_mut();
-    if let Some(lost_requests) = checks.0.get_mut(&key) {
-        lost_requests.push(traits.clone());
+    if let Some(check) = checks.0.get_mut(&key) {
+        check.lost_requests.push(lost);
         return;
     }
-    checks.0.insert(key, vec![traits.clone()]);
+    let check = CrashCheck {
+        lost_at: state.clock.now(),
+        lost_requests: vec![lost],
+    };
+    checks.0.insert(key, check);
     tokio::task::spawn_local(run_check(Rc::clone(state), key));
 }
 
@@ -50,8 +77,10 @@
         return;
     };
     let result = HttpConnection::open(target.address, CONNECT_TIMEOUT).await;
-    let lost_requests = state.crash_checks.borrow_mut().0.remove(&key);
-    let lost_requests = lost_requests.unwrap_or_default();
+    let check = state.crash_checks.borrow_mut().0.remove(&key);
+    let Some(check) = check else {
+        return;
+    };
     let outcome = match result {
         Ok(connection) => {
             let now = state.clock.now();
@@ -61,21 +90,25 @@
         }
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
             state.record_outcome(key, SendOutcome::Unreachable);
-            state.record_crash(key, &lost_requests);
+            state.record_crash(key, &check.lost_requests, check.lost_at);
             "crashed"
         }
         Err(_) => "silent",
     };
     state.metrics.count_target_check(&target.service, outcome);
-    let logged = || lost_requests.iter().take(MAX_LOGGED_REQUESTS);
-    let parts: Vec<String> = logged().map(|lost| lost.shared_parts.to_string()).collect();
-    let fingerprints: Vec<String> = logged().map(RequestTraits::fingerprint_text).collect();
+    let logged = || check.lost_requests.iter().take(MAX_LOGGED_REQUESTS);
+    let parts: Vec<String> = logged()
+        .map(|lost| lost.traits.shared_parts.to_string())
+        .collect();
+    let fingerprints: Vec<String> = logged()
+        .map(|lost| lost.traits.fingerprint_text())
+        .collect();
     tracing::info!(
         event = "target_checked",
         target_id = target.id,
         service = target.service,
         outcome,
-        lost_requests = lost_requests.len(),
+        lost_requests = check.lost_requests.len(),
         fingerprints = fingerprints.join(" "),
         parts = parts.join(" "),
     );
--- a/crates/briarrail_gateway/src/traffic/send_guard.rs
+++ b/crates/briarrail_gateway/src/traffic/send_guard.rs
@@ -5,7 +5,7 @@
 use briarrail_dispatch::{SendOutcome, TargetKey};
 use briarrail_model::{MilliDuration, MilliTime};
 
-use super::crash_check::check_target;
+use super::crash_check::{LostRequest, check_target};
 use super::request_traits::RequestTraits;
 use super::traffic_state::TrafficState;
 
@@ -104,7 +104,11 @@
     {
         self.record_outcome(SendOutcome::Broken);
         if !self.has_begun {
-            check_target(&self.state, self.key, &self.traits);
+            let lost = LostRequest {
+                traits: self.traits.clone(),
+                sent_at: self.started_at,
+            };
+            check_target(&self.state, self.key, lost);
         }
     }
 
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -18,7 +18,7 @@
 use tokio::sync::oneshot;
 
 use super::connection_pool::ConnectionPool;
-use super::crash_check::CrashChecks;
+use super::crash_check::{CrashChecks, LostRequest};
 use super::request_context::RequestContext;
 use super::request_traits::RequestTraits;
 use crate::ProcessClock;
@@ -271,15 +271,20 @@
     }
 
     /// Records that a target crashed while requests waited there for their answers to begin.
-    pub(crate) fn record_crash(&self, key: TargetKey, lost_requests: &[RequestTraits]) {
+    pub(super) fn record_crash(
+        &self,
+        key: TargetKey,
+        lost_requests: &[LostRequest],
+        crashed_at: MilliTime,
+    ) {
         let now = self.clock.now();
         let hash = self.registry.borrow().get(key).map(|target| target.hash);
         let Some(hash) = hash else {
             return;
         };
-        let suspects = lost_requests.iter().flat_map(RequestTraits::suspects);
+        let suspects = lost_requests.iter().flat_map(LostRequest::suspects);
         let mut quarantine = self.quarantine.borrow_mut();
-        let changes = quarantine.record_crash(hash.0 as u32, suspects, now);
+        let changes = quarantine.record_crash(hash.0 as u32, suspects, crashed_at, now);
         self.log_suspect_changes(&changes, "local", now);
     }
 
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -1,6 +1,6 @@
 //! Messages between a router and its hub.
 
-use briarrail_dispatch::{CrashQuarantine, CrashSuspect};
+use briarrail_dispatch::{CrashQuarantine, CrashSuspect, LostSuspect};
 use briarrail_model::{MilliTime, hash_bytes};
 use briarrail_peer::{
     Envelope, FrameCodec, KeyRing, MessageKind, RosterUpdate, ServiceDemand, SharedKey,
@@ -165,7 +165,9 @@
             ];
             let target = (crash * 1_000 + request) as u32;
             let now = MilliTime::from_millis(1_000 + crash * 2_000);
-            let changes = quarantine.record_crash(target, suspects, now);
+            let sent_at = now;
+            let lost = suspects.map(|suspect| LostSuspect { suspect, sent_at });
+            let changes = quarantine.record_crash(target, lost, now, now);
             assert_eq!(changes, []);
         }
     }
