fix(dispatch): let a target that stops draining be used again

What callers would see: a target that registers as draining and then as ready again, in one run, gets no requests any more. Found by reading the soak, whose targets do so; took a drain for final, which the restore of the store does not need.

Change: drains are held only while it is unclear who wrote the entry. When the store is restored, targets that drain become unconfirmed like those that left: a listing that says ready counts once the entry was renewed, 3.2 s later at the earliest. For 2.2 s no other router's word makes them ready either, since that router may have started on the restored store.

--- a/crates/briarrail_dispatch/src/departed_targets.rs
+++ b/crates/briarrail_dispatch/src/departed_targets.rs
@@ -1,4 +1,4 @@
-//! Remembers targets that left, so that a restored store does not bring them back.
+//! Remembers targets that left or drain, so that a restored store does not bring them back.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -15,7 +15,7 @@
     started_unix_ms: u64,
 }
 
-/// A target that left before the store was restored.
+/// A target that left or drained before the store was restored.
 #[derive(Debug, Clone)]
 struct UnconfirmedTarget {
     started_unix_ms: u64,
@@ -23,15 +23,15 @@
     listed_sequence: Option<u64>,
 }
 
-/// Targets that left.
+/// Targets that left, and those that left or drained when the store was restored.
 ///
-/// A store that is restored from a copy lists targets that left after the copy was made. Such an
-/// entry counts only once its target has written it again.
+/// A store that is restored from a copy lists targets that left after the copy was made, and those
+/// that drain as ready. Such an entry counts only once its target has written it again.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct DepartedTargets {
     /// Targets that left since the last restore, oldest first.
     departures: VecDeque<TargetRun>,
-    /// Targets that left before the last restore, by id.
+    /// Targets that left or drained before the last restore, by id.
     unconfirmed: BTreeMap<String, UnconfirmedTarget>,
 }
 
@@ -58,14 +58,21 @@
         self.unconfirmed.remove(id);
     }
 
-    /// Records that the store was restored from a copy.
-    pub(crate) fn observe_restore(&mut self) {
-        for departed in self.departures.drain(..) {
+    /// Records that the store was restored from a copy while some targets drained.
+    pub(crate) fn observe_restore<'r, I>(&mut self, draining: I)
+    where
+        I: IntoIterator<Item = &'r TargetRecord>,
+    {
+        let draining = draining.into_iter().map(|record| TargetRun {
+            id: record.id.clone(),
+            started_unix_ms: record.started_unix_ms,
+        });
+        for run in self.departures.drain(..).chain(draining) {
             let target = UnconfirmedTarget {
-                started_unix_ms: departed.started_unix_ms,
+                started_unix_ms: run.started_unix_ms,
                 listed_sequence: None,
             };
-            self.unconfirmed.insert(departed.id, target);
+            self.unconfirmed.insert(run.id, target);
         }
         for target in self.unconfirmed.values_mut() {
             target.listed_sequence = None;
--- a/crates/briarrail_dispatch/src/target_roster.rs
+++ b/crates/briarrail_dispatch/src/target_roster.rs
@@ -15,6 +15,9 @@
 
 /// Time after an outage within which targets with expired entries register again.
 const REREGISTRATION_GRACE: MilliDuration = MilliDuration::from_millis(2_200);
+/// Time between two listings after a restore; long enough for a live target to renew its entry, and
+/// for the other routers to know of the restore as long.
+const CONFIRMATION_DELAY: MilliDuration = MilliDuration::from_millis(3_200);
 /// Maximum age of a view that counts as uninterrupted; far below the expiry time of entries.
 const MAX_CURRENT_VIEW_AGE: MilliDuration = MilliDuration::from_millis(2_500);
 
@@ -77,6 +80,8 @@
     /// Time at which the view was last found to be interrupted.
     last_outage_at: Option<MilliTime>,
     departed: DepartedTargets,
+    /// Time of the last restore of the store, until live targets have written their entries again.
+    restored_at: Option<MilliTime>,
     /// Time of the last listing of the store.
     listed_at: Option<MilliTime>,
 }
@@ -95,29 +100,32 @@
 
     /// Records that the store was restored from a copy.
     ///
-    /// Entries that are newer than the copy get the grace period that follows an outage.
+    /// Entries that are newer than the copy get the grace period that follows an outage. For the same
+    /// time, targets that drain stay so, whatever the store or another router says.
     pub fn observe_restore(&mut self, now: MilliTime) {
         self.last_outage_at = Some(now);
-        self.departed.observe_restore();
+        self.restored_at = Some(now);
+        let records = self.entries.values().map(|entry| &entry.record);
+        let draining = records.filter(|record| record.phase == TargetPhase::Draining);
+        self.departed.observe_restore(draining);
     }
 
-    /// Returns whether the store must be listed again to tell whether targets that left before a
-    /// restore are there.
+    /// Returns whether the store must be listed again to tell whether targets that left or drained
+    /// before a restore have written their entries.
     #[must_use]
     pub fn needs_listing(&self, now: MilliTime) -> bool {
-        let is_due = |at: MilliTime| now.since(at) >= REREGISTRATION_GRACE;
+        let is_due = |at: MilliTime| now.since(at) >= CONFIRMATION_DELAY;
         self.departed.unconfirmed().next().is_some() && self.listed_at.is_some_and(is_due)
     }
 
-    /// Returns the ids of listed targets that left before a restore and have not written their
-    /// entries since.
+    /// Returns the ids of listed targets that left or drained before a restore and have not written
+    /// their entries since.
     pub fn unconfirmed(&self) -> impl Iterator<Item = &str> {
         self.departed.unconfirmed()
     }
 
     /// Adds or updates an entry.
     ///
-    /// A target that drains never returns to the ready phase, so an entry that says so is older.
     /// The return of a missing entry counts as a change, because the followers were told that the
     /// entry is missing.
     pub fn upsert<R>(&mut self, record: R) -> Vec<RosterChange>
@@ -130,10 +138,12 @@
             ..
         } = record.into();
         let id = record.id.clone();
-        self.departed.forget(&id);
         let known = self.entries.get(&id);
-        if known.is_some_and(|entry| is_drain_of(&entry.record, &record)) {
+        let is_drain = known.is_some_and(|entry| is_drain_of(&entry.record, &record));
+        if is_drain && self.restored_at.is_some() {
             record.phase = TargetPhase::Draining;
+        } else {
+            self.departed.forget(&id);
         }
         let was_missing = known.is_some_and(|entry| entry.retained_until.is_some());
         let is_new = known.is_none_or(|entry| entry.record != record);
@@ -187,15 +197,15 @@
         let mut listed = BTreeSet::new();
         for record in records {
             let record: RosterRecord = record.into();
+            if let Ok(found) = missing.binary_search(&record.record.id) {
+                missing.remove(found);
+            }
             if let RemovalPolicy::AfterGracePeriod(_) = policy {
                 listed.insert(record.record.id.clone());
                 if !self.departed.admits(&record.record, record.write_sequence) {
                     continue;
                 }
             }
-            if let Ok(found) = missing.binary_search(&record.record.id) {
-                missing.remove(found);
-            }
             changes.extend(self.upsert(record));
         }
         if let RemovalPolicy::AfterGracePeriod(now) = policy {
@@ -216,6 +226,8 @@
 
     /// Removes the targets whose entries did not come back within the grace period.
     pub fn expire(&mut self, now: MilliTime) -> Vec<RosterChange> {
+        let is_recent = |at: &MilliTime| now.since(*at) < REREGISTRATION_GRACE;
+        self.restored_at = self.restored_at.filter(is_recent);
         let is_expired =
             |entry: &RosterEntry| entry.retained_until.is_some_and(|until| until <= now);
         let expired = self.entries.iter().filter(|(_, entry)| is_expired(entry));
@@ -234,7 +246,7 @@
     }
 }
 
-/// Returns whether a listed record is an older state of a target that is known to drain.
+/// Returns whether two records are of the same run of a target that is known to drain.
 fn is_drain_of(known: &TargetRecord, listed: &TargetRecord) -> bool {
     known.phase == TargetPhase::Draining && known.started_unix_ms == listed.started_unix_ms
 }
