--- a/crates/briarrail_dispatch/tests/suite/crash_quarantine.rs
+++ b/crates/briarrail_dispatch/tests/suite/crash_quarantine.rs
@@ -258,3 +258,43 @@
         assert_eq!(router.blocked_until([sound], at(now)), None);
     }
 }
+
+/// Guards against blocked sound parts beside a bad one while answers wait long; the seeds failed when
+/// more of them were played.
+#[test]
+fn sound_parts_beside_a_bad_one_stay_unblocked_at_seeds_that_failed() {
+    for (routers, targets, sound_per_s, bad_per_s, seed) in
+        [(3, 4, 60, 3, 7), (3, 4, 60, 3, 11), (9, 12, 130, 3, 5)]
+    {
+        assert_only_the_bad_suspect_is_blocked(Conditions {
+            routers,
+            targets,
+            sync_period_ms: 600,
+            sync_delay_ms: 400,
+            wait_ms: 600,
+            sound_per_s,
+            bad_per_s,
+            bad_suspect: BadSuspect::First,
+            seed,
+            ..SMALL_SITE
+        });
+    }
+}
+
+/// Guards against a refused repeat of a sound request that the bad one took along at three targets;
+/// the seed failed when more of them were played.
+#[test]
+fn lost_sound_requests_are_not_refused_at_a_seed_that_failed() {
+    let totals = Replay::new(Conditions {
+        routers: 3,
+        targets: 4,
+        sound_per_s: 60,
+        bad_per_s: 6,
+        bad_suspect: BadSuspect::Request,
+        resends: 3,
+        seed: 8,
+        ..SMALL_SITE
+    })
+    .run(20_000);
+    assert_eq!(totals.sound_refusals, 0);
+}
