--- a/crates/briarrail_dispatch/src/crash_quarantine.rs
+++ b/crates/briarrail_dispatch/src/crash_quarantine.rs
@@ -2,9 +2,10 @@
 //!
 //! Each target that begins to answer such a request crashes, and all its streams are cut. Ejecting
 //! the target moves the next such request to another target. So the evidence is kept by what the
-//! requests have in common, either a part of their prompts or everything: requests that waited for
-//! their answer to begin when their target crashed make their suspects suspicious, and an answer
-//! that begins clears its suspects. Several crashes without an answer in between block a suspect.
+//! requests have in common, their suspects, either a part of their prompts or everything: requests
+//! that waited for their answer to begin when their target crashed are evidence against their
+//! suspects, and an answer that begins clears its suspects. Several crashes without an answer in
+//! between block a suspect.
 //! Each router sees only some of the requests, so routers exchange the evidence, and all come to the
 //! same decision.
 
@@ -23,9 +24,9 @@
 
 /// Number of crashes, without an answer in between, that block a suspect of which no answer is known.
 const MIN_CRASHES: usize = 3;
-/// Number of crashes that block a suspect of which an answer began before them, or a part most of whose
-/// crashes may be those of one request. Such a suspect is more likely to be sound, with requests that
-/// waited by chance at targets that crashed.
+/// Number of crashes that block a suspect of which an answer began before them, or a part two or more
+/// of whose crashes may be those of one request. Such a suspect is more likely to be sound, with
+/// requests that waited by chance at targets that crashed.
 const MIN_CRASHES_OF_AMBIGUOUS_SUSPECT: usize = 5;
 /// Time for which a change is reported; several rounds of a slow exchange.
 const REPORT_TIME: MilliDuration = MilliDuration::from_secs(5);
