fix(test): probe a free port without listening on it

The port had been probed by listening on it and closing it again.

Cause: a process that another thread is just spawning has a copy of the probe's socket until it executes its program, so the port is still held when the gateway binds it. Change: the probe connects; a port on which somebody listens is still passed over. No check or bound of a test changes.

--- a/crates/briarrail_standin/src/port_block.rs
+++ b/crates/briarrail_standin/src/port_block.rs
@@ -1,6 +1,6 @@
 //! Free ports for processes that tests start.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU16, Ordering};
 
@@ -38,7 +38,9 @@
         loop {
             let offset = self.next_offset.fetch_add(1, Ordering::Relaxed) % (BLOCK_SIZE - 1);
             let address = local_address(first.port() + 1 + offset);
-            if TcpListener::bind(address).is_ok() {
+            // A probe that listened could be inherited by a process that another thread is spawning,
+            // and still hold the port when its owner binds it.
+            if TcpStream::connect(address).is_err() {
                 return address;
             }
         }
