feat(gateway): log a caller's connection that a timeout closes

The logs could not tell whether a connection without an answer was closed by the idle or head timeout of a configuration or by its stream. `caller_timed_out` names the caller, which timeout it was, and the limits in effect.

--- a/crates/briarrail_gateway/src/traffic/caller_server.rs
+++ b/crates/briarrail_gateway/src/traffic/caller_server.rs
@@ -72,6 +72,7 @@
     D: WireDialect,
 {
     state.open_connections.set(state.open_connections.get() + 1);
+    let caller = stream.peer_addr().ok();
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "failed to set TCP_NODELAY");
     }
@@ -110,7 +111,15 @@
                 break;
             }
             () = tokio::time::sleep(TIMEOUT_CHECK_INTERVAL) => {
-                if activity.is_timed_out(&limits(&state), state.clock.now()) {
+                let limits = limits(&state);
+                if let Some(timeout) = activity.expired_timeout(&limits, state.clock.now()) {
+                    tracing::info!(
+                        event = "caller_timed_out",
+                        ?caller,
+                        ?timeout,
+                        head_timeout_ms = limits.header_timeout.as_millis(),
+                        idle_timeout_ms = limits.idle_timeout.as_millis(),
+                    );
                     break;
                 }
             }
--- a/crates/briarrail_gateway/src/traffic/connection_activity.rs
+++ b/crates/briarrail_gateway/src/traffic/connection_activity.rs
@@ -12,6 +12,15 @@
 
 use crate::ProcessClock;
 
+/// The timeout of a connection that expired.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectionTimeout {
+    /// A request head is still incomplete.
+    Head,
+    /// No request arrived.
+    Idle,
+}
+
 /// Tracks what the timeouts of a connection depend on.
 #[derive(Debug)]
 pub(crate) struct ConnectionActivity {
@@ -45,17 +54,26 @@
         self.idle_since.set(self.clock.now());
     }
 
-    /// Returns whether the idle timeout or the head timeout of the connection has expired.
+    /// Returns which timeout of the connection has expired, if any.
     ///
-    /// Neither applies while a request is in progress.
-    pub(crate) fn is_timed_out(&self, limits: &CallerLimits, now: MilliTime) -> bool {
+    /// None applies while a request is in progress.
+    pub(crate) fn expired_timeout(
+        &self,
+        limits: &CallerLimits,
+        now: MilliTime,
+    ) -> Option<ConnectionTimeout> {
         if self.request_in_progress.get() {
-            return false;
-        }
-        match self.header_started_at.get() {
-            Some(since) => now.since(since) >= limits.header_timeout,
-            None => now.since(self.idle_since.get()) >= limits.idle_timeout,
+            return None;
         }
+        let (timeout, since, limit) = match self.header_started_at.get() {
+            Some(since) => (ConnectionTimeout::Head, since, limits.header_timeout),
+            None => (
+                ConnectionTimeout::Idle,
+                self.idle_since.get(),
+                limits.idle_timeout,
+            ),
+        };
+        (now.since(since) >= limit).then_some(timeout)
     }
 
     /// Records that bytes were read; outside a request, they start the next request head.
