fix(gateway): leave a silent target only once another one has the stream

A resumable stream was given up after a gap of max(1 s, twice the gap objective): the connection to the silent target was closed first, and another target was looked for then. If none took the stream (the only target; all others refuse, fail or are unreachable; no attempt left), the caller's connection was closed, though the silent one would have gone on. A slow caller made a sound target silent in the same way, since the gap ran on while events waited for the caller.

StreamTransfer now looks for another target beside the relay. The silent one is left when another one continues the stream, or 250 ms after the request was sent there, so that two targets do not work on it for long. If it sends an event before, the other attempt is cancelled. If no other target takes the stream, it stays, and the search is repeated after each further gap while attempts and retries are left; a retry is taken only when a connection is open. The decision is RetryMachine's (TargetSilent, KeepTarget).

--- a/crates/briarrail_gateway/src/net/http_connection.rs
+++ b/crates/briarrail_gateway/src/net/http_connection.rs
@@ -88,6 +88,11 @@
         })
     }
 
+    /// Closes the connection while its response is still in use.
+    pub(crate) fn close(&self) {
+        self.driver.abort();
+    }
+
     /// Returns whether the connection can send another request.
     pub(crate) fn is_idle(&self) -> bool {
         self.sender.is_ready()
--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -14,7 +14,9 @@
 mod response_body;
 mod response_class;
 mod send_guard;
+mod stream_progress;
 mod stream_relay;
+mod stream_transfer;
 mod target_send;
 mod traffic_state;
 
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -14,7 +14,9 @@
 use super::request_context::RequestContext;
 use super::request_trace::RequestTrace;
 use super::response_body::BodyInterrupted;
-use super::response_class::{ResponseClass, is_close_delimited, reuse_timeout};
+use super::response_class::{is_close_delimited, reuse_timeout};
+use super::stream_progress::StreamProgress;
+use super::stream_transfer::{StreamTransfer, TransferEnd, can_continue_stream};
 use super::target_send::{SendResult, TargetResponse, TriedTargets, send_to_target};
 use super::traffic_state::TrafficState;
 use crate::WireDialect;
@@ -83,16 +85,27 @@
 }
 
 /// Why relaying from one target ended.
-enum RelayEnd {
+enum RelayEnd<D> {
     Complete,
     /// The stream was interrupted; contains the cause and the error text.
     Interrupted(&'static str, String),
-    /// No data arrived in time; a retry was already taken from the budget.
-    TimedOut,
+    /// The target was silent, and another one continues the stream.
+    Moved(Box<TargetResponse<D>>),
+    /// The target was left while another one had the request, which failed there.
+    MoveFailed(RetryStep),
     DeadlinePassed,
     CallerDisconnected,
 }
 
+impl<D> From<TransferEnd<D>> for RelayEnd<D> {
+    fn from(end: TransferEnd<D>) -> Self {
+        match end {
+            TransferEnd::Moved(response) => Self::Moved(response),
+            TransferEnd::Failed(step) => Self::MoveFailed(step),
+        }
+    }
+}
+
 impl<D> StreamRelay<D>
 where
     D: WireDialect,
@@ -112,86 +125,100 @@
                 end = self.relay_from_target() => end,
                 () = chunk_sender.closed() => RelayEnd::CallerDisconnected,
             };
-            let mut retry_taken = false;
-            let event = match end {
+            self.machine.leave_silent_target();
+            let step = match end {
                 RelayEnd::Complete => return self.finish(),
                 RelayEnd::CallerDisconnected => {
                     self.response.guard.ignore_outcome();
                     return;
                 }
-                RelayEnd::DeadlinePassed => AttemptEvent::DeadlinePassed,
-                RelayEnd::TimedOut => {
-                    retry_taken = true;
-                    self.response.guard.record_outcome(SendOutcome::Broken);
-                    self.record_interruption("silent", "")
+                RelayEnd::Moved(response) => {
+                    self.checker.discard_partial();
+                    self.continue_with(response);
+                    continue;
                 }
+                RelayEnd::MoveFailed(step) => step,
+                RelayEnd::DeadlinePassed => self.next_step(AttemptEvent::DeadlinePassed, false),
                 RelayEnd::Interrupted(cause, detail) => {
                     self.response.guard.record_connection_loss();
-                    self.record_interruption(cause, &detail)
+                    let event = self.record_interruption(cause, &detail);
+                    self.next_step(event, false)
                 }
             };
-            let step = self.next_step(event, retry_taken);
             if !self.resume(step).await {
                 return self.abort().await;
             }
         }
     }
 
-    /// Relays events from the current target.
-    async fn relay_from_target(&mut self) -> RelayEnd {
+    /// Relays events from the current target; if it is silent, looks for another one meanwhile.
+    async fn relay_from_target(&mut self) -> RelayEnd<D> {
         let is_resumable = self.context.semantics == RouteSemantics::ResumableStream;
+        let resume_at = self.checker.resume_offset().filter(|_| is_resumable);
+        let progress = StreamProgress::new(resume_at, self.state.clock.now());
+        let target_id = self.trace.target_id.clone();
         let max_gap =
             MilliDuration::from_millis(self.context.event_gap.as_millis() * GAP_TIMEOUT_FACTOR);
-        let max_gap = max_gap.max(MIN_GAP_TIMEOUT);
-        let mut is_gap_limited = is_resumable;
-        let mut progress_at = self.state.clock.now();
-        loop {
-            let timeout_at = is_gap_limited.then_some(progress_at + max_gap);
-            let deadline = self.context.deadline;
-            match read_body_chunk(&self.state, &mut self.response.body, timeout_at, deadline).await
-            {
-                BodyRead::Chunk(chunk) => {
-                    let mut events = Vec::new();
-                    let events_before = self.checker.data_events();
-                    let result = self.checker.push(chunk, &mut events);
-                    if self.checker.data_events() > events_before {
-                        progress_at = self.state.clock.now();
-                        self.response.guard.record_event();
-                    }
-                    for event in events {
-                        self.trace.events += 1;
-                        if self.chunk_sender.send(Ok(event)).await.is_err() {
-                            return RelayEnd::CallerDisconnected;
-                        }
-                    }
-                    if let Err(error) = result {
-                        return RelayEnd::Interrupted("bad_stream", error.to_string());
-                    }
-                }
-                BodyRead::End if self.ended_before_event() => {
-                    let detail = "the connection ended before an event".to_owned();
-                    return RelayEnd::Interrupted("cut_event", detail);
-                }
-                BodyRead::End => match self.checker.finish() {
-                    Ok(()) => return RelayEnd::Complete,
-                    Err(error) => return RelayEnd::Interrupted("cut_event", error.to_string()),
-                },
-                BodyRead::Interrupted(detail) => {
-                    return RelayEnd::Interrupted("body_broke", detail);
-                }
-                BodyRead::DeadlinePassed => return RelayEnd::DeadlinePassed,
-                BodyRead::TimedOut if self.state.try_take_retry(&self.context.service) => {
-                    return RelayEnd::TimedOut;
+        let mut relayed_events = 0;
+        let transfer = StreamTransfer {
+            state: &self.state,
+            context: &self.context,
+            machine: &mut self.machine,
+            tried: &mut self.tried,
+            trace: &mut self.trace,
+            progress: &progress,
+            max_gap: max_gap.max(MIN_GAP_TIMEOUT),
+        };
+        let mut transfer = Box::pin(transfer.run());
+        let relay = EventRelay {
+            state: &self.state,
+            deadline: self.context.deadline,
+            response: &mut self.response,
+            checker: &mut self.checker,
+            chunk_sender: &self.chunk_sender,
+            progress: &progress,
+            events: &mut relayed_events,
+        };
+        let mut relay = Box::pin(relay.run());
+        let end = tokio::select! {
+            biased;
+            () = progress.left() => None,
+            end = relay.as_mut() => Some(end),
+            end = transfer.as_mut(), if is_resumable => Some(end.into()),
+        };
+        drop(relay);
+        let guard = &mut self.response.guard;
+        let is_interrupted = matches!(end, Some(RelayEnd::Interrupted(..)));
+        let end = match end {
+            Some(end) if !is_interrupted || !progress.is_sent() => {
+                drop(transfer);
+                end
+            }
+            // Another target has the request already, so its answer decides.
+            _ => {
+                progress.leave();
+                self.response.connection.close();
+                if is_interrupted {
+                    guard.record_connection_loss();
                 }
-                BodyRead::TimedOut => is_gap_limited = false,
+                transfer.await.into()
+            }
+        };
+        if matches!(end, RelayEnd::Moved(_) | RelayEnd::MoveFailed(_)) {
+            let cause = if is_interrupted {
+                "body_broke"
+            } else {
+                "silent"
+            };
+            self.state.metrics.count_send(&self.context.service, cause);
+            if !is_interrupted {
+                guard.record_outcome(SendOutcome::Broken);
             }
+        } else {
+            self.trace.target_id = target_id;
         }
-    }
-
-    /// Returns whether the body is complete only by the end of its connection, and the target sent
-    /// no event.
-    fn ended_before_event(&self) -> bool {
-        !self.response.guard.has_event() && is_close_delimited(&self.response.head.headers)
+        self.trace.events += relayed_events;
+        end
     }
 
     /// Records an interrupted stream and returns the event for the retry machine.
@@ -232,12 +259,7 @@
             };
             let (event, retry_taken) = match result {
                 SendResult::Response(response) if can_continue_stream(&response) => {
-                    self.response = response;
-                    self.machine.handle(
-                        AttemptEvent::HeadReceived,
-                        self.state.clock.now(),
-                        &mut || false,
-                    );
+                    self.continue_with(response);
                     return true;
                 }
                 SendResult::Response(mut response) => {
@@ -251,6 +273,14 @@
         }
     }
 
+    /// Takes the stream up from another target.
+    fn continue_with(&mut self, response: Box<TargetResponse<D>>) {
+        self.response = response;
+        let event = AttemptEvent::HeadReceived;
+        let now = self.state.clock.now();
+        self.machine.handle(event, now, &mut || false);
+    }
+
     fn finish(self) {
         let Self {
             state,
@@ -297,8 +327,66 @@
     }
 }
 
-fn can_continue_stream<D>(response: &TargetResponse<D>) -> bool {
-    response.class == ResponseClass::Relay && response.head.status.is_success()
+/// Relays the events of one target.
+struct EventRelay<'a, D> {
+    state: &'a Rc<TrafficState<D>>,
+    deadline: MilliTime,
+    response: &'a mut TargetResponse<D>,
+    checker: &'a mut StreamChecker,
+    chunk_sender: &'a Sender<Result<Bytes, BodyInterrupted>>,
+    progress: &'a StreamProgress,
+    /// Number of events that were relayed.
+    events: &'a mut u64,
+}
+
+impl<D> EventRelay<'_, D> {
+    async fn run(self) -> RelayEnd<D> {
+        loop {
+            let read = read_body_chunk(self.state, &mut self.response.body, None, self.deadline);
+            match read.await {
+                BodyRead::Chunk(chunk) => {
+                    let mut events = Vec::new();
+                    let events_before = self.checker.data_events();
+                    let result = self.checker.push(chunk, &mut events);
+                    let has_event = self.checker.data_events() > events_before;
+                    if has_event {
+                        self.progress.record_event(self.checker.resume_offset());
+                        self.response.guard.record_event();
+                    }
+                    for event in events {
+                        *self.events += 1;
+                        if self.chunk_sender.send(Ok(event)).await.is_err() {
+                            return RelayEnd::CallerDisconnected;
+                        }
+                    }
+                    if has_event {
+                        self.progress.start_wait(self.state.clock.now());
+                    }
+                    if let Err(error) = result {
+                        return RelayEnd::Interrupted("bad_stream", error.to_string());
+                    }
+                }
+                BodyRead::End if self.ended_before_event() => {
+                    let detail = "the connection ended before an event".to_owned();
+                    return RelayEnd::Interrupted("cut_event", detail);
+                }
+                BodyRead::End => match self.checker.finish() {
+                    Ok(()) => return RelayEnd::Complete,
+                    Err(error) => return RelayEnd::Interrupted("cut_event", error.to_string()),
+                },
+                BodyRead::Interrupted(detail) => {
+                    return RelayEnd::Interrupted("body_broke", detail);
+                }
+                BodyRead::DeadlinePassed | BodyRead::TimedOut => return RelayEnd::DeadlinePassed,
+            }
+        }
+    }
+
+    /// Returns whether the body is complete only by the end of its connection, and the target sent
+    /// no event.
+    fn ended_before_event(&self) -> bool {
+        !self.response.guard.has_event() && is_close_delimited(&self.response.head.headers)
+    }
 }
 
 /// Returns the text of a reason for logs and responses.
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -73,6 +73,14 @@
     MilliDuration::from_millis(threshold_ms.max(MIN_CANCELLATION_THRESHOLD.as_millis()))
 }
 
+/// A target with a connection, to which no byte of the request was sent yet.
+#[derive(Debug)]
+pub(crate) struct PreparedSend<D> {
+    guard: SendGuard<D>,
+    connection: HttpConnection,
+    context_source: Option<SocketAddr>,
+}
+
 /// Selects a target, sends the request and waits for the head of the response.
 pub(crate) async fn send_to_target<D>(
     state: &Rc<TrafficState<D>>,
@@ -81,35 +89,80 @@
     last_event: Option<u64>,
     trace: &mut RequestTrace<D>,
 ) -> SendResult<D>
+where
+    D: WireDialect,
+{
+    match prepare_send(state, context, tried, trace).await {
+        Ok(prepared) => send_prepared(state, context, tried, last_event, trace, prepared).await,
+        Err(event) => SendResult::Failed(event),
+    }
+}
+
+/// Selects a target and connects to it.
+///
+/// # Errors
+///
+/// Fails with the event of the attempt, if no target is left or its connection can't be opened.
+pub(crate) async fn prepare_send<D>(
+    state: &Rc<TrafficState<D>>,
+    context: &RequestContext,
+    tried: &mut TriedTargets,
+    trace: &mut RequestTrace<D>,
+) -> Result<PreparedSend<D>, AttemptEvent>
 where
     D: WireDialect,
 {
     let now = state.clock.now();
     if context.remaining_time(now).is_none() {
-        return SendResult::Failed(AttemptEvent::DeadlinePassed);
+        return Err(AttemptEvent::DeadlinePassed);
     }
     if state.blocked_until(&context.traits).is_some() {
-        return fail_attempt(state, trace, "blocked", &"", AttemptEvent::NoTarget);
+        record_failure(state, trace, "blocked", &"");
+        return Err(AttemptEvent::NoTarget);
     }
     let Some((key, context_source)) = choose_target(state, context, tried, trace) else {
-        return SendResult::Failed(AttemptEvent::NoTarget);
+        return Err(AttemptEvent::NoTarget);
     };
     tried.0.push(key);
     let traits = context.traits.clone();
     let mut guard = SendGuard::start(state, key, cancellation_threshold(context), traits);
-    let mut connection = match acquire_connection(state, context, key).await {
-        Ok(connection) => connection,
+    match acquire_connection(state, context, key).await {
+        Ok(connection) => Ok(PreparedSend {
+            guard,
+            connection,
+            context_source,
+        }),
         Err(ConnectError::LimitReached) => {
             guard.ignore_outcome();
-            let event = AttemptEvent::ConnectFailed;
-            return fail_attempt(state, trace, "connection_limit", &"", event);
+            record_failure(state, trace, "connection_limit", &"");
+            Err(AttemptEvent::ConnectFailed)
         }
         Err(ConnectError::ConnectFailed(error)) => {
             guard.record_outcome(SendOutcome::Unreachable);
-            let event = AttemptEvent::ConnectFailed;
-            return fail_attempt(state, trace, "connect_failed", &error, event);
+            record_failure(state, trace, "connect_failed", &error);
+            Err(AttemptEvent::ConnectFailed)
         }
-    };
+    }
+}
+
+/// Sends the request to a prepared target and waits for the head of the response.
+pub(crate) async fn send_prepared<D>(
+    state: &Rc<TrafficState<D>>,
+    context: &RequestContext,
+    tried: &TriedTargets,
+    last_event: Option<u64>,
+    trace: &mut RequestTrace<D>,
+    prepared: PreparedSend<D>,
+) -> SendResult<D>
+where
+    D: WireDialect,
+{
+    let PreparedSend {
+        mut guard,
+        mut connection,
+        context_source,
+    } = prepared;
+    let key = guard.key();
     let request = context.build_target_request(
         &state.dialect,
         &trace.target_id,
@@ -227,9 +280,18 @@
     detail: &impl ToString,
     event: AttemptEvent,
 ) -> SendResult<D> {
+    record_failure(state, trace, cause, detail);
+    SendResult::Failed(event)
+}
+
+fn record_failure<D>(
+    state: &Rc<TrafficState<D>>,
+    trace: &RequestTrace<D>,
+    cause: &'static str,
+    detail: &impl ToString,
+) {
     trace.log_failed_send(cause, &detail.to_string());
     state.metrics.count_send(&trace.service, cause);
-    SendResult::Failed(event)
 }
 
 /// Selects a target and, if possible, the address of another target with the shared context.
--- a/crates/briarrail_outcome/src/attempt_event.rs
+++ b/crates/briarrail_outcome/src/attempt_event.rs
@@ -24,6 +24,12 @@
         /// Id of the first missing event; `None` if the response can't be resumed.
         resume_at: Option<u64>,
     },
+    /// The target has sent nothing for a while; it may be dead, or go on at any time.
+    TargetSilent {
+        /// Id of the first missing event, if the response has started; `None` if it has not, or
+        /// can't be resumed.
+        resume_at: Option<u64>,
+    },
     /// The complete response arrived.
     Completed,
     /// The deadline of the request passed.
--- a/crates/briarrail_outcome/src/retry_machine.rs
+++ b/crates/briarrail_outcome/src/retry_machine.rs
@@ -17,6 +17,11 @@
 /// as started with [`AttemptEvent::HeadReceived`]. A router that buffers a small response until it
 /// is complete reports its loss as [`AttemptEvent::SendFailed`], so that the call can be retried.
 ///
+/// After [`AttemptEvent::TargetSilent`] the request is attempted at another target while the silent
+/// one is kept. If no further attempt is possible, the step is [`RetryStep::KeepTarget`], and the
+/// request ends with the silent target, unless that was left with
+/// [`leave_silent_target`](Self::leave_silent_target).
+///
 /// ```
 /// use briarrail_model::{CallSemantics, MilliTime};
 /// use briarrail_outcome::{AttemptEvent, NoRetryLimit, RetryMachine, RetryPolicy, RetryStep};
@@ -41,6 +46,8 @@
     may_have_run: bool,
     /// Whether the response has started towards the caller.
     response_started: bool,
+    /// Whether a silent target is kept beside the current attempt.
+    has_silent_target: bool,
     /// Offset of the last resumption.
     resume_offset: Option<u64>,
     /// Reason to report if the request ends without having run.
@@ -59,6 +66,7 @@
             in_flight: false,
             may_have_run: false,
             response_started: false,
+            has_silent_target: false,
             resume_offset: None,
             not_run_reason: NotRunReason::NoTarget,
             outcome: None,
@@ -81,6 +89,28 @@
         self.outcome
     }
 
+    /// Returns whether [`AttemptEvent::TargetSilent`] would lead to an attempt at another target, if
+    /// the limiter allows it.
+    #[must_use]
+    pub fn may_leave_target(&self, resume_at: Option<u64>, now: MilliTime) -> bool {
+        self.outcome.is_none()
+            && self.policy.semantics == CallSemantics::Idempotent
+            && (!self.response_started || resume_at.is_some())
+            && self.may_start_attempt(now)
+    }
+
+    /// Records that the silent target was given up, so that the request depends on the current
+    /// attempt alone.
+    pub const fn leave_silent_target(&mut self) {
+        self.has_silent_target = false;
+    }
+
+    /// Records that the silent target went on, and that the attempt beside it was cancelled.
+    pub const fn keep_silent_target(&mut self) {
+        self.has_silent_target = false;
+        self.in_flight = true;
+    }
+
     /// Handles an event of the current attempt and returns the next step.
     ///
     /// Once the outcome is decided, each further event returns it again.
@@ -98,12 +128,19 @@
                 self.may_have_run |= was_in_flight;
                 self.handle_deadline()
             }
+            AttemptEvent::TargetSilent { resume_at } => {
+                self.handle_silence(resume_at, now, limiter)
+            }
             AttemptEvent::HeadReceived => {
+                self.has_silent_target = false;
                 self.may_have_run = true;
                 self.response_started = true;
                 RetryStep::Relay
             }
-            AttemptEvent::NoTarget => self.fail(UnknownReason::ConnectionLost),
+            AttemptEvent::NoTarget => {
+                self.release_unused_attempt();
+                self.fail(UnknownReason::ConnectionLost)
+            }
             AttemptEvent::ConnectFailed => self.handle_connect_failure(now, limiter),
             AttemptEvent::Refused { not_run: true } => self.handle_refusal(now, limiter),
             AttemptEvent::Refused { not_run: false } => {
@@ -129,6 +166,9 @@
         if let Some(step) = self.retry_uncounted(now, &mut NoRetryLimit) {
             return step;
         }
+        if self.release_unused_attempt() {
+            return self.fail(UnknownReason::ConnectionLost);
+        }
         self.retry_or_fail(UnknownReason::ConnectionLost, now, limiter)
     }
 
@@ -143,6 +183,9 @@
         if self.policy.semantics == CallSemantics::AtMostOnce {
             return self.fail(UnknownReason::TargetFailed);
         }
+        if self.release_unused_attempt() {
+            return self.fail(UnknownReason::TargetFailed);
+        }
         self.retry_or_fail(UnknownReason::TargetFailed, now, limiter)
     }
 
@@ -190,6 +233,36 @@
         }
     }
 
+    fn handle_silence<L>(
+        &mut self,
+        resume_at: Option<u64>,
+        now: MilliTime,
+        limiter: &mut L,
+    ) -> RetryStep
+    where
+        L: RetryLimiter,
+    {
+        self.may_have_run = true;
+        if !self.may_leave_target(resume_at, now) || !self.try_start_attempt(now, limiter) {
+            self.in_flight = true;
+            return RetryStep::KeepTarget;
+        }
+        self.has_silent_target = true;
+        if self.response_started {
+            self.resume_offset = resume_at;
+        }
+        self.next_send()
+    }
+
+    /// Releases an attempt beside a silent target that provably did not run the request, so that it
+    /// is left for a later one; returns whether there was one.
+    const fn release_unused_attempt(&mut self) -> bool {
+        if self.has_silent_target {
+            self.attempt -= 1;
+        }
+        self.has_silent_target
+    }
+
     /// Retries at another target without counting an attempt, while the policy allows it.
     fn retry_uncounted<L>(&mut self, now: MilliTime, limiter: &mut L) -> Option<RetryStep>
     where
@@ -247,8 +320,7 @@
     where
         L: RetryLimiter,
     {
-        let allowed = now < self.policy.deadline && self.attempt < self.policy.max_attempts;
-        if !allowed || !limiter.try_acquire() {
+        if !self.may_start_attempt(now) || !limiter.try_acquire() {
             return false;
         }
         self.attempt += 1;
@@ -256,12 +328,23 @@
         true
     }
 
+    /// Returns whether the deadline and the policy allow another attempt.
+    fn may_start_attempt(&self, now: MilliTime) -> bool {
+        now < self.policy.deadline && self.attempt < self.policy.max_attempts
+    }
+
     fn handle_deadline(&mut self) -> RetryStep {
+        self.has_silent_target = false;
         self.not_run_reason = NotRunReason::DeadlinePassed;
         self.fail(UnknownReason::DeadlinePassed)
     }
 
+    /// Ends the request, unless a silent target still has it.
     fn fail(&mut self, reason: UnknownReason) -> RetryStep {
+        if std::mem::take(&mut self.has_silent_target) {
+            self.in_flight = true;
+            return RetryStep::KeepTarget;
+        }
         let outcome = if self.may_have_run {
             RequestOutcome::Unknown(reason)
         } else {
--- a/crates/briarrail_outcome/src/retry_step.rs
+++ b/crates/briarrail_outcome/src/retry_step.rs
@@ -19,6 +19,8 @@
         /// Whether to ask the target whose response was interrupted, or another one.
         same_target: bool,
     },
+    /// Stay with the silent target, which still has the request.
+    KeepTarget,
     /// Relay the response.
     Relay,
     /// End the request with this outcome.
--- a/crates/briarrail_outcome/tests/suite/retry.rs
+++ b/crates/briarrail_outcome/tests/suite/retry.rs
@@ -83,6 +83,89 @@
     assert_eq!(step, RetryStep::Finish(not_run));
 }
 
+#[test]
+fn steps_of_a_silent_target_that_is_kept() {
+    let silent = |resume_at| AttemptEvent::TargetSilent { resume_at };
+    let refused = AttemptEvent::Refused { not_run: true };
+    let idempotent = [
+        silent(None),
+        refused,
+        AttemptEvent::HeadReceived,
+        silent(Some(7)),
+        AttemptEvent::NoTarget,
+        silent(Some(7)),
+        AttemptEvent::BodyBroken { resume_at: Some(7) },
+    ];
+    let not_resumable = [AttemptEvent::HeadReceived, silent(None)];
+    insta::assert_snapshot!(
+        [
+            trace_steps(CallSemantics::Idempotent, &idempotent),
+            trace_steps(CallSemantics::Idempotent, &not_resumable),
+            trace_steps(CallSemantics::AtMostOnce, &[silent(None)]),
+        ]
+        .join("\n\n")
+    );
+}
+
+/// Guards against a stream that is cut because no other target takes it from a silent one.
+#[test]
+fn a_failed_attempt_beside_a_silent_target_does_not_end_the_request() {
+    let now = MilliTime::default();
+    let failures = [
+        AttemptEvent::NoTarget,
+        AttemptEvent::ConnectFailed,
+        AttemptEvent::SendFailed,
+        AttemptEvent::BadAnswer,
+        AttemptEvent::Refused { not_run: true },
+        AttemptEvent::Refused { not_run: false },
+    ];
+    for failure in failures {
+        let start = || {
+            let mut machine = machine(CallSemantics::Idempotent, 2);
+            machine.start(now);
+            machine.handle(AttemptEvent::HeadReceived, now, &mut NoRetryLimit);
+            let silent = AttemptEvent::TargetSilent { resume_at: Some(3) };
+            let step = machine.handle(silent, now, &mut NoRetryLimit);
+            assert!(matches!(step, RetryStep::Resume { offset: 3, .. }));
+            machine
+        };
+        let mut kept = start();
+        let step = kept.handle(failure, now, &mut NoRetryLimit);
+        assert_eq!(step, RetryStep::KeepTarget, "{failure:?}");
+        assert_eq!(kept.outcome(), None, "{failure:?}");
+        let did_not_run = matches!(
+            failure,
+            AttemptEvent::NoTarget
+                | AttemptEvent::ConnectFailed
+                | AttemptEvent::Refused { not_run: true }
+        );
+        assert_eq!(kept.may_leave_target(Some(3), now), did_not_run);
+        let step = kept.handle(AttemptEvent::Completed, now, &mut NoRetryLimit);
+        assert_eq!(step, RetryStep::Finish(RequestOutcome::Answered));
+
+        let mut left = start();
+        left.leave_silent_target();
+        let step = left.handle(failure, now, &mut NoRetryLimit);
+        let is_unknown = matches!(step, RetryStep::Finish(RequestOutcome::Unknown(_)));
+        assert!(is_unknown, "{failure:?}: {step:?}");
+    }
+}
+
+#[test]
+fn a_silent_target_is_kept_without_a_permit_and_ends_with_the_deadline() {
+    let mut machine = machine(CallSemantics::Idempotent, 4);
+    let now = MilliTime::default();
+    machine.start(now);
+    let silent = AttemptEvent::TargetSilent { resume_at: None };
+    let step = machine.handle(silent, now, &mut || false);
+    assert_eq!(step, RetryStep::KeepTarget);
+    let step = machine.handle(silent, now, &mut NoRetryLimit);
+    assert_eq!(step, RetryStep::Send { attempt: 2 });
+    let step = machine.handle(AttemptEvent::DeadlinePassed, DEADLINE, &mut NoRetryLimit);
+    let outcome = RequestOutcome::Unknown(UnknownReason::DeadlinePassed);
+    assert_eq!(step, RetryStep::Finish(outcome));
+}
+
 /// Sends and runs of one request, as the targets saw them.
 #[derive(Default)]
 struct TargetObservations {
@@ -92,7 +175,7 @@
 }
 
 fn random_send_event(rng: &mut SmallRng, observed: &mut TargetObservations) -> AttemptEvent {
-    match rng.random_range(0..9) {
+    match rng.random_range(0..10) {
         0 => AttemptEvent::ConnectFailed,
         1 => AttemptEvent::NoTarget,
         2 => AttemptEvent::Refused { not_run: true },
@@ -104,6 +187,7 @@
                 4 => AttemptEvent::Refused { not_run: false },
                 5 => AttemptEvent::BadAnswer,
                 6 => AttemptEvent::DeadlinePassed,
+                7 => AttemptEvent::TargetSilent { resume_at: None },
                 _ => AttemptEvent::HeadReceived,
             }
         }
@@ -111,10 +195,13 @@
 }
 
 fn random_body_event(rng: &mut SmallRng) -> AttemptEvent {
-    match rng.random_range(0..4) {
+    match rng.random_range(0..5) {
         0 => AttemptEvent::Completed,
         1 => AttemptEvent::DeadlinePassed,
-        2 => AttemptEvent::BodyBroken { resume_at: None },
+        2 => AttemptEvent::TargetSilent {
+            resume_at: Some(rng.random_range(0..4)),
+        },
+        3 => AttemptEvent::BodyBroken { resume_at: None },
         _ => AttemptEvent::BodyBroken {
             resume_at: Some(rng.random_range(0..4)),
         },
@@ -148,6 +235,12 @@
                 observed.response_started = true;
                 random_body_event(&mut rng)
             }
+            RetryStep::KeepTarget if observed.response_started => random_body_event(&mut rng),
+            RetryStep::KeepTarget => match rng.random_range(0..3) {
+                0 => AttemptEvent::DeadlinePassed,
+                1 => AttemptEvent::SendFailed,
+                _ => AttemptEvent::HeadReceived,
+            },
             RetryStep::Send { .. } => {
                 assert!(
                     !observed.response_started,
--- a/crates/briarraild/src/traffic/call_driver.rs
+++ b/crates/briarraild/src/traffic/call_driver.rs
@@ -183,8 +183,8 @@
                 } => self.resume_at_same_target(offset).await,
                 RetryStep::Resume { offset, .. } => self.send_to_next_target(Some(offset)).await?,
                 RetryStep::Finish(outcome) => return Err(self.finish_with_reply(outcome)),
-                // Returned only for `HeadReceived`, which is never passed here.
-                RetryStep::Relay => Err(AttemptEvent::BadAnswer),
+                // Returned only for `HeadReceived` and `TargetSilent`, which are never passed here.
+                RetryStep::Relay | RetryStep::KeepTarget => Err(AttemptEvent::BadAnswer),
             };
             match result {
                 Ok(response) => return Ok(response),
