fix(gateway): keep a target that is silent before its answer until another one has the request

The same cause as for streams under way, before the first event, in a body and before the head: an idempotent request was taken from a silent target after the adaptive timeout, and only then sent elsewhere. If no other target took it, callers got 502, though the silent one would have answered.

An attempt up to the part from which its response is relayed is now a PendingAnswer of its own, so that two can be under way. The silent one is left when another one answers, or 250 ms after the request was sent there; whichever answers first wins, and the other is cancelled. Requests that may run at most once never move, as before. What a send logs is SendLog, which doesn't borrow the request's trace.

--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -3,33 +3,31 @@
 use std::rc::Rc;
 
 use briarrail_dispatch::{RefusalCause, SendOutcome, retry_after};
-use briarrail_model::{CallSemantics, MilliDuration, MilliTime};
+use briarrail_model::MilliDuration;
 use briarrail_outcome::{
     AttemptEvent, NotRunReason, RequestOutcome, RetryMachine, RetryPolicy, RetryStep,
     StreamChecker, UnknownReason,
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, response};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
+use super::first_answer::{FirstAnswer, PendingAnswer};
 use super::gateway_reply::gateway_reply;
 use super::receive_request::receive_request;
 use super::request_context::{RequestContext, remove_hop_by_hop_headers};
 use super::request_trace::RequestTrace;
 use super::response_body::ResponseBody;
-use super::response_class::{ResponseClass, is_close_delimited, reuse_timeout};
-use super::stream_relay::{BodyRead, StreamRelay, read_body_chunk, unknown_reason_text};
-use super::target_send::{SendResult, TargetResponse, TriedTargets, send_to_target};
+use super::response_class::{ResponseClass, reuse_timeout};
+use super::stream_relay::{StreamRelay, unknown_reason_text};
+use super::stream_transfer::{MAX_FAILED_CONNECTS, MAX_OVERLAP};
+use super::target_send::{PreparedSend, TargetResponse, TriedTargets, prepare_send};
 use super::traffic_state::TrafficState;
 use crate::WireDialect;
 
 /// Maximum number of retries after a target that provably did not run the request.
 const MAX_UNCOUNTED_RETRIES: u32 = 3;
-/// Maximum size of a response that is not a stream, and of the part of a stream before its first
-/// event with data. A response that is not a stream is read completely before it is relayed, so
-/// that an interrupted one can be retried or reported as a failure.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
 /// Maximum number of stream chunks buffered for a slow caller.
 const STREAM_BUFFER_CHUNKS: usize = 8;
 
@@ -67,20 +65,16 @@
     failure_response: Option<Response<ResponseBody>>,
 }
 
-/// Result of an attempt at a target.
-enum AttemptResult {
-    Response(Response<ResponseBody>),
-    NextStep(RetryStep),
-}
-
-/// Failure to read a response, before any of it was relayed.
-enum ResponseFailure {
-    /// The connection broke.
-    ConnectionLost,
-    /// The response is invalid, or the deadline passed.
-    Failed(AttemptEvent),
-    /// The response did not arrive in time; a retry was already taken from the budget.
-    TimedOut,
+/// Result of asking other targets while one is silent.
+enum SearchEnd<D> {
+    /// Another target answered.
+    Answered(FirstAnswer<D>),
+    /// The silent target went on.
+    Resumed(FirstAnswer<D>),
+    /// Another target has the request, and the silent one is left.
+    Replaced(PendingAnswer<D>),
+    /// No other target took the request.
+    Kept,
 }
 
 impl<D> RequestHandler<D>
@@ -117,36 +111,23 @@
             if let RetryStep::Finish(outcome) = step {
                 return self.finish(outcome);
             }
-            let sent = send_to_target(
-                &self.state,
-                &self.context,
-                &mut self.tried,
-                self.context.caller.last_event,
-                &mut self.trace,
-            )
-            .await;
-            let result = match sent {
-                SendResult::Response(response) if response.class == ResponseClass::TargetFailed => {
-                    self.buffer_failure_response(*response).await
-                }
-                SendResult::Response(mut response) if self.is_stream(&response) => {
-                    match self.read_first_events(&mut response).await {
-                        Ok((checker, first)) => return self.start_stream(response, checker, first),
-                        Err(failure) => AttemptResult::NextStep(
-                            self.handle_response_failure(*response, failure),
-                        ),
-                    }
+            let prepared =
+                prepare_send(&self.state, &self.context, &mut self.tried, &mut self.trace);
+            let answer = match prepared.await {
+                Ok(prepared) => self.wait_answer(prepared).await,
+                Err(event) => FirstAnswer::Failed(event),
+            };
+            // A silent target that was kept has answered or failed by now.
+            self.machine.leave_silent_target();
+            step = match self.check_answer(answer) {
+                Ok(FirstAnswer::Stream(response, checker, first)) => {
+                    return self.start_stream(response, checker, first);
                 }
-                SendResult::Response(response) => self.relay_response(*response).await,
-                SendResult::Failed(event) => AttemptResult::NextStep(self.next_step(event, false)),
-                SendResult::TimedOut => {
-                    AttemptResult::NextStep(self.next_step(AttemptEvent::SendFailed, true))
+                Ok(FirstAnswer::Complete(response, body)) => {
+                    return self.relay_response(*response, body);
                 }
+                Ok(FirstAnswer::Failed(event)) | Err(event) => self.next_step(event),
             };
-            match result {
-                AttemptResult::Response(response) => return response,
-                AttemptResult::NextStep(next_step) => step = next_step,
-            }
         }
     }
 
@@ -162,103 +143,132 @@
         admission.admits(self.context.seed())
     }
 
-    fn is_stream(&self, response: &TargetResponse<D>) -> bool {
-        self.context.semantics.is_stream() && response.head.status.is_success()
-    }
-
-    fn next_step(&mut self, event: AttemptEvent, retry_taken: bool) -> RetryStep {
-        let mut limiter = || retry_taken || self.state.try_take_retry(&self.context.service);
+    fn next_step(&mut self, event: AttemptEvent) -> RetryStep {
+        let mut limiter = || self.state.try_take_retry(&self.context.service);
         self.machine
             .handle(event, self.state.clock.now(), &mut limiter)
     }
 
-    /// Records that reading a response failed before the response to the caller started.
-    fn handle_response_failure(
-        &mut self,
-        mut response: TargetResponse<D>,
-        failure: ResponseFailure,
-    ) -> RetryStep {
-        let guard = &mut response.guard;
-        let (event, retry_taken) = match failure {
-            ResponseFailure::ConnectionLost => {
-                guard.record_connection_loss();
-                (AttemptEvent::SendFailed, false)
+    /// Sends the request and waits for an answer; a silent target is left only once another one has
+    /// the request.
+    async fn wait_answer(&mut self, prepared: PreparedSend<D>) -> FirstAnswer<D> {
+        let mut current = self.start_attempt(prepared);
+        let mut next_search_at = self.state.clock.now();
+        loop {
+            let timeout = self.state.response_timeout(&self.context);
+            let search_at = current.silent_at(timeout).max(next_search_at);
+            let may_leave = self.machine.may_leave_target(None, self.state.clock.now());
+            tokio::select! {
+                biased;
+                answer = current.answer() => return answer,
+                () = tokio::time::sleep_until(self.state.clock.instant(search_at)), if may_leave => {}
             }
-            ResponseFailure::Failed(event) => {
-                guard.record_outcome(SendOutcome::Broken);
-                (event, false)
+            if self.state.clock.now() < current.silent_at(timeout) {
+                continue;
             }
-            ResponseFailure::TimedOut => {
-                guard.record_outcome(SendOutcome::Slow);
-                (AttemptEvent::SendFailed, true)
+            let target_id = self.trace.target_id.clone();
+            match self.search_target(&mut current).await {
+                SearchEnd::Replaced(other) => {
+                    self.machine.leave_silent_target();
+                    std::mem::replace(&mut current, other).leave();
+                }
+                SearchEnd::Answered(answer) => {
+                    current.leave();
+                    return answer;
+                }
+                SearchEnd::Resumed(answer) => {
+                    self.trace.target_id = target_id;
+                    return answer;
+                }
+                SearchEnd::Kept => self.trace.target_id = target_id,
             }
-        };
-        self.trace.log_failed_send("answer_lost", "");
-        self.state
-            .metrics
-            .count_send(&self.context.service, "answer_lost");
-        self.next_step(event, retry_taken)
+            next_search_at = self.state.clock.now() + timeout;
+        }
     }
 
-    /// Reads a stream up to its first complete event, or to its end.
-    async fn read_first_events(
-        &mut self,
-        response: &mut TargetResponse<D>,
-    ) -> Result<(StreamChecker, Vec<Bytes>), ResponseFailure> {
-        let mut checker = StreamChecker::without_terminal_event(self.context.caller.last_event);
-        let mut events = Vec::new();
-        let mut read_bytes = 0;
-        let mut timeout_at = self.read_timeout();
+    /// Asks other targets for an answer while the one of `silent` is waited for.
+    async fn search_target(&mut self, silent: &mut PendingAnswer<D>) -> SearchEnd<D> {
+        let mut is_attempted = false;
+        let mut failed_connects = 0;
         loop {
-            let deadline = self.context.deadline;
-            match read_body_chunk(&self.state, &mut response.body, timeout_at, deadline).await {
-                BodyRead::Chunk(chunk) => {
-                    read_bytes += chunk.len();
-                    let result = checker.push(chunk, &mut events);
-                    if checker.data_events() > 0 {
-                        return Ok((checker, events));
+            let preparing =
+                prepare_send(&self.state, &self.context, &mut self.tried, &mut self.trace);
+            let prepared = tokio::select! {
+                biased;
+                answer = silent.answer() => return SearchEnd::Resumed(answer),
+                prepared = preparing => prepared,
+            };
+            let event = match prepared {
+                Ok(prepared) => {
+                    let silence = AttemptEvent::TargetSilent { resume_at: None };
+                    if !is_attempted && self.next_step(silence) == RetryStep::KeepTarget {
+                        return SearchEnd::Kept;
                     }
-                    result.map_err(|_| ResponseFailure::Failed(AttemptEvent::BadAnswer))?;
-                    if read_bytes > MAX_BUFFERED_RESPONSE_BYTES {
-                        return Err(ResponseFailure::Failed(AttemptEvent::BadAnswer));
+                    is_attempted = true;
+                    match self.race(silent, prepared).await {
+                        Ok(end) => return end,
+                        Err(event) => event,
                     }
                 }
-                BodyRead::End if is_close_delimited(&response.head.headers) => {
-                    return Err(ResponseFailure::ConnectionLost);
-                }
-                BodyRead::End => {
-                    let result = checker.finish();
-                    return result
-                        .map(|()| (checker, events))
-                        .map_err(|_| ResponseFailure::ConnectionLost);
-                }
-                BodyRead::Interrupted(_) => return Err(ResponseFailure::ConnectionLost),
-                BodyRead::DeadlinePassed => {
-                    return Err(ResponseFailure::Failed(AttemptEvent::DeadlinePassed));
-                }
-                BodyRead::TimedOut => {
-                    timeout_at = None;
-                    self.check_read_timeout()?;
+                Err(AttemptEvent::ConnectFailed)
+                    if !is_attempted && failed_connects < MAX_FAILED_CONNECTS =>
+                {
+                    failed_connects += 1;
+                    continue;
                 }
+                Err(_) if !is_attempted => return SearchEnd::Kept,
+                Err(event) => event,
+            };
+            if self.next_step(event) == RetryStep::KeepTarget {
+                return SearchEnd::Kept;
             }
         }
     }
 
-    /// Returns the time until which a target may take to complete its response, or its first event,
-    /// before the request is retried, if it can be.
-    fn read_timeout(&self) -> Option<MilliTime> {
-        let may_retry = self.context.semantics.call_semantics() == CallSemantics::Idempotent
-            && (self.tried.0.len() as u32) < self.context.max_attempts;
-        let timeout = self.state.response_timeout(&self.context);
-        may_retry.then(|| self.state.clock.now() + timeout)
+    /// Sends the request to another target as well, until one of both answers or the silent one has
+    /// had its time.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the event of the other target if that has no usable answer.
+    async fn race(
+        &mut self,
+        silent: &mut PendingAnswer<D>,
+        prepared: PreparedSend<D>,
+    ) -> Result<SearchEnd<D>, AttemptEvent> {
+        let mut other = self.start_attempt(prepared);
+        let leave_at = self.state.clock.now() + MAX_OVERLAP;
+        tokio::select! {
+            biased;
+            answer = silent.answer() => match answer {
+                // The other target may still answer.
+                FirstAnswer::Failed(_) => Ok(SearchEnd::Replaced(other)),
+                answer => Ok(SearchEnd::Resumed(answer)),
+            },
+            answer = other.answer() => self.check_answer(answer).map(SearchEnd::Answered),
+            () = tokio::time::sleep_until(self.state.clock.instant(leave_at)) => {
+                Ok(SearchEnd::Replaced(other))
+            }
+        }
+    }
+
+    fn start_attempt(&mut self, prepared: PreparedSend<D>) -> PendingAnswer<D> {
+        let log = self.trace.start_send();
+        PendingAnswer::start(&self.state, &self.context, log, prepared)
     }
 
-    /// Fails if the budget has a retry left for a response that did not arrive in time.
-    fn check_read_timeout(&self) -> Result<(), ResponseFailure> {
-        if !self.state.try_take_retry(&self.context.service) {
-            return Ok(());
+    /// Returns the answer, or the event of the attempt if it is not usable.
+    fn check_answer(&mut self, answer: FirstAnswer<D>) -> Result<FirstAnswer<D>, AttemptEvent> {
+        match answer {
+            FirstAnswer::Failed(event) => Err(event),
+            FirstAnswer::Complete(response, body)
+                if response.class == ResponseClass::TargetFailed =>
+            {
+                self.keep_failure_response(*response, body);
+                Err(AttemptEvent::Refused { not_run: false })
+            }
+            answer => Ok(answer),
         }
-        Err(ResponseFailure::TimedOut)
     }
 
     /// Starts the response to the caller; a [`StreamRelay`] task relays the rest.
@@ -294,14 +304,12 @@
         relayed
     }
 
-    /// Reads a response completely and relays it.
-    async fn relay_response(&mut self, mut response: TargetResponse<D>) -> AttemptResult {
-        let body = match self.read_full_body(&mut response).await {
-            Ok(body) => body,
-            Err(failure) => {
-                return AttemptResult::NextStep(self.handle_response_failure(response, failure));
-            }
-        };
+    /// Relays a complete response.
+    fn relay_response(
+        &mut self,
+        mut response: TargetResponse<D>,
+        body: Bytes,
+    ) -> Response<ResponseBody> {
         response.guard.record_completion();
         let elapsed = response.guard.elapsed();
         self.state
@@ -311,56 +319,16 @@
         self.release_connection(response);
         self.trace
             .set_outcome("answered", "", relayed.status().as_u16());
-        AttemptResult::Response(relayed)
+        relayed
     }
 
-    /// Buffers a failure response of a target and returns the next step, which may be a retry.
-    async fn buffer_failure_response(&mut self, mut response: TargetResponse<D>) -> AttemptResult {
-        let body = match self.read_full_body(&mut response).await {
-            Ok(body) => body,
-            Err(failure) => {
-                return AttemptResult::NextStep(self.handle_response_failure(response, failure));
-            }
-        };
+    /// Keeps a failure response of a target, which is relayed if no other target succeeds.
+    fn keep_failure_response(&mut self, mut response: TargetResponse<D>, body: Bytes) {
         response.guard.record_outcome(SendOutcome::Failed);
-        self.state
-            .metrics
-            .count_send(&self.context.service, "target_failed");
-        self.trace
-            .log_failed_send("target_failed", response.head.status.as_str());
+        let log = self.trace.send_log();
+        log.record_failure("target_failed", &response.head.status);
         self.failure_response = Some(caller_response(&response.head, ResponseBody::full(body)));
         self.release_connection(response);
-        AttemptResult::NextStep(self.next_step(AttemptEvent::Refused { not_run: false }, false))
-    }
-
-    async fn read_full_body(
-        &mut self,
-        response: &mut TargetResponse<D>,
-    ) -> Result<Bytes, ResponseFailure> {
-        let mut buffer = BytesMut::new();
-        let mut timeout_at = self.read_timeout();
-        loop {
-            let deadline = self.context.deadline;
-            match read_body_chunk(&self.state, &mut response.body, timeout_at, deadline).await {
-                BodyRead::Chunk(chunk)
-                    if buffer.len() + chunk.len() <= MAX_BUFFERED_RESPONSE_BYTES =>
-                {
-                    buffer.extend_from_slice(&chunk);
-                }
-                BodyRead::Chunk(_) => {
-                    return Err(ResponseFailure::Failed(AttemptEvent::BadAnswer));
-                }
-                BodyRead::End => return Ok(buffer.freeze()),
-                BodyRead::DeadlinePassed => {
-                    return Err(ResponseFailure::Failed(AttemptEvent::DeadlinePassed));
-                }
-                BodyRead::Interrupted(_) => return Err(ResponseFailure::ConnectionLost),
-                BodyRead::TimedOut => {
-                    timeout_at = None;
-                    self.check_read_timeout()?;
-                }
-            }
-        }
     }
 
     /// Returns the connection to the pool, if it can be reused.
--- a/crates/briarrail_gateway/src/traffic/request_trace.rs
+++ b/crates/briarrail_gateway/src/traffic/request_trace.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 
 use super::request_traits::RequestTraits;
+use super::send_log::SendLog;
 use super::traffic_state::TrafficState;
 
 /// Collects the decisions about a request, and logs them as one line when the request ends.
@@ -100,17 +101,27 @@
         self.status = status;
     }
 
+    /// Counts a send and returns its log.
+    pub(crate) fn start_send(&mut self) -> SendLog<D> {
+        self.sends += 1;
+        self.send_log()
+    }
+
+    /// Returns the log of the last send.
+    pub(crate) fn send_log(&self) -> SendLog<D> {
+        SendLog {
+            state: Rc::clone(&self.state),
+            request_id: self.request_id.clone(),
+            service: self.service.clone(),
+            target_id: self.target_id.clone(),
+            send: self.sends,
+            arrived_at: self.arrived_at,
+        }
+    }
+
     /// Logs that an attempt at a target failed.
     pub(crate) fn log_failed_send(&self, cause: &'static str, detail: &str) {
-        tracing::info!(
-            event = "send_failed",
-            request_id = %String::from_utf8_lossy(&self.request_id),
-            target_id = self.target_id,
-            send = self.sends,
-            cause,
-            detail,
-            elapsed_ms = self.elapsed().as_millis(),
-        );
+        self.send_log().log_failure(cause, detail);
     }
 
     /// Records the time to the first event of a stream.
--- a/crates/briarrail_gateway/src/traffic/send_guard.rs
+++ b/crates/briarrail_gateway/src/traffic/send_guard.rs
@@ -1,5 +1,6 @@
 //! Accounting of one request in flight at a target.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use briarrail_dispatch::{SendOutcome, TargetKey};
@@ -26,6 +27,8 @@
     /// Whether the target began to write the answer and survived it.
     has_begun: bool,
     is_recorded: bool,
+    /// Whether the attempt was given up because the target is silent.
+    is_silent: Rc<Cell<bool>>,
 }
 
 impl<D> SendGuard<D> {
@@ -47,6 +50,7 @@
             first_event_at: None,
             has_begun: false,
             is_recorded: false,
+            is_silent: Rc::new(Cell::new(false)),
         }
     }
 
@@ -55,6 +59,11 @@
         self.key
     }
 
+    /// Returns the flag that makes a drop without an outcome count as a slow target.
+    pub(crate) fn silence_flag(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.is_silent)
+    }
+
     /// Returns the time since the attempt started.
     pub(crate) fn elapsed(&self) -> MilliDuration {
         self.state.clock.now().since(self.started_at)
@@ -121,7 +130,9 @@
 impl<D> Drop for SendGuard<D> {
     fn drop(&mut self) {
         let elapsed = self.elapsed();
-        if !self.is_recorded && elapsed >= self.cancellation_threshold {
+        if !self.is_recorded && self.is_silent.get() {
+            self.state.record_outcome(self.key, SendOutcome::Slow);
+        } else if !self.is_recorded && elapsed >= self.cancellation_threshold {
             self.state.record_outcome(self.key, SendOutcome::Broken);
         }
         self.state.registry.borrow_mut().finish_request(self.key);
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -33,25 +33,21 @@
     End,
     /// The body was interrupted; contains the error text.
     Interrupted(String),
-    /// No data arrived until the timeout.
-    TimedOut,
     /// The deadline of the request passed.
     DeadlinePassed,
 }
 
-/// Reads the next chunk of a body, until `timeout_at` or the deadline.
+/// Reads the next chunk of a body, until the deadline.
 pub(crate) async fn read_body_chunk<D>(
     state: &Rc<TrafficState<D>>,
     body: &mut Incoming,
-    timeout_at: Option<MilliTime>,
     deadline: MilliTime,
 ) -> BodyRead {
-    let limit = timeout_at.map_or(deadline, |at| at.min(deadline));
     // A timeout around a read that is always ready would never expire.
-    if state.clock.now() >= limit {
-        return time_limit_read(limit, deadline);
+    if state.clock.now() >= deadline {
+        return BodyRead::DeadlinePassed;
     }
-    let frame = tokio::time::timeout_at(state.clock.instant(limit), body.frame()).await;
+    let frame = tokio::time::timeout_at(state.clock.instant(deadline), body.frame()).await;
     match frame {
         Ok(Some(Ok(frame))) => match frame.into_data() {
             Ok(chunk) => BodyRead::Chunk(chunk),
@@ -60,15 +56,7 @@
         },
         Ok(Some(Err(error))) => BodyRead::Interrupted(error.to_string()),
         Ok(None) => BodyRead::End,
-        Err(_) => time_limit_read(limit, deadline),
-    }
-}
-
-fn time_limit_read(limit: MilliTime, deadline: MilliTime) -> BodyRead {
-    if limit == deadline {
-        BodyRead::DeadlinePassed
-    } else {
-        BodyRead::TimedOut
+        Err(_) => BodyRead::DeadlinePassed,
     }
 }
 
@@ -342,7 +330,7 @@
 impl<D> EventRelay<'_, D> {
     async fn run(self) -> RelayEnd<D> {
         loop {
-            let read = read_body_chunk(self.state, &mut self.response.body, None, self.deadline);
+            let read = read_body_chunk(self.state, &mut self.response.body, self.deadline);
             match read.await {
                 BodyRead::Chunk(chunk) => {
                     let mut events = Vec::new();
@@ -377,7 +365,7 @@
                 BodyRead::Interrupted(detail) => {
                     return RelayEnd::Interrupted("body_broke", detail);
                 }
-                BodyRead::DeadlinePassed | BodyRead::TimedOut => return RelayEnd::DeadlinePassed,
+                BodyRead::DeadlinePassed => return RelayEnd::DeadlinePassed,
             }
         }
     }
--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -11,16 +11,16 @@
 use super::response_class::ResponseClass;
 use super::stream_progress::StreamProgress;
 use super::target_send::{
-    PreparedSend, SendResult, TargetResponse, TriedTargets, prepare_send, send_prepared,
+    PreparedSend, SendResult, TargetResponse, TriedTargets, prepare_send, retry_time, send_prepared,
 };
 use super::traffic_state::TrafficState;
 use crate::WireDialect;
 
 /// Time for which a silent target keeps the request after it was sent to another one; a sound target
 /// refuses within a few round trips, and two targets must not work on a request for long.
-const MAX_OVERLAP: MilliDuration = MilliDuration::from_millis(250);
+pub(super) const MAX_OVERLAP: MilliDuration = MilliDuration::from_millis(250);
 /// Maximum number of targets without a connection that one search for another target tries.
-const MAX_FAILED_CONNECTS: u32 = 3;
+pub(super) const MAX_FAILED_CONNECTS: u32 = 3;
 
 /// How a transfer ended.
 pub(crate) enum TransferEnd<D> {
@@ -170,12 +170,14 @@
         let leave_at = self.state.clock.now() + MAX_OVERLAP;
         let last_event = silence.resume_at.and_then(|offset| offset.checked_sub(1));
         progress.set_sent(true);
+        let retry_at = retry_time(self.state, self.context, prepared.target(), self.tried);
+        let log = self.trace.start_send();
         let sending = send_prepared(
             self.state,
             self.context,
-            self.tried,
             last_event,
-            self.trace,
+            retry_at,
+            &log,
             prepared,
         );
         let mut sending = std::pin::pin!(sending);
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one target and waits for the head of its response.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -17,6 +18,7 @@
 use super::request_trace::RequestTrace;
 use super::response_class::{ResponseClass, classify_response, read_response_marks};
 use super::send_guard::SendGuard;
+use super::send_log::SendLog;
 use super::traffic_state::TrafficState;
 use crate::WireDialect;
 use crate::net::{HttpConnection, SendError};
@@ -81,6 +83,17 @@
     context_source: Option<SocketAddr>,
 }
 
+impl<D> PreparedSend<D> {
+    pub(crate) const fn target(&self) -> TargetKey {
+        self.guard.key()
+    }
+
+    /// Returns the flag by which the send is marked as given up for the target's silence.
+    pub(crate) fn silence_flag(&self) -> Rc<Cell<bool>> {
+        self.guard.silence_flag()
+    }
+}
+
 /// Selects a target, sends the request and waits for the head of the response.
 pub(crate) async fn send_to_target<D>(
     state: &Rc<TrafficState<D>>,
@@ -93,7 +106,11 @@
     D: WireDialect,
 {
     match prepare_send(state, context, tried, trace).await {
-        Ok(prepared) => send_prepared(state, context, tried, last_event, trace, prepared).await,
+        Ok(prepared) => {
+            let retry_at = retry_time(state, context, prepared.target(), tried);
+            let log = trace.start_send();
+            send_prepared(state, context, last_event, retry_at, &log, prepared).await
+        }
         Err(event) => SendResult::Failed(event),
     }
 }
@@ -117,7 +134,7 @@
         return Err(AttemptEvent::DeadlinePassed);
     }
     if state.blocked_until(&context.traits).is_some() {
-        record_failure(state, trace, "blocked", &"");
+        trace.send_log().record_failure("blocked", &"");
         return Err(AttemptEvent::NoTarget);
     }
     let Some((key, context_source)) = choose_target(state, context, tried, trace) else {
@@ -134,24 +151,26 @@
         }),
         Err(ConnectError::LimitReached) => {
             guard.ignore_outcome();
-            record_failure(state, trace, "connection_limit", &"");
+            trace.send_log().record_failure("connection_limit", &"");
             Err(AttemptEvent::ConnectFailed)
         }
         Err(ConnectError::ConnectFailed(error)) => {
             guard.record_outcome(SendOutcome::Unreachable);
-            record_failure(state, trace, "connect_failed", &error);
+            trace.send_log().record_failure("connect_failed", &error);
             Err(AttemptEvent::ConnectFailed)
         }
     }
 }
 
 /// Sends the request to a prepared target and waits for the head of the response.
+///
+/// At `retry_at` the wait ends if the budget has a retry left.
 pub(crate) async fn send_prepared<D>(
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
-    tried: &TriedTargets,
     last_event: Option<u64>,
-    trace: &mut RequestTrace<D>,
+    retry_at: Option<MilliTime>,
+    log: &SendLog<D>,
     prepared: PreparedSend<D>,
 ) -> SendResult<D>
 where
@@ -165,32 +184,30 @@
     let key = guard.key();
     let request = context.build_target_request(
         &state.dialect,
-        &trace.target_id,
+        log.target_id(),
         last_event,
         context_source,
         state.clock,
     );
-    trace.sends += 1;
-    let retry_at = retry_time(state, context, key, tried);
     let response = match wait_for_head(state, context, &mut connection, request, retry_at).await {
         HeadResult::Received(response) => response,
         HeadResult::TimedOut => {
             guard.record_outcome(SendOutcome::Slow);
-            trace.log_failed_send("no_answer_in_time", "");
-            state.metrics.count_send(&context.service, "silent");
+            log.log_failure("no_answer_in_time", "");
+            log.count("silent");
             return SendResult::TimedOut;
         }
         HeadResult::DeadlinePassed => {
             guard.record_outcome(SendOutcome::Broken);
-            return fail_attempt(state, trace, "deadline", &"", AttemptEvent::DeadlinePassed);
+            return fail_attempt(log, "deadline", &"", AttemptEvent::DeadlinePassed);
         }
         HeadResult::Failed(SendError::NotSent(error)) => {
             guard.ignore_outcome();
-            return fail_attempt(state, trace, "unsent", &error, AttemptEvent::ConnectFailed);
+            return fail_attempt(log, "unsent", &error, AttemptEvent::ConnectFailed);
         }
         HeadResult::Failed(SendError::MaybeSent(error)) => {
             guard.record_connection_loss();
-            return fail_attempt(state, trace, "lost", &error, AttemptEvent::SendFailed);
+            return fail_attempt(log, "lost", &error, AttemptEvent::SendFailed);
         }
     };
     let (head, body) = response.into_parts();
@@ -210,15 +227,15 @@
     match class {
         ResponseClass::NotRun => {
             guard.record_outcome(SendOutcome::Refused);
-            fail_attempt(state, trace, "refused", &head.status, refusal)
+            fail_attempt(log, "refused", &head.status, refusal)
         }
         ResponseClass::WrongTarget => {
             guard.record_outcome(SendOutcome::Unreachable);
-            fail_attempt(state, trace, "wrong_target", &head.status, refusal)
+            fail_attempt(log, "wrong_target", &head.status, refusal)
         }
         ResponseClass::Invalid(cause) => {
             guard.record_outcome(SendOutcome::Broken);
-            fail_attempt(state, trace, cause, &head.status, AttemptEvent::BadAnswer)
+            fail_attempt(log, cause, &head.status, AttemptEvent::BadAnswer)
         }
         ResponseClass::Relay | ResponseClass::TargetFailed => {
             SendResult::Response(Box::new(TargetResponse {
@@ -274,26 +291,15 @@
 
 /// Logs and counts a failed attempt.
 fn fail_attempt<D>(
-    state: &Rc<TrafficState<D>>,
-    trace: &RequestTrace<D>,
+    log: &SendLog<D>,
     cause: &'static str,
     detail: &impl ToString,
     event: AttemptEvent,
 ) -> SendResult<D> {
-    record_failure(state, trace, cause, detail);
+    log.record_failure(cause, detail);
     SendResult::Failed(event)
 }
 
-fn record_failure<D>(
-    state: &Rc<TrafficState<D>>,
-    trace: &RequestTrace<D>,
-    cause: &'static str,
-    detail: &impl ToString,
-) {
-    trace.log_failed_send(cause, &detail.to_string());
-    state.metrics.count_send(&trace.service, cause);
-}
-
 /// Selects a target and, if possible, the address of another target with the shared context.
 fn choose_target<D>(
     state: &Rc<TrafficState<D>>,
@@ -353,7 +359,7 @@
 
 /// Returns the time at which the request is retried at another target if no response head has
 /// arrived, or `None` if a retry is not possible.
-fn retry_time<D>(
+pub(crate) fn retry_time<D>(
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
     key: TargetKey,
