fix(gateway): don't end a connection to a target that pauses before it reads a body

Callers got 502 for a post of 3 MB whose target read its head, paused for 1.4 s and would have read on: the window of the target is closed meanwhile, and TCP_USER_TIMEOUT (800 ms) counts data for which the receiver has no room like data that is lost. With a target that answers before it has read the body, an answer under way would be cut in the same way (seen in the code, not in a run).

The timeout is 2.5 s now. Requests that may be repeated leave a silent target by their own timeouts, as before; one that may run at most once and whose target is cut off gets its 502 after up to 2.5 s instead of 0.8 s.

Evidence: the test failed before (502 for the post) and passes, also for a read; all 87 tests of the suite pass (67.8 s).

--- a/crates/briarrail_gateway/src/net/http_connection.rs
+++ b/crates/briarrail_gateway/src/net/http_connection.rs
@@ -15,8 +15,9 @@
 
 use super::head_limit::{HeadBudget, LimitedStream};
 
-/// Time after which unacknowledged data closes a connection; many round trips within a site.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which unacknowledged data, or data for which the receiver has no room, closes a
+/// connection; a sound target may pause for a second before it reads on.
+const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before the first keepalive probe and between probes; the shortest time that the
 /// operating system accepts.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
