fix(gateway): read the body of a refused request, so that the refusal arrives

The connection was closed while its caller was still sending the body, and so reset: the caller saw a broken pipe and no refusal. The same holds for the refusals of a router without a configuration, of one that stops, and for bodies that are too large.

The refusal is sent at once as before; the rest of the body is read and discarded beside it, up to 4 MB and for 2 s.

--- a/crates/briarrail_gateway/src/traffic/receive_request.rs
+++ b/crates/briarrail_gateway/src/traffic/receive_request.rs
@@ -1,6 +1,7 @@
 //! Receives requests from callers and checks them before they are sent to a target.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use briarrail_dispatch::{RefusalCause, RouteLookup, RouteSemantics, retry_after};
 use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
@@ -18,6 +19,11 @@
 use super::traffic_state::{StopPhase, TrafficState};
 use crate::{CallerHeaders, WireDialect};
 
+/// Maximum number of bytes that are read of a refused request's body; usual bodies are smaller.
+const MAX_DISCARDED_BYTES: usize = 4 << 20;
+/// Time limit for reading the body of a refused request; many round trips of a caller.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A request that is rejected without being sent to a target.
 pub(crate) struct Refusal {
     pub(crate) status: StatusCode,
@@ -66,7 +72,7 @@
 pub(crate) async fn receive_request<D>(
     state: &Rc<TrafficState<D>>,
     head: &request::Parts,
-    body: Incoming,
+    body: &mut Incoming,
     arrived_at: MilliTime,
     trace: &mut RequestTrace<D>,
 ) -> Result<RequestContext, Refusal>
@@ -160,7 +166,28 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+/// Reads and discards the rest of a refused request's body.
+///
+/// A connection that is closed with unread data is reset, and the caller may lose the refusal.
+pub(crate) async fn discard_body(mut body: Incoming) {
+    let mut discarded_bytes = 0;
+    let discard = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if discarded_bytes > MAX_DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
+    if tokio::time::timeout(DISCARD_TIMEOUT, discard)
+        .await
+        .is_err()
+    {
+        tracing::debug!("body of a refused request came too slowly");
+    }
+}
+
+async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, Refusal> {
     let too_large = || Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
     if body.size_hint().lower() > limit as u64 {
         return Err(too_large());
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -15,7 +15,7 @@
 
 use super::first_answer::{FirstAnswer, PendingAnswer};
 use super::gateway_reply::gateway_reply;
-use super::receive_request::receive_request;
+use super::receive_request::{discard_body, receive_request};
 use super::request_context::{RequestContext, remove_hop_by_hop_headers};
 use super::request_trace::RequestTrace;
 use super::response_body::ResponseBody;
@@ -41,13 +41,14 @@
 {
     let arrived_at = state.clock.now();
     let mut trace = RequestTrace::new(state, arrived_at);
-    let (head, body) = request.into_parts();
-    match receive_request(state, &head, body, arrived_at, &mut trace).await {
+    let (head, mut body) = request.into_parts();
+    match receive_request(state, &head, &mut body, arrived_at, &mut trace).await {
         Ok(context) => {
             let handler = RequestHandler::new(state, context, trace);
             handler.run().await
         }
         Err(refusal) => {
+            tokio::task::spawn_local(discard_body(body));
             trace.set_outcome(refusal.outcome(), refusal.reason, refusal.status.as_u16());
             refusal.reply(state, trace.request_id())
         }
