--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 mod connection_activity;
 mod connection_pool;
 mod crash_check;
+mod first_answer;
 mod gateway_reply;
 mod part_list;
 mod receive_request;
@@ -14,7 +15,10 @@
 mod response_body;
 mod response_class;
 mod send_guard;
+mod send_log;
+mod stream_progress;
 mod stream_relay;
+mod stream_transfer;
 mod target_send;
 mod traffic_state;
 
