--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -30,6 +30,7 @@
 use super::store_watcher::run_watcher;
 use super::suspect_exchange::maintain_blocked_suspects;
 use super::target_watcher::TargetWatcher;
+use super::unreadable_entries::UnreadableEntries;
 use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
 use crate::traffic::{ControlUpdate, SharedState, StopPhase};
@@ -159,6 +160,7 @@
         updates: inputs.updates.clone(),
         roster: TargetRoster::default(),
         roster_log: RosterLog::default(),
+        unreadable_entries: UnreadableEntries::default(),
         config: None,
         config_requested_at: None,
         config_requested_by: None,
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -16,6 +16,7 @@
 
 use super::config_exchange::HeldConfig;
 use super::roster_log::RosterLog;
+use super::unreadable_entries::UnreadableEntries;
 use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
 use crate::traffic::{ControlUpdate, SharedState};
@@ -82,6 +83,8 @@
     pub(crate) updates: UnboundedSender<ControlUpdate>,
     pub(crate) roster: TargetRoster,
     pub(crate) roster_log: RosterLog,
+    /// Entries of the store that describe no target.
+    pub(crate) unreadable_entries: UnreadableEntries,
     /// The configuration in effect, as it is passed on to other routers.
     pub(crate) config: Option<HeldConfig>,
     /// Time at which a follower was last asked for its configuration.
--- a/crates/briarrail_gateway/src/control/mod.rs
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod store_watcher;
 mod suspect_exchange;
 mod target_watcher;
+mod unreadable_entries;
 
 use control_state::ControlState;
 
--- a/crates/briarrail_gateway/src/control/target_watcher.rs
+++ b/crates/briarrail_gateway/src/control/target_watcher.rs
@@ -36,9 +36,7 @@
         let requested_at = self.state.borrow().clock.now();
         let listing = self.store.list_targets(consistency).await?;
         let mut state = self.state.borrow_mut();
-        for name in &listing.unreadable {
-            tracing::warn!(event = "target_unreadable", target_id = name);
-        }
+        state.unreadable_entries.replace_all(&listing.unreadable);
         let now = state.clock.now();
         state.observe_store_revision(listing.revision, CALL);
         observe_recovery(&mut state, now);
@@ -103,13 +101,23 @@
     observe_recovery(state, now);
     let mut changes = Vec::new();
     for event in events {
-        match event {
-            TargetEvent::Upserted(record) => changes.extend(state.roster.upsert(record)),
+        let id = match event {
+            TargetEvent::Upserted(record) => {
+                state.unreadable_entries.remove(&record.id);
+                changes.extend(state.roster.upsert(record));
+                continue;
+            }
             TargetEvent::Removed(id) => {
-                let policy = RemovalPolicy::AfterGracePeriod(now);
-                changes.extend(state.roster.remove(&id, policy));
+                state.unreadable_entries.remove(&id);
+                id
             }
-        }
+            TargetEvent::Unreadable(id) => {
+                state.unreadable_entries.insert(&id);
+                id
+            }
+        };
+        let policy = RemovalPolicy::AfterGracePeriod(now);
+        changes.extend(state.roster.remove(&id, policy));
     }
     let is_changed = !changes.is_empty();
     let bounds = ViewTimeBounds::exact(now);
--- a/crates/briarrail_gateway/src/site_store.rs
+++ b/crates/briarrail_gateway/src/site_store.rs
@@ -45,8 +45,10 @@
 pub enum TargetEvent {
     /// The entry was added or changed.
     Upserted(TargetRecord),
-    /// The entry was removed, or no longer describes a usable target.
+    /// The entry was removed.
     Removed(String),
+    /// The entry was added or changed, and doesn't describe a usable target.
+    Unreadable(String),
 }
 
 /// Result of a watch.
