fix(gateway): attribute a refusal on a reused connection by its identifier

Callers could get 503 for a request that a target ran, and a request that may run at most once could run at a second target: a refusal without an identifier counted for whatever request was in flight, although a faulty target may write an earlier one again at that point.

A refusal without an identifier now counts only as the answer to the first request of a connection. On a reused one it leaves the outcome unknown, and the connection is closed, as with an answer that has another identifier. Status 101 is not taken for a refusal any more, whatever its headers.

Refusals with the identifier on a reused connection, and those without it on a new one, are taken as before (tests of repeated_refusals and at_most_once).

--- a/crates/briarrail_gateway/src/net/http_connection.rs
+++ b/crates/briarrail_gateway/src/net/http_connection.rs
@@ -38,6 +38,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     head_budget: HeadBudget,
+    request_count: u64,
 }
 
 impl HttpConnection {
@@ -65,6 +66,7 @@
             sender,
             driver,
             head_budget,
+            request_count: 0,
         })
     }
 
@@ -76,6 +78,7 @@
         if let Err(error) = self.sender.ready().await {
             return Err(SendError::NotSent(error));
         }
+        self.request_count += 1;
         self.head_budget.start();
         let sent = self.sender.try_send_request(request).await;
         self.head_budget.end();
@@ -88,6 +91,12 @@
         })
     }
 
+    /// Returns whether more than one request was sent, so that a response may belong to an earlier
+    /// one.
+    pub(crate) const fn is_reused(&self) -> bool {
+        self.request_count > 1
+    }
+
     /// Returns whether the connection can send another request.
     pub(crate) fn is_idle(&self) -> bool {
         self.sender.is_ready()
--- a/crates/briarrail_gateway/src/traffic/response_class.rs
+++ b/crates/briarrail_gateway/src/traffic/response_class.rs
@@ -22,23 +22,31 @@
 }
 
 /// Classifies a response by its head.
+///
+/// A refusal without the identifier of its request may be one of an earlier request if the
+/// connection is reused.
 pub(crate) fn classify_response(
     head: &response::Parts,
     marks: &ResponseHeaders,
     request_id: &Bytes,
+    is_reused_connection: bool,
 ) -> ResponseClass {
     if marks.request_id.as_ref().is_some_and(|id| id != request_id) {
         return ResponseClass::Invalid("answer to another request");
     }
+    if head.status.is_informational() {
+        return ResponseClass::Invalid("interim answer");
+    }
+    let is_refusal = marks.not_run || head.status == StatusCode::MISDIRECTED_REQUEST;
+    if is_refusal && marks.request_id.is_none() && is_reused_connection {
+        return ResponseClass::Invalid("refusal without identifier");
+    }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return ResponseClass::WrongTarget;
     }
     if marks.not_run {
         return ResponseClass::NotRun;
     }
-    if head.status.is_informational() {
-        return ResponseClass::Invalid("interim answer");
-    }
     if !marks.has_digest || marks.request_id.is_none() {
         return ResponseClass::Invalid("no digest or identifier");
     }
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -146,7 +146,8 @@
         let mut registry = state.registry.borrow_mut();
         registry.record_reported_load(key, running, waiting, state.clock.now());
     }
-    let class = classify_response(&head, &marks, &context.caller.request_id);
+    let request_id = &context.caller.request_id;
+    let class = classify_response(&head, &marks, request_id, connection.is_reused());
     if !matches!(
         class,
         ResponseClass::WrongTarget | ResponseClass::Invalid(_)
