fix(traffic): take a refusal for that of the request only if it is

A caller could be told `not_run` for an idempotent call that a target ran: a refusal with `x-not-run` counted for the call in flight, whatever its identifier, although a faulty target may write an earlier one again on a pooled connection.

A refusal now proves that a call did not run only if it has the identifier of the call, or has none and the call was sent on a new connection, as at-most-once calls are. Otherwise the call counts as possibly run; it still moves to another target.

Before: the test saw `not_run`, with either identifier.

--- a/crates/briarraild/src/traffic/call_driver.rs
+++ b/crates/briarraild/src/traffic/call_driver.rs
@@ -275,7 +275,9 @@
         tracing::debug!(%request_id, target = %target.name, "traffic: sending attempt");
         let response = self.send(&target, headers).await;
         self.target = Some(target);
-        let response = TargetResponse::check(response?, self.source.pool.row.kind, &request_id)?;
+        let kind = self.source.pool.row.kind;
+        let is_new_connection = self.is_at_most_once();
+        let response = TargetResponse::check(response?, kind, &request_id, is_new_connection)?;
         if let Some((prompt, cached)) = response.prompt_tokens() {
             self.recorder.record_prompt_tokens(prompt, cached);
             if self.request.is_returning() {
--- a/crates/briarraild/src/traffic/target_response.rs
+++ b/crates/briarraild/src/traffic/target_response.rs
@@ -19,6 +19,9 @@
 impl TargetResponse {
     /// Checks that the head belongs to the request and is no refusal.
     ///
+    /// On a connection that other requests may have used, a refusal proves that the request did not
+    /// run only if it has the identifier of the request; otherwise it may be an earlier one.
+    ///
     /// # Errors
     ///
     /// Fails with the event to pass to the retry state machine.
@@ -26,14 +29,17 @@
         response: Response,
         kind: PoolKind,
         request_id: &str,
+        is_new_connection: bool,
     ) -> Result<Self, AttemptEvent> {
+        let echoed = header_text(response.headers(), REQUEST_ID_HEADER);
         let status = response.status();
         let is_refusal = status == StatusCode::TOO_MANY_REQUESTS || status.is_server_error();
         if is_refusal {
-            let not_run = header_text(response.headers(), NOT_RUN_HEADER) == Some("true");
+            let states_not_run = header_text(response.headers(), NOT_RUN_HEADER) == Some("true");
+            let is_own = echoed.map_or(is_new_connection, |id| id == request_id);
+            let not_run = states_not_run && is_own;
             return Err(AttemptEvent::Refused { not_run });
         }
-        let echoed = header_text(response.headers(), REQUEST_ID_HEADER);
         let needs_echo = kind == PoolKind::Model || echoed.is_some();
         if needs_echo && StreamChecker::check_request_id(request_id, echoed).is_err() {
             return Err(AttemptEvent::BadAnswer);
