--- /dev/null
+++ b/crates/briarrail_dispatch/src/release_ledger.rs
@@ -0,0 +1,109 @@
+//! Decides which releases the store lists as possible origins of streams.
+//!
+//! After all routers have lost their memory at once, a stream can only be continued if it can't have
+//! begun at another release than the one in service. The store therefore lists each release from
+//! before its first use until no stream that began at it can be under way.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use briarrail_model::{MilliDuration, MilliTime};
+
+use crate::{ReleaseKey, ServiceRelease};
+
+/// Time after which no stream of a release that has left is under way; longer than callers wait for
+/// a stream.
+const RELEASE_RETENTION: MilliDuration = MilliDuration::from_secs(15);
+
+/// The releases that the store lists, as known to the router that reads the store.
+#[derive(Debug, Clone, Default)]
+pub struct ReleaseLedger {
+    listed: BTreeSet<ServiceRelease>,
+    /// Times since which listed releases have no target.
+    unused_since: BTreeMap<ServiceRelease, MilliTime>,
+}
+
+impl ReleaseLedger {
+    /// Replaces the releases by those that the store lists.
+    pub fn replace_listed<R>(&mut self, releases: R)
+    where
+        R: IntoIterator<Item = ServiceRelease>,
+    {
+        self.listed = releases.into_iter().collect();
+        self.unused_since
+            .retain(|release, _| self.listed.contains(release));
+    }
+
+    /// Records that the store lists a release.
+    pub fn record_listed(&mut self, release: ServiceRelease) {
+        self.listed.insert(release);
+    }
+
+    /// Records that the store lists a release no more.
+    pub fn record_removed(&mut self, release: &ServiceRelease) {
+        self.listed.remove(release);
+        self.unused_since.remove(release);
+    }
+
+    /// Returns the releases of services of which several are listed or in use.
+    #[must_use]
+    pub fn ambiguous(&self, in_use: &BTreeSet<ServiceRelease>) -> BTreeSet<ReleaseKey> {
+        let releases: BTreeSet<&ServiceRelease> = self.listed.union(in_use).collect();
+        let is_ambiguous = |release: &&&ServiceRelease| {
+            let mut others = releases.iter().filter(|other| *other != *release);
+            others.any(|other| other.service == release.service)
+        };
+        let ambiguous = releases.iter().filter(is_ambiguous);
+        ambiguous.map(|release| release.key()).collect()
+    }
+
+    /// Returns the releases in use that the store doesn't list.
+    pub fn unlisted<R>(&self, in_use: R) -> BTreeSet<ServiceRelease>
+    where
+        R: IntoIterator<Item = ServiceRelease>,
+    {
+        let releases = in_use.into_iter();
+        releases
+            .filter(|release| !self.listed.contains(release))
+            .collect()
+    }
+
+    /// Returns the listed releases that have had no target for so long that no stream of theirs is
+    /// under way.
+    pub fn expired(
+        &mut self,
+        in_use: &BTreeSet<ServiceRelease>,
+        now: MilliTime,
+    ) -> Vec<ServiceRelease> {
+        let mut expired = Vec::new();
+        for release in &self.listed {
+            if in_use.contains(release) {
+                self.unused_since.remove(release);
+                continue;
+            }
+            let since = *self.unused_since.entry(release.clone()).or_insert(now);
+            if now.since(since) >= RELEASE_RETENTION {
+                expired.push(release.clone());
+            }
+        }
+        expired
+    }
+}
+
+/// Returns the release at which a stream of unknown origin must have begun, or `None` if it may be
+/// one of several.
+///
+/// `listed` are the releases that the store lists now, and `in_use` those of the targets that this
+/// router knows, which can be ahead of the store's list.
+#[must_use]
+pub fn sole_release(
+    service: &str,
+    listed: &[ServiceRelease],
+    in_use: &BTreeSet<ServiceRelease>,
+) -> Option<ReleaseKey> {
+    let of_service = |release: &&ServiceRelease| release.service == service;
+    let mut origins = listed.iter().filter(of_service);
+    let origin = origins.next()?;
+    let others = origins.chain(in_use.iter().filter(of_service));
+    let is_sole = others.into_iter().all(|other| other == origin);
+    is_sole.then(|| origin.key())
+}
--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -11,7 +11,7 @@
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_pair};
 
 use crate::service_time_meter::SlotUse;
-use crate::{ServiceCapacity, TargetKey, TargetRegistry, TargetState};
+use crate::{ReleaseKey, ServiceCapacity, TargetKey, TargetRegistry, TargetState};
 
 /// Load limits for placement.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -79,6 +79,8 @@
     pub seed: StableHash,
     /// Latency objective of the request.
     pub objective: MilliDuration,
+    /// Release of the only targets that can continue the request's stream; `None` if any can.
+    pub release: Option<ReleaseKey>,
 }
 
 struct Candidate {
@@ -116,7 +118,7 @@
         now: MilliTime,
     ) -> Option<Placement> {
         let mean = self.mean_load(request.service, now);
-        let usable = self.usable_targets(request.service, request.tried, now);
+        let usable = self.usable_targets(request.service, request.tried, request.release, now);
         let initial_ms = request.objective.as_millis() as f32 * INITIAL_SERVICE_TIME_RATIO;
         let measured_ms = mean_service_time_ms(&usable);
         let mean_time_ms = measured_ms.unwrap_or(initial_ms).max(1.0);
@@ -188,7 +190,7 @@
     /// Returns the slots, load and throughput of the targets that may receive a service's requests.
     #[must_use]
     pub fn service_capacity(&self, service: &str, now: MilliTime) -> ServiceCapacity {
-        let targets = self.usable_targets(service, &[], now);
+        let targets = self.usable_targets(service, &[], None, now);
         let mut capacity = ServiceCapacity {
             service_time_ms: mean_service_time_ms(&targets),
             ..ServiceCapacity::default()
@@ -216,11 +218,16 @@
         &self,
         service: &str,
         excluded: &[TargetKey],
+        release: Option<ReleaseKey>,
         now: MilliTime,
     ) -> Vec<(TargetKey, &TargetState)> {
         let listed = self.service_targets(service);
+        let is_of_release =
+            |state: &TargetState| release.is_none_or(|release| state.release == release);
         let available: Vec<_> = listed
-            .filter(|(key, state)| state.is_available() && !excluded.contains(key))
+            .filter(|(key, state)| {
+                state.is_available() && is_of_release(state) && !excluded.contains(key)
+            })
             .collect();
         let mut usable = available.clone();
         usable.retain(|(_, state)| state.outlier_detector.allows_requests(now));
--- a/crates/briarrail_dispatch/src/target_record.rs
+++ b/crates/briarrail_dispatch/src/target_record.rs
@@ -27,6 +27,9 @@
     pub address: SocketAddr,
     /// Data centre in which the target runs.
     pub data_centre: DataCentre,
+    /// Version of the target's software; empty if it is unknown.
+    #[serde(default)]
+    pub version: String,
     /// Number of requests that it executes concurrently.
     pub slots: u32,
     /// Lifecycle phase.
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -9,7 +9,7 @@
 use crate::target_limiter::TargetLimiter;
 use crate::{
     FleetSize, LimitReport, LimitedRequest, OutcomeTotals, OutcomeWindow, OutlierDetector,
-    SendOutcome, TargetPhase, TargetRecord,
+    ReleaseKey, SendOutcome, TargetPhase, TargetRecord,
 };
 
 new_key_type! {
@@ -43,6 +43,8 @@
     pub record: TargetRecord,
     /// Hash of the target identifier, for the rendezvous order.
     pub hash: StableHash,
+    /// Software release of the target.
+    pub release: ReleaseKey,
     /// Ejection state.
     pub outlier_detector: OutlierDetector,
     /// This router's requests in flight at the target.
@@ -160,6 +162,7 @@
                 state.service_time = ServiceTimeMeter::default();
                 state.listed_at = now;
             }
+            state.release = ReleaseKey::new(&record.service, &record.version);
             state.record = record;
             state.removed_at = None;
             return key;
@@ -167,6 +170,7 @@
         let (id, service) = (record.id.clone(), record.service.clone());
         let key = self.targets.insert(TargetState {
             hash: hash_bytes(id.as_bytes()),
+            release: ReleaseKey::new(&record.service, &record.version),
             record,
             outlier_detector: OutlierDetector::default(),
             local_requests: 0,
--- a/crates/briarrail_dispatch/tests/suite/admission.rs
+++ b/crates/briarrail_dispatch/tests/suite/admission.rs
@@ -264,6 +264,7 @@
             tried: &[],
             seed,
             objective,
+            release: None,
         };
         let Some(placement) = router.registry.place(&request, &LIMITS, at(now)) else {
             self.refuse(call, seed, now);
--- a/crates/briarrail_dispatch/tests/suite/fixtures.rs
+++ b/crates/briarrail_dispatch/tests/suite/fixtures.rs
@@ -20,6 +20,7 @@
         service: "model".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: "a".into(),
+        version: "1".into(),
         slots: 64,
         phase: TargetPhase::Ready,
         started_unix_ms: 1,
@@ -45,5 +46,6 @@
         tried: &[],
         seed: StableHash(1),
         objective: MilliDuration::from_millis(600),
+        release: None,
     }
 }
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -18,5 +18,6 @@
 mod retry_budget;
 mod routing;
 mod store_read_policy;
+mod stream_releases;
 mod target_roster;
 mod view_tracker;
--- a/crates/briarrail_dispatch/tests/suite/plain_calls.rs
+++ b/crates/briarrail_dispatch/tests/suite/plain_calls.rs
@@ -102,6 +102,7 @@
             tried: &[],
             seed: hash_pair(StableHash(now), StableHash(seed)),
             objective: MilliDuration::from_millis(150),
+            release: None,
         };
         let placement = registries[router].place(&request, &LIMITS, at(now));
         let Some(placement) = placement else {
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -15,9 +15,9 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
 
 use super::config_watcher::ConfigWatcher;
@@ -25,6 +25,8 @@
 use super::hub_server::serve_peers;
 use super::hub_sync::run_hub_sync;
 use super::monitoring_server::serve_monitoring;
+use super::origin_exchange::{OriginExchange, run_origin_exchange};
+use super::release_records::maintain_releases;
 use super::roster_log::RosterLog;
 use super::router_registration::maintain_registration;
 use super::store_watcher::run_watcher;
@@ -32,7 +34,7 @@
 use super::target_watcher::TargetWatcher;
 use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
-use crate::traffic::{ControlUpdate, SharedState, StopPhase};
+use crate::traffic::{ControlUpdate, OriginCall, SharedState, StopPhase};
 use crate::{ProcessClock, SiteStore, WireDialect};
 
 /// Time after SIGTERM during which requests are still accepted.
@@ -55,6 +57,10 @@
     pub(crate) peers: std::net::TcpListener,
     pub(crate) readiness: std::net::TcpListener,
     pub(crate) metrics: std::net::TcpListener,
+    /// Socket for messages of the other routers about streams.
+    pub(crate) origins: std::net::UdpSocket,
+    /// Messages of the traffic thread about streams.
+    pub(crate) origin_calls: UnboundedReceiver<OriginCall>,
 }
 
 /// Inputs of the control thread.
@@ -86,6 +92,7 @@
     let peers = TcpListener::from_std(listeners.peers)?;
     let readiness = TcpListener::from_std(listeners.readiness)?;
     let metrics = TcpListener::from_std(listeners.metrics)?;
+    let origins = UdpSocket::from_std(listeners.origins)?;
     let mut sigterm = signal(SignalKind::terminate())?;
     let mut sighup = signal(SignalKind::hangup())?;
     let state = Rc::new(RefCell::new(new_state(&inputs)));
@@ -103,6 +110,9 @@
     tokio::task::spawn_local(run_watcher(Rc::clone(&state), target_watcher));
     tokio::task::spawn_local(maintain_registration(Rc::clone(&state), store.clone()));
     tokio::task::spawn_local(maintain_blocked_suspects(Rc::clone(&state), store.clone()));
+    tokio::task::spawn_local(maintain_releases(Rc::clone(&state), store.clone()));
+    let exchange = OriginExchange::new(Rc::clone(&state), store.clone(), origins);
+    tokio::task::spawn_local(run_origin_exchange(exchange, listeners.origin_calls));
     let readiness_state = Rc::clone(&state);
     let path = inputs.dialect.readiness_path();
     tokio::task::spawn_local(serve_monitoring(readiness, move |request| {
@@ -177,6 +187,8 @@
         local_counts: FleetCounts::default(),
         quarantine: CrashQuarantine::default(),
         sync_round_trip: MilliDuration::ZERO,
+        followed: None,
+        releases: None,
     }
 }
 
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::Ordering;
 
 use briarrail_dispatch::{
-    CrashQuarantine, GreetingState, HubCandidate, RosterChange, TargetRoster, ViewTracker,
-    choose_hub, choose_view_sources,
+    CrashQuarantine, GreetingState, HubCandidate, ReleaseLedger, RosterChange, TargetRoster,
+    ViewTracker, choose_hub, choose_view_sources,
 };
 use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash, hash_pair};
 use briarrail_peer::{FrameCodec, SyncRouter};
@@ -117,6 +117,10 @@
     pub(crate) quarantine: CrashQuarantine,
     /// Time from the request of the last successful sync to its reply.
     pub(crate) sync_round_trip: MilliDuration,
+    /// Router that this one follows; `None` if it reads the store itself.
+    pub(crate) followed: Option<SyncRouter>,
+    /// Releases that the store lists; `None` until this router has read them.
+    pub(crate) releases: Option<ReleaseLedger>,
 }
 
 impl ControlState {
@@ -208,6 +212,7 @@
                 source,
                 target_id = record.id,
                 service = record.service,
+                version = record.version,
                 address = %record.address,
                 phase = ?record.phase,
             ),
@@ -391,6 +396,13 @@
         self.peers.get(&chosen.name).map(|peer| peer.router.clone())
     }
 
+    /// Returns the router that writes origins of this router's streams to the store, or `None` if
+    /// this one does.
+    pub(crate) fn origin_recorder(&self) -> Option<&SyncRouter> {
+        let followed = self.followed.as_ref();
+        followed.filter(|hub| hub.data_centre == self.local.data_centre)
+    }
+
     /// Returns the routers to ask for their view while this router cannot read the store.
     pub(crate) fn choose_view_sources(&self, now: MilliTime) -> Vec<SyncRouter> {
         let peers = self.peers.values();
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -43,7 +43,8 @@
             let expired = state.roster.expire(now);
             state.apply_roster_changes(expired, "expired");
             state.publish_router_count(now);
-            (now, state.choose_hub(now))
+            state.followed = state.choose_hub(now);
+            (now, state.followed.clone())
         };
         let name = hub.as_ref().map(|hub| hub.name.clone());
         if name != followed_name {
--- a/crates/briarrail_gateway/src/control/mod.rs
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -11,6 +11,8 @@
 mod hub_server;
 mod hub_sync;
 mod monitoring_server;
+mod origin_exchange;
+mod release_records;
 mod roster_log;
 mod router_registration;
 mod store_health;
--- /dev/null
+++ b/crates/briarrail_gateway/src/control/origin_exchange.rs
@@ -0,0 +1,578 @@
+//! Tells other routers where streams began, so that callers can continue them there after the loss
+//! of a router.
+//!
+//! Each stream has a few holders among the other routers, chosen by its key, so that what a router
+//! sends and keeps does not grow with the fleet. A datagram that is lost costs one holder of several;
+//! a connection would cost more than the message.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use briarrail_dispatch::{
+    LiveOrigins, ReleaseKey, ServiceRelease, StreamKey, StreamOrigins, origin_holders,
+    origin_sources, sole_release,
+};
+use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash};
+use briarrail_peer::{Envelope, FrameError, MessageKind, OriginMessage, OriginNotice};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
+
+use super::SharedControlState;
+use super::control_state::ControlState;
+use super::release_records::count_call;
+use crate::traffic::{OriginCall, StreamOrigin};
+use crate::{OriginPageRecord, ReadConsistency, SiteStore};
+
+/// Maximum size of a datagram, in bytes; fits into a packet of any network.
+const MAX_DATAGRAM_BYTES: usize = 1_200;
+/// Maximum number of notices in a datagram.
+const MAX_NOTICES: usize = 32;
+/// Maximum number of ended streams in a datagram.
+const MAX_ENDED_STREAMS: usize = 96;
+/// Time after which a question that was not answered is sent again; many round trips within a site.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
+/// Number of times that a question is sent; routers that are down do not answer.
+const MAX_QUESTIONS: u32 = 3;
+/// Time for which the store's releases are used after they were read, so that many streams that are
+/// continued at once cost one call.
+const RELEASES_MAX_AGE: MilliDuration = MilliDuration::from_millis(500);
+/// Time for which the origins that the store holds are used after they were read.
+const ORIGINS_MAX_AGE: MilliDuration = MilliDuration::from_millis(1_000);
+/// Interval at which new origins are written to the store. Streams that began since the last time
+/// can't be continued after the loss of all routers, and each call of the store has a price.
+const RECORD_INTERVAL: Duration = Duration::from_millis(200);
+/// Delay after a failed receive.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Answer of another router to a question; no release if it does not know the stream.
+#[derive(Debug)]
+struct SourceAnswer {
+    source: HostName,
+    release: Option<ReleaseKey>,
+}
+
+/// Knows where streams began, from this router's own streams and from other routers.
+#[derive(Debug)]
+pub(crate) struct OriginExchange<S> {
+    state: SharedControlState,
+    store: S,
+    socket: UdpSocket,
+    origins: RefCell<StreamOrigins>,
+    /// This router's own streams.
+    own_streams: RefCell<LiveOrigins>,
+    /// Own streams that ended since the router that writes origins to the store was told.
+    ended_streams: RefCell<Vec<StreamKey>>,
+    /// Receivers of answers, by stream and number of the search.
+    searches: RefCell<HashMap<(StreamKey, u64), UnboundedSender<SourceAnswer>>>,
+    last_search: Cell<u64>,
+    /// Releases that the store listed, and the time of the call; locked while it is read.
+    listed_releases: tokio::sync::Mutex<Option<(MilliTime, Rc<[ServiceRelease]>)>>,
+    /// Origins that the store held, and the time of the call; locked while it is read.
+    stored_origins: tokio::sync::Mutex<Option<(MilliTime, StoredOrigins)>>,
+    /// Streams that this router writes to the store for its data centre.
+    recorded_streams: RefCell<LiveOrigins>,
+    /// Number of this router's page; `None` until it has read those of its predecessors.
+    page_number: Cell<Option<u64>>,
+    /// Router that was told of this router's streams last, to write them to the store.
+    recorder: RefCell<Option<HostName>>,
+    /// Releases of the services of which several serve; only their streams are told of.
+    ambiguous: RefCell<BTreeSet<ReleaseKey>>,
+}
+
+type StoredOrigins = Rc<HashMap<StreamKey, ReleaseKey>>;
+
+impl<S> OriginExchange<S>
+where
+    S: SiteStore,
+{
+    pub(crate) fn new(state: SharedControlState, store: S, socket: UdpSocket) -> Self {
+        Self {
+            state,
+            store,
+            socket,
+            origins: RefCell::default(),
+            own_streams: RefCell::default(),
+            ended_streams: RefCell::default(),
+            searches: RefCell::default(),
+            last_search: Cell::new(0),
+            listed_releases: tokio::sync::Mutex::default(),
+            stored_origins: tokio::sync::Mutex::default(),
+            recorded_streams: RefCell::default(),
+            page_number: Cell::default(),
+            recorder: RefCell::default(),
+            ambiguous: RefCell::default(),
+        }
+    }
+
+    fn now(&self) -> MilliTime {
+        self.state.borrow().clock.now()
+    }
+
+    /// Records where a stream of this router began, and tells its holders if it may be in doubt.
+    async fn record_begin(&self, stream: StreamKey, release: ReleaseKey) {
+        let now = self.now();
+        let is_new = self
+            .own_streams
+            .borrow_mut()
+            .record_begin(stream, release, now);
+        self.record(stream, release);
+        if is_new && self.ambiguous.borrow().contains(&release) {
+            self.tell_holders(&[(stream, release)]).await;
+        }
+    }
+
+    /// Records that the caller of this router has a stream completely.
+    fn record_end(&self, stream: StreamKey) {
+        self.own_streams.borrow_mut().record_end(stream);
+        if !self.ambiguous.borrow().is_empty() {
+            self.ended_streams.borrow_mut().push(stream);
+        }
+    }
+
+    async fn tell_holders(&self, origins: &[(StreamKey, ReleaseKey)]) {
+        let mut notices: HashMap<HostName, (SocketAddr, Vec<OriginNotice>)> = HashMap::new();
+        for (stream, release) in origins {
+            let notice = OriginNotice {
+                stream: stream.0.0,
+                release: Some(release.0.0),
+            };
+            for (holder, address) in self.holders(*stream) {
+                let entry = notices.entry(holder);
+                let (_, notices) = entry.or_insert_with(|| (address, Vec::new()));
+                notices.push(notice);
+            }
+        }
+        for (holder, (address, notices)) in notices {
+            for notices in notices.chunks(MAX_NOTICES) {
+                let message = OriginMessage::Notice(notices.to_vec());
+                self.send(&holder, address, message).await;
+            }
+        }
+    }
+
+    /// Returns the routers that are told of a stream's origin, and the one that writes it to the
+    /// store.
+    fn holders(&self, stream: StreamKey) -> Vec<(HostName, SocketAddr)> {
+        let state = self.state.borrow();
+        let mut names = origin_holders(stream, state.peers.keys());
+        let recorder = state.origin_recorder().map(|recorder| &recorder.name);
+        names.extend(recorder.filter(|recorder| !names.contains(recorder)));
+        addresses(&state, names)
+    }
+
+    /// Records where a stream began, also for the store if this router writes it.
+    fn record(&self, stream: StreamKey, release: ReleaseKey) {
+        let now = self.now();
+        let is_new = self.origins.borrow_mut().record(stream, release, now);
+        let is_recorder = self.state.borrow().origin_recorder().is_none();
+        if is_new && is_recorder && self.ambiguous.borrow().contains(&release) {
+            let mut recorded = self.recorded_streams.borrow_mut();
+            recorded.record_begin(stream, release, now);
+        }
+    }
+
+    /// Finds where a stream began: from this router's memory, from other routers, or because only
+    /// one release can have begun it.
+    async fn find(&self, stream: StreamKey, service: &str) -> StreamOrigin {
+        if let Some(release) = self.find_local(stream) {
+            return StreamOrigin::Known(release, "local");
+        }
+        if let Some(release) = self.ask_sources(stream).await {
+            self.record(stream, release);
+            return StreamOrigin::Known(release, "router");
+        }
+        if let Some(release) = self.find_local(stream) {
+            return StreamOrigin::Known(release, "local");
+        }
+        let Some(listed) = self.read_releases().await else {
+            return StreamOrigin::Unavailable;
+        };
+        let in_use = self.state.borrow().releases_in_use();
+        if let Some(release) = sole_release(service, &listed, &in_use) {
+            return StreamOrigin::Known(release, "sole");
+        }
+        let Some(origins) = self.read_origins().await else {
+            return StreamOrigin::Unavailable;
+        };
+        let release = origins.get(&stream).copied();
+        release.map_or(StreamOrigin::Ambiguous, |release| {
+            self.record(stream, release);
+            StreamOrigin::Known(release, "store")
+        })
+    }
+
+    fn find_local(&self, stream: StreamKey) -> Option<ReleaseKey> {
+        self.origins.borrow_mut().find(stream, self.now())
+    }
+
+    /// Asks the routers that may have been told where a stream began.
+    async fn ask_sources(&self, stream: StreamKey) -> Option<ReleaseKey> {
+        let mut sources = {
+            let state = self.state.borrow();
+            addresses(&state, origin_sources(stream, state.peers.keys()))
+        };
+        let search = (stream, self.last_search.get() + 1);
+        self.last_search.set(search.1);
+        let (sender, mut answers) = unbounded_channel();
+        self.searches.borrow_mut().insert(search, sender);
+        let mut release = None;
+        for _ in 0..MAX_QUESTIONS {
+            for (source, address) in &sources {
+                let message = OriginMessage::Query(stream.0.0);
+                self.send(source, *address, message).await;
+            }
+            release = await_answers(&mut answers, &mut sources).await;
+            if release.is_some() || sources.is_empty() {
+                break;
+            }
+        }
+        self.searches.borrow_mut().remove(&search);
+        release
+    }
+
+    /// Returns the releases that the store lists, from a call at most a moment ago.
+    async fn read_releases(&self) -> Option<Rc<[ServiceRelease]>> {
+        let mut listed = self.listed_releases.lock().await;
+        let requested_at = self.now();
+        if let Some((at, releases)) = listed.as_ref()
+            && requested_at.since(*at) <= RELEASES_MAX_AGE
+        {
+            return Some(Rc::clone(releases));
+        }
+        let outcome = self.store.list_releases(ReadConsistency::Current).await;
+        count_call(&self.state, &outcome);
+        match outcome {
+            Ok(releases) => {
+                let releases: Rc<[ServiceRelease]> = releases.into();
+                *listed = Some((requested_at, Rc::clone(&releases)));
+                Some(releases)
+            }
+            Err(error) => {
+                tracing::warn!(event = "releases_not_read", %error);
+                None
+            }
+        }
+    }
+
+    /// Returns the origins that the store holds, from a call at most a moment ago.
+    async fn read_origins(&self) -> Option<StoredOrigins> {
+        let mut stored = self.stored_origins.lock().await;
+        let requested_at = self.now();
+        if let Some((at, origins)) = stored.as_ref()
+            && requested_at.since(*at) <= ORIGINS_MAX_AGE
+        {
+            return Some(Rc::clone(origins));
+        }
+        let outcome = self.store.list_origin_pages().await;
+        count_call(&self.state, &outcome);
+        match outcome {
+            Ok(pages) => {
+                let groups = pages.into_iter().flat_map(|page| page.streams);
+                let origins = groups.flat_map(|(release, streams)| {
+                    streams.into_iter().map(move |stream| (stream, release))
+                });
+                let origins: StoredOrigins = Rc::new(origins.collect());
+                *stored = Some((requested_at, Rc::clone(&origins)));
+                tracing::info!(event = "stream_origins_read", streams = origins.len());
+                Some(origins)
+            }
+            Err(error) => {
+                tracing::warn!(event = "stream_origins_not_read", %error);
+                None
+            }
+        }
+    }
+
+    /// Updates which releases need their streams told of, and tells of those under way that are new
+    /// among them, or of all if another router is to write them to the store.
+    async fn update_ambiguous(&self) {
+        let now = self.now();
+        let (found, recorder) = {
+            let state = self.state.borrow();
+            let recorder = state
+                .origin_recorder()
+                .map(|recorder| recorder.name.clone());
+            (state.ambiguous_releases(), recorder)
+        };
+        self.own_streams.borrow_mut().retain(|_| true, now);
+        let is_kept = |release| found.contains(&release);
+        self.recorded_streams.borrow_mut().retain(is_kept, now);
+        let is_same = self.recorder.replace(recorder.clone()) == recorder;
+        let known = self.ambiguous.replace(found.clone());
+        let untold = found.into_iter();
+        let untold = untold.filter(|release| !is_same || !known.contains(release));
+        let own: Vec<(StreamKey, ReleaseKey)> = {
+            let streams = self.own_streams.borrow();
+            let of_release = |release| {
+                let streams = streams.of_release(release);
+                streams.map(move |stream| (stream, release))
+            };
+            untold.flat_map(of_release).collect()
+        };
+        if recorder.is_none() {
+            let mut recorded = self.recorded_streams.borrow_mut();
+            for (stream, release) in &own {
+                recorded.record_begin(*stream, *release, now);
+            }
+        }
+        self.tell_holders(&own).await;
+    }
+
+    /// Tells the router that writes origins to the store which streams have ended.
+    async fn tell_ended(&self) {
+        let ended = std::mem::take(&mut *self.ended_streams.borrow_mut());
+        let recorder = self.state.borrow().origin_recorder().cloned();
+        let Some(recorder) = recorder else {
+            self.drop_ended(ended.into_iter());
+            return;
+        };
+        for streams in ended.chunks(MAX_ENDED_STREAMS) {
+            let streams = streams.iter().map(|stream| stream.0.0).collect();
+            let message = OriginMessage::Ended(streams);
+            self.send(&recorder.name, recorder.address, message).await;
+        }
+    }
+
+    fn drop_ended<I>(&self, streams: I)
+    where
+        I: Iterator<Item = StreamKey>,
+    {
+        let mut recorded = self.recorded_streams.borrow_mut();
+        for stream in streams {
+            recorded.record_end(stream);
+        }
+    }
+
+    /// Writes the new origins to the store.
+    async fn write_origins(&self) {
+        let is_recorder = {
+            let state = self.state.borrow();
+            state.is_listed && state.origin_recorder().is_none()
+        };
+        if !is_recorder || self.ambiguous.borrow().is_empty() {
+            return;
+        }
+        let Some(number) = self.choose_page().await else {
+            return;
+        };
+        let Some(streams) = self.recorded_streams.borrow_mut().next_page() else {
+            return;
+        };
+        let page = OriginPageRecord {
+            data_centre: self.state.borrow().local.data_centre.clone(),
+            number,
+            streams,
+        };
+        let outcome = self.store.put_origin_page(&page).await;
+        count_call(&self.state, &outcome);
+        match outcome {
+            Ok(()) => self.recorded_streams.borrow_mut().confirm_page(),
+            Err(error) => tracing::warn!(event = "stream_origins_not_stored", %error),
+        }
+    }
+
+    /// Returns the number of this router's page, which follows those of its predecessors: after a
+    /// loss of all routers, their pages are still needed.
+    async fn choose_page(&self) -> Option<u64> {
+        if let Some(number) = self.page_number.get() {
+            return Some(number);
+        }
+        let outcome = self.store.list_origin_pages().await;
+        count_call(&self.state, &outcome);
+        let pages = match outcome {
+            Ok(pages) => pages,
+            Err(error) => {
+                tracing::warn!(event = "stream_origins_not_read", %error);
+                return None;
+            }
+        };
+        let data_centre = self.state.borrow().local.data_centre.clone();
+        let of_data_centre = pages.iter().filter(|page| page.data_centre == data_centre);
+        let last = of_data_centre.map(|page| page.number).max();
+        let number = last.map_or(0, |last| last + 1);
+        tracing::info!(event = "stream_origins_recorded_here", page = number);
+        self.page_number.set(Some(number));
+        Some(number)
+    }
+
+    async fn send(&self, receiver: &HostName, address: SocketAddr, message: OriginMessage) {
+        let frame = self.seal(receiver, message);
+        let sent = match frame {
+            Ok(frame) => self.socket.send_to(&frame, address).await,
+            Err(error) => {
+                tracing::error!(event = "stream_origin_not_encoded", %error);
+                return;
+            }
+        };
+        if let Err(error) = sent {
+            tracing::debug!(event = "stream_origin_not_sent", router = %receiver, %error);
+        }
+    }
+
+    fn seal(
+        &self,
+        receiver: &HostName,
+        message: OriginMessage,
+    ) -> Result<bytes::Bytes, FrameError> {
+        let state = self.state.borrow();
+        let envelope = Envelope {
+            from: state.local.name.clone(),
+            incarnation: state.incarnation,
+            to: receiver.clone(),
+            body: message,
+        };
+        state.codec.seal(MessageKind::Origin, &envelope)
+    }
+
+    /// Handles a datagram of another router.
+    async fn receive(&self, datagram: &[u8], sender: SocketAddr) {
+        let opened = {
+            let state = self.state.borrow();
+            state
+                .codec
+                .open::<OriginMessage>(MessageKind::Origin, &state.local.name, datagram)
+        };
+        let envelope = match opened {
+            Ok(envelope) => envelope,
+            Err(error) => {
+                tracing::debug!(event = "stream_origin_unreadable", %sender, %error);
+                return;
+            }
+        };
+        match envelope.body {
+            OriginMessage::Notice(notices) => {
+                for notice in notices {
+                    let stream = StreamKey(StableHash(notice.stream));
+                    if let Some(release) = notice.release {
+                        self.record(stream, ReleaseKey(StableHash(release)));
+                    }
+                }
+            }
+            OriginMessage::Ended(streams) => {
+                let streams = streams.into_iter().map(StableHash);
+                self.drop_ended(streams.map(StreamKey));
+            }
+            OriginMessage::Query(stream) => {
+                let release = self.find_local(StreamKey(StableHash(stream)));
+                let answer = OriginNotice {
+                    stream,
+                    release: release.map(|release| release.0.0),
+                };
+                let message = OriginMessage::Answer(answer);
+                self.send(&envelope.from, sender, message).await;
+            }
+            OriginMessage::Answer(answer) => self.handle_answer(&envelope.from, answer),
+        }
+    }
+
+    fn handle_answer(&self, source: &HostName, answer: OriginNotice) {
+        let stream = StreamKey(StableHash(answer.stream));
+        let searches = self.searches.borrow();
+        let receivers = searches.iter().filter(|((asked, _), _)| *asked == stream);
+        for (_, receiver) in receivers {
+            let answer = SourceAnswer {
+                source: source.clone(),
+                release: answer
+                    .release
+                    .map(|release| ReleaseKey(StableHash(release))),
+            };
+            if receiver.send(answer).is_err() {
+                tracing::trace!("a search for a stream's origin has ended");
+            }
+        }
+    }
+}
+
+/// Returns the names and addresses of some of the other routers.
+fn addresses(state: &ControlState, names: Vec<&HostName>) -> Vec<(HostName, SocketAddr)> {
+    let routers = names.into_iter().filter_map(|name| state.peers.get(name));
+    routers
+        .map(|peer| (peer.router.name.clone(), peer.router.address))
+        .collect()
+}
+
+/// Waits until a source knows the release, all have answered, or the time is over; removes the
+/// sources that answered.
+async fn await_answers(
+    answers: &mut UnboundedReceiver<SourceAnswer>,
+    sources: &mut Vec<(HostName, SocketAddr)>,
+) -> Option<ReleaseKey> {
+    let deadline = tokio::time::Instant::now() + ANSWER_TIMEOUT;
+    while !sources.is_empty() {
+        let answer = tokio::time::timeout_at(deadline, answers.recv()).await;
+        let Ok(Some(answer)) = answer else {
+            return None;
+        };
+        if answer.release.is_some() {
+            return answer.release;
+        }
+        sources.retain(|(source, _)| *source != answer.source);
+    }
+    None
+}
+
+/// Handles the messages of the traffic thread and of the other routers about streams, indefinitely.
+pub(crate) async fn run_origin_exchange<S>(
+    exchange: OriginExchange<S>,
+    mut calls: UnboundedReceiver<OriginCall>,
+) where
+    S: SiteStore,
+{
+    let exchange = Rc::new(exchange);
+    tokio::task::spawn_local(record_origins(Rc::clone(&exchange)));
+    let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    loop {
+        tokio::select! {
+            call = calls.recv() => match call {
+                Some(OriginCall::Began(stream, release)) => {
+                    exchange.record_begin(stream, release).await;
+                }
+                Some(OriginCall::Ended(stream)) => exchange.record_end(stream),
+                Some(OriginCall::Find { stream, service, reply }) => {
+                    let exchange = Rc::clone(&exchange);
+                    tokio::task::spawn_local(answer_call(exchange, stream, service, reply));
+                }
+                None => return,
+            },
+            received = exchange.socket.recv_from(&mut buffer) => match received {
+                Ok((length, sender)) => exchange.receive(&buffer[..length], sender).await,
+                Err(error) => {
+                    tracing::warn!(event = "stream_origin_not_received", %error);
+                    tokio::time::sleep(RECEIVE_RETRY_DELAY).await;
+                }
+            },
+        }
+    }
+}
+
+/// Tells of streams and writes their origins to the store while several releases serve,
+/// indefinitely.
+async fn record_origins<S>(exchange: Rc<OriginExchange<S>>)
+where
+    S: SiteStore,
+{
+    loop {
+        tokio::time::sleep(RECORD_INTERVAL).await;
+        exchange.update_ambiguous().await;
+        exchange.tell_ended().await;
+        exchange.write_origins().await;
+    }
+}
+
+async fn answer_call<S>(
+    exchange: Rc<OriginExchange<S>>,
+    stream: StreamKey,
+    service: String,
+    reply: oneshot::Sender<StreamOrigin>,
+) where
+    S: SiteStore,
+{
+    let origin = exchange.find(stream, &service).await;
+    if reply.send(origin).is_err() {
+        tracing::debug!("the caller of a stream has disconnected");
+    }
+}
--- a/crates/briarrail_gateway/src/control/target_watcher.rs
+++ b/crates/briarrail_gateway/src/control/target_watcher.rs
@@ -8,6 +8,7 @@
 
 use super::SharedControlState;
 use super::control_state::ControlState;
+use super::release_records::list_new_releases;
 use super::store_watcher::{StoreWatcher, WATCH_TIMEOUT};
 use crate::{ReadConsistency, SiteStore, StoreRevision, TargetEvent, WatchOutcome};
 
@@ -35,6 +36,8 @@
     ) -> Result<Option<StoreRevision>, StoreError> {
         let requested_at = self.state.borrow().clock.now();
         let listing = self.store.list_targets(consistency).await?;
+        let records = listing.records.iter().map(|listed| &listed.record);
+        list_new_releases(&self.state, &self.store, records).await;
         let mut state = self.state.borrow_mut();
         for name in &listing.unreadable {
             tracing::warn!(event = "target_unreadable", target_id = name);
@@ -76,6 +79,11 @@
             tracing::info!(event = "watch_history_gone", call = CALL);
             return Ok(None);
         };
+        let records = changes.iter().filter_map(|event| match event {
+            TargetEvent::Upserted(record) => Some(record),
+            TargetEvent::Removed(_) => None,
+        });
+        list_new_releases(&self.state, &self.store, records).await;
         let is_changed = {
             let mut state = self.state.borrow_mut();
             state.observe_store_revision(revision, CALL);
--- a/crates/briarrail_gateway/src/gateway_daemon.rs
+++ b/crates/briarrail_gateway/src/gateway_daemon.rs
@@ -10,13 +10,15 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
-use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 use crate::control::{ControlInputs, ControlListeners, log_fleet_settings, run_control};
 use crate::telemetry::{GatewayMetrics, flush_logs, init_json_logs};
-use crate::traffic::{ControlUpdate, SharedState, StopPhase, TrafficState, serve_callers};
+use crate::traffic::{
+    ControlUpdate, OriginCall, SharedState, StopPhase, TrafficState, serve_callers,
+};
 use crate::{ProcessClock, SiteStore, WireDialect};
 
 /// Share of the file descriptors that callers may use; the rest is for targets, other routers and
@@ -69,10 +71,13 @@
 {
     let settings = GatewaySettings::from_file(path)?;
     let callers = bind("callers.listen", settings.callers)?;
+    let (origin_sender, origin_calls) = unbounded_channel();
     let listeners = ControlListeners {
         peers: bind("peers.listen", settings.peers)?,
         readiness: bind("readiness.listen", settings.readiness)?,
         metrics: bind("metrics.listen", settings.metrics)?,
+        origins: bind_datagrams("peers.listen", settings.peers)?,
+        origin_calls,
     };
     let dropped_lines = init_json_logs(&settings.logs.filter);
     tracing::info!(
@@ -99,6 +104,7 @@
         metrics: Arc::clone(&metrics),
         updates: update_receiver,
         stop: stop_receiver,
+        origin_calls: origin_sender,
     };
     let traffic_runtime = new_runtime()?;
     std::thread::Builder::new()
@@ -132,6 +138,22 @@
     })
 }
 
+/// Binds a socket for datagrams, which have ports of their own.
+fn bind_datagrams(
+    setting: &'static str,
+    address: SocketAddr,
+) -> Result<std::net::UdpSocket, GatewayError> {
+    let bound = std::net::UdpSocket::bind(address).and_then(|socket| {
+        socket.set_nonblocking(true)?;
+        Ok(socket)
+    });
+    bound.map_err(|error| GatewayError::Listen {
+        setting,
+        address,
+        error,
+    })
+}
+
 fn new_runtime() -> std::io::Result<Runtime> {
     Builder::new_current_thread().enable_all().build()
 }
@@ -145,6 +167,7 @@
     metrics: Arc<GatewayMetrics>,
     updates: UnboundedReceiver<ControlUpdate>,
     stop: watch::Receiver<StopPhase>,
+    origin_calls: UnboundedSender<OriginCall>,
 }
 
 fn run_traffic<D>(runtime: &Runtime, listener: std::net::TcpListener, inputs: TrafficInputs<D>)
@@ -159,7 +182,7 @@
         metrics,
         mut updates,
         stop,
-        ..
+        origin_calls,
     } = inputs;
     LocalSet::new().block_on(runtime, async move {
         let listener = match TcpListener::from_std(listener) {
@@ -169,7 +192,13 @@
                 return;
             }
         };
-        let state = Rc::new(TrafficState::new(dialect, clock, shared, metrics));
+        let state = Rc::new(TrafficState::new(
+            dialect,
+            clock,
+            shared,
+            metrics,
+            origin_calls,
+        ));
         let serving = serve_callers(Rc::clone(&state), listener, max_callers, stop);
         tokio::task::spawn_local(serving);
         while let Some(update) = updates.recv().await {
--- a/crates/briarrail_gateway/src/site_store.rs
+++ b/crates/briarrail_gateway/src/site_store.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use briarrail_dispatch::{CrashSuspect, RosterRecord, SiteConfig, TargetRecord};
+use briarrail_dispatch::{
+    CrashSuspect, OriginPage, RosterRecord, ServiceRelease, SiteConfig, TargetRecord,
+};
 use briarrail_model::{DataCentre, HostName};
 use briarrail_platform::StoreError;
 
@@ -96,6 +98,17 @@
     pub until_unix_ms: u64,
 }
 
+/// Origins of the streams that are under way in a data centre, as the store keeps them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OriginPageRecord {
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// Number of the page; each router that takes over writing begins the next one.
+    pub number: u64,
+    /// The streams, by the release that began them.
+    pub streams: OriginPage,
+}
+
 /// How current the result of a read must be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadConsistency {
@@ -199,4 +212,50 @@
         &self,
         suspect: CrashSuspect,
     ) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Lists the releases at which streams under way can have begun.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is unreachable or rejects the call.
+    fn list_releases(
+        &self,
+        age: ReadConsistency,
+    ) -> impl Future<Output = Result<Vec<ServiceRelease>, StoreError>>;
+
+    /// Adds the entry of a release, if it is missing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is unreachable or rejects the call.
+    fn put_release(&self, release: &ServiceRelease)
+    -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Removes the entry of a release, if it exists.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is unreachable or rejects the call.
+    fn remove_release(
+        &self,
+        release: &ServiceRelease,
+    ) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Lists the pages with the origins of streams.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is unreachable or rejects the call.
+    fn list_origin_pages(&self) -> impl Future<Output = Result<Vec<OriginPageRecord>, StoreError>>;
+
+    /// Creates or replaces a page with origins of streams; replaces older pages of the data centre
+    /// once there are more than a few.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is unreachable or rejects the call.
+    fn put_origin_page(
+        &self,
+        page: &OriginPageRecord,
+    ) -> impl Future<Output = Result<(), StoreError>>;
 }
--- a/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
@@ -25,6 +25,7 @@
     sends: Counter<u64>,
     ejections: Counter<u64>,
     target_checks: Counter<u64>,
+    take_ups: Counter<u64>,
     suspect_changes: Counter<u64>,
     store_calls: Counter<u64>,
     syncs: Counter<u64>,
@@ -64,6 +65,10 @@
             requests: counter("briarrail_requests", "Requests by service and outcome"),
             sends: counter("briarrail_sends", "Sends to targets by service and outcome"),
             ejections: counter("briarrail_ejections", "Ejections of targets by service"),
+            take_ups: counter(
+                "briarrail_stream_take_ups",
+                "Streams that callers continued, by where the release that began them was found",
+            ),
             target_checks: counter(
                 "briarrail_target_checks",
                 "Checks of targets after a lost connection by service and outcome",
@@ -118,6 +123,12 @@
         self.target_checks.add(1, &labels);
     }
 
+    /// Counts a stream that a caller continues.
+    pub(crate) fn count_take_up(&self, service: &str, origin: &'static str) {
+        let labels = [service_label(service), KeyValue::new("origin", origin)];
+        self.take_ups.add(1, &labels);
+    }
+
     /// Counts a request or prompt part that was blocked or released.
     pub(crate) fn count_suspect_change(&self, kind: &'static str, change: &'static str) {
         let labels = [KeyValue::new("kind", kind), KeyValue::new("change", change)];
--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -14,11 +14,13 @@
 mod response_body;
 mod response_class;
 mod send_guard;
+mod stream_origin;
 mod stream_relay;
 mod target_send;
 mod traffic_state;
 
 pub(crate) use caller_server::serve_callers;
+pub(crate) use stream_origin::{OriginCall, StreamOrigin};
 pub(crate) use traffic_state::{
     ControlUpdate, SharedState, StopPhase, TrafficState, suspect_kind_name,
 };
--- a/crates/briarrail_gateway/src/traffic/receive_request.rs
+++ b/crates/briarrail_gateway/src/traffic/receive_request.rs
@@ -106,7 +106,7 @@
     };
     let route = table.route(route_key);
     trace.route.clone_from(&route.name);
-    let Some(service) = table.choose_service(route_key, &caller.request_id) else {
+    let Some(service) = table.choose_service(route_key, caller.first_attempt()) else {
         return Err(Refusal::new(
             StatusCode::NOT_FOUND,
             "the route has no service",
@@ -157,6 +157,7 @@
         caches_prompts: false,
         max_connections: 0,
         deadline: MilliTime::default(),
+        resume_point: None,
     }
 }
 
--- a/crates/briarrail_gateway/src/traffic/request_context.rs
+++ b/crates/briarrail_gateway/src/traffic/request_context.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use briarrail_dispatch::{RouteConfig, RouteSemantics, RoutingTable};
+use briarrail_dispatch::{RouteConfig, RouteSemantics, RoutingTable, StreamKey};
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, Request, Uri, header};
 use http_body_util::Full;
 
 use super::request_traits::RequestTraits;
+use super::stream_origin::ResumePoint;
 use crate::{CallerHeaders, ProcessClock, TargetHeaders, WireDialect};
 
 /// Headers that apply to a single connection and are not forwarded.
@@ -50,6 +51,8 @@
     pub(crate) max_connections: u32,
     /// Earlier of the caller's deadline and the route's time limit.
     pub(crate) deadline: MilliTime,
+    /// Where the caller continues a stream; `None` if the stream begins with this attempt.
+    pub(crate) resume_point: Option<ResumePoint>,
 }
 
 impl RequestContext {
@@ -80,6 +83,11 @@
         hash_bytes(&self.caller.request_id)
     }
 
+    /// Returns the key of the request's stream, which is the same for all attempts of the caller.
+    pub(crate) fn stream_key(&self) -> StreamKey {
+        StreamKey::new(self.caller.first_attempt())
+    }
+
     /// Returns the time until the deadline, or `None` if it is too short for another attempt.
     pub(crate) fn remaining_time(&self, now: MilliTime) -> Option<MilliDuration> {
         let remaining = self.deadline.since(now);
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -19,6 +19,7 @@
 use super::request_trace::RequestTrace;
 use super::response_body::ResponseBody;
 use super::response_class::{ResponseClass, is_close_delimited, reuse_timeout};
+use super::stream_origin::{OriginCall, resolve_origin};
 use super::stream_relay::{BodyRead, StreamRelay, read_body_chunk, unknown_reason_text};
 use super::target_send::{SendResult, TargetResponse, TriedTargets, send_to_target};
 use super::traffic_state::TrafficState;
@@ -45,9 +46,13 @@
     let mut trace = RequestTrace::new(state, arrived_at);
     let (head, body) = request.into_parts();
     match receive_request(state, &head, body, arrived_at, &mut trace).await {
-        Ok(context) => {
+        Ok(mut context) => {
+            let origin = resolve_origin(state, &mut context, &trace).await;
             let handler = RequestHandler::new(state, context, trace);
-            handler.run().await
+            match origin {
+                Ok(()) => handler.run().await,
+                Err((cause, reason)) => handler.refuse(cause, reason),
+            }
         }
         Err(refusal) => {
             trace.set_outcome(refusal.outcome(), refusal.reason, refusal.status.as_u16());
@@ -121,7 +126,7 @@
                 &self.state,
                 &self.context,
                 &mut self.tried,
-                self.context.caller.last_event,
+                self.context.resume_point,
                 &mut self.trace,
             )
             .await;
@@ -276,6 +281,9 @@
         let elapsed = response.guard.elapsed();
         self.state
             .record_response_time(&self.context.route, elapsed);
+        let stream = self.context.stream_key();
+        let call = OriginCall::Began(stream, response.release);
+        self.state.send_origin_call(call);
         self.trace.record_first_event();
         self.trace.events += first.len() as u64;
         let (chunk_sender, chunks) = mpsc::channel(STREAM_BUFFER_CHUNKS);
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -15,6 +15,7 @@
 use super::request_trace::RequestTrace;
 use super::response_body::BodyInterrupted;
 use super::response_class::{ResponseClass, is_close_delimited, reuse_timeout};
+use super::stream_origin::{OriginCall, ResumePoint};
 use super::target_send::{SendResult, TargetResponse, TriedTargets, send_to_target};
 use super::traffic_state::TrafficState;
 use crate::WireDialect;
@@ -217,12 +218,15 @@
                 return false;
             };
             self.checker.discard_partial();
-            let last_event = offset.checked_sub(1);
+            let resume_point = ResumePoint {
+                last_event: offset.saturating_sub(1),
+                release: self.response.release,
+            };
             let send = send_to_target(
                 &self.state,
                 &self.context,
                 &mut self.tried,
-                last_event,
+                Some(resume_point),
                 &mut self.trace,
             );
             let chunk_sender = self.chunk_sender.clone();
@@ -266,6 +270,7 @@
             ..
         } = *response;
         guard.record_completion();
+        state.send_origin_call(OriginCall::Ended(context.stream_key()));
         state.metrics.count_send(&context.service, "good");
         if let Some(keep_alive) = reuse_timeout(&head.headers) {
             let now = state.clock.now();
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use briarrail_dispatch::{Placement, PlacementRequest, SendOutcome, TargetKey};
+use briarrail_dispatch::{Placement, PlacementRequest, ReleaseKey, SendOutcome, TargetKey};
 use briarrail_model::{CallSemantics, MilliDuration, MilliTime};
 use briarrail_outcome::AttemptEvent;
 use bytes::Bytes;
@@ -17,6 +17,7 @@
 use super::request_trace::RequestTrace;
 use super::response_class::{ResponseClass, classify_response, read_response_marks};
 use super::send_guard::SendGuard;
+use super::stream_origin::ResumePoint;
 use super::traffic_state::TrafficState;
 use crate::WireDialect;
 use crate::net::{HttpConnection, SendError};
@@ -50,6 +51,8 @@
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
     pub(crate) class: ResponseClass,
+    /// Release of the target.
+    pub(crate) release: ReleaseKey,
 }
 
 /// Result of sending a request to a target.
@@ -78,7 +81,7 @@
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
     tried: &mut TriedTargets,
-    last_event: Option<u64>,
+    resume_point: Option<ResumePoint>,
     trace: &mut RequestTrace<D>,
 ) -> SendResult<D>
 where
@@ -91,9 +94,11 @@
     if state.blocked_until(&context.traits).is_some() {
         return fail_attempt(state, trace, "blocked", &"", AttemptEvent::NoTarget);
     }
-    let Some((key, context_source)) = choose_target(state, context, tried, trace) else {
+    let release = resume_point.map(|point| point.release);
+    let Some(chosen) = choose_target(state, context, tried, release, trace) else {
         return SendResult::Failed(AttemptEvent::NoTarget);
     };
+    let key = chosen.key;
     tried.0.push(key);
     let traits = context.traits.clone();
     let mut guard = SendGuard::start(state, key, cancellation_threshold(context), traits);
@@ -113,12 +118,12 @@
     let request = context.build_target_request(
         &state.dialect,
         &trace.target_id,
-        last_event,
-        context_source,
+        resume_point.map(|point| point.last_event),
+        chosen.context_source,
         state.clock,
     );
     trace.sends += 1;
-    let retry_at = retry_time(state, context, key, tried);
+    let retry_at = retry_time(state, context, key, release, tried);
     let response = match wait_for_head(state, context, &mut connection, request, retry_at).await {
         HeadResult::Received(response) => response,
         HeadResult::TimedOut => {
@@ -174,6 +179,7 @@
                 head,
                 body,
                 class,
+                release: chosen.release,
             }))
         }
     }
@@ -232,13 +238,23 @@
     SendResult::Failed(event)
 }
 
-/// Selects a target and, if possible, the address of another target with the shared context.
+/// The target that was selected for an attempt.
+#[derive(Debug, Clone, Copy)]
+struct ChosenTarget {
+    key: TargetKey,
+    release: ReleaseKey,
+    /// Address of another target with the shared context, if there is one.
+    context_source: Option<SocketAddr>,
+}
+
+/// Selects a target, of a certain release if only that can continue the stream.
 fn choose_target<D>(
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
     tried: &TriedTargets,
+    release: Option<ReleaseKey>,
     trace: &mut RequestTrace<D>,
-) -> Option<(TargetKey, Option<SocketAddr>)> {
+) -> Option<ChosenTarget> {
     let now = state.clock.now();
     let affinity_key = context.caller.prompt.affinity_key();
     let request = PlacementRequest {
@@ -248,23 +264,27 @@
         tried: &tried.0,
         seed: context.seed(),
         objective: context.objective,
+        release,
     };
     let placement = place_within_limits(state, context, &request, now)?;
     let key = placement.target;
     let registry = state.registry.borrow();
     trace.rank = placement.rank;
     trace.load_limit = placement.limit;
-    if let Some(target) = registry.get(key) {
-        trace.target_id.clone_from(&target.record.id);
-        trace.target_load = target.expected_load(now);
-        trace.counts_age = target.peer_count_age(now);
-        trace.mean_load = registry.mean_load(&context.service, now);
-    }
+    let target = registry.get(key)?;
+    trace.target_id.clone_from(&target.record.id);
+    trace.target_load = target.expected_load(now);
+    trace.counts_age = target.peer_count_age(now);
+    trace.mean_load = registry.mean_load(&context.service, now);
     let source = registry.context_source(&request, key, now);
-    let source_address = source
+    let context_source = source
         .and_then(|source| registry.get(source))
         .map(|source| source.record.address);
-    Some((key, source_address))
+    Some(ChosenTarget {
+        key,
+        release: target.release,
+        context_source,
+    })
 }
 
 /// Places a request, passing over the targets whose rate limit is used up.
@@ -295,13 +315,17 @@
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
     key: TargetKey,
+    release: Option<ReleaseKey>,
     tried: &TriedTargets,
 ) -> Option<MilliTime> {
     let may_retry = context.semantics.call_semantics() == CallSemantics::Idempotent
         && (tried.0.len() as u32) < context.max_attempts;
     let registry = state.registry.borrow();
     let mut targets = registry.service_targets(&context.service);
-    let has_other = targets.any(|(other, target)| other != key && target.is_available());
+    let has_other = targets.any(|(other, target)| {
+        let is_of_release = release.is_none_or(|release| target.release == release);
+        other != key && target.is_available() && is_of_release
+    });
     let retry_at = state.clock.now() + state.response_timeout(context);
     (may_retry && has_other && retry_at < context.deadline).then_some(retry_at)
 }
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -8,19 +8,21 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use briarrail_dispatch::{
     AdaptiveTimeout, AdmissionController, AdmissionRatio, CrashQuarantine, FleetSize, LimitReport,
-    LimitStatement, LimitedRequest, OutcomeTotals, PlacementLimits, RetryBudget, RetryBudgetLimits,
-    RosterChange, RoutingTable, SendOutcome, SuspectChange, SuspectKind, SuspectReports, TargetKey,
-    TargetRegistry, TargetState,
+    LimitStatement, LimitedRequest, OutcomeTotals, PlacementLimits, ReleaseKey, RetryBudget,
+    RetryBudgetLimits, RosterChange, RoutingTable, SendOutcome, SuspectChange, SuspectKind,
+    SuspectReports, TargetKey, TargetRegistry, TargetState,
 };
 use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
 use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit};
 use briarrail_settings::FleetLimits;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
 use super::connection_pool::ConnectionPool;
 use super::crash_check::{CrashChecks, LostRequest};
 use super::request_context::RequestContext;
 use super::request_traits::RequestTraits;
+use super::stream_origin::OriginCall;
 use crate::ProcessClock;
 use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
@@ -122,6 +124,8 @@
     quarantine: RefCell<CrashQuarantine>,
     /// Checks of targets that are in progress.
     pub(super) crash_checks: RefCell<CrashChecks>,
+    /// Messages to the control thread about streams.
+    origin_calls: UnboundedSender<OriginCall>,
 }
 
 impl<D> TrafficState<D> {
@@ -130,6 +134,7 @@
         clock: ProcessClock,
         shared: Arc<SharedState>,
         metrics: Arc<GatewayMetrics>,
+        origin_calls: UnboundedSender<OriginCall>,
     ) -> Self {
         Self {
             dialect,
@@ -145,6 +150,7 @@
             fleet_size: Cell::default(),
             quarantine: RefCell::default(),
             crash_checks: RefCell::default(),
+            origin_calls,
         }
     }
 
@@ -238,6 +244,20 @@
         budget.try_take_retry(self.clock.now(), &limits, routers)
     }
 
+    /// Returns whether a service has an available target of a release.
+    pub(crate) fn has_release(&self, service: &str, release: ReleaseKey) -> bool {
+        let registry = self.registry.borrow();
+        let mut targets = registry.service_targets(service);
+        targets.any(|(_, target)| target.is_available() && target.release == release)
+    }
+
+    /// Sends a message about a stream to the control thread.
+    pub(crate) fn send_origin_call(&self, call: OriginCall) {
+        if self.origin_calls.send(call).is_err() {
+            tracing::debug!("the control thread has exited");
+        }
+    }
+
     /// Records the rate limit that a target named in a response, or that it named none.
     pub(crate) fn record_rate_limit(&self, key: TargetKey, limit: Option<f32>) {
         let mut registry = self.registry.borrow_mut();
--- a/crates/briarrail_gateway/src/wire_dialect.rs
+++ b/crates/briarrail_gateway/src/wire_dialect.rs
@@ -21,6 +21,20 @@
     pub prompt: PromptParts,
     /// Last event that the caller received of an interrupted stream.
     pub last_event: Option<u64>,
+    /// Identifier of the attempt that brought the first event of that stream.
+    pub resumed_attempt: Option<Bytes>,
+}
+
+impl CallerHeaders {
+    /// Returns the identifier of the attempt that brings the first event of the stream: this one,
+    /// unless it continues a stream that the caller names.
+    #[must_use]
+    pub fn first_attempt(&self) -> &Bytes {
+        let resumed_attempt = self.resumed_attempt.as_ref();
+        resumed_attempt
+            .filter(|_| self.last_event.is_some())
+            .unwrap_or(&self.request_id)
+    }
 }
 
 /// Why the headers of a caller's request are rejected.
--- a/crates/briarrail_peer/src/lib.rs
+++ b/crates/briarrail_peer/src/lib.rs
@@ -14,6 +14,7 @@
 mod key_ring;
 mod load_item;
 mod message_kind;
+mod origin_message;
 mod pull_request;
 mod sync_message;
 
@@ -30,6 +31,7 @@
 pub use key_ring::{KeyRing, SharedKey};
 pub use load_item::LoadItem;
 pub use message_kind::MessageKind;
+pub use origin_message::{OriginMessage, OriginNotice};
 pub use pull_request::PullRequest;
 pub use sync_message::{
     RosterUpdate, ServiceDemand, StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount,
--- a/crates/briarrail_peer/src/message_kind.rs
+++ b/crates/briarrail_peer/src/message_kind.rs
@@ -22,6 +22,8 @@
     SyncRequest,
     /// A [`SyncReply`](crate::SyncReply).
     SyncReply,
+    /// An [`OriginMessage`](crate::OriginMessage).
+    Origin,
 }
 
 impl MessageKind {
@@ -37,6 +39,7 @@
             Self::ReportReply => 6,
             Self::SyncRequest => 7,
             Self::SyncReply => 8,
+            Self::Origin => 9,
         }
     }
 }
