--- a/crates/briarrail_gateway/src/traffic/first_answer.rs
+++ b/crates/briarrail_gateway/src/traffic/first_answer.rs
@@ -123,15 +123,7 @@
 {
     /// Sends the request and reads the response until it can be relayed, or the deadline.
     async fn run(self, prepared: PreparedSend<D>) -> FirstAnswer<D> {
-        let last_event = self.context.caller.last_event;
-        let sent = send_prepared(
-            &self.state,
-            &self.context,
-            last_event,
-            None,
-            &self.log,
-            prepared,
-        );
+        let sent = send_prepared(&self.state, &self.context, None, &self.log, prepared);
         let mut response = match sent.await {
             SendResult::Response(response) => response,
             SendResult::Failed(event) => return FirstAnswer::Failed(event),
--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -16,6 +16,7 @@
 mod response_class;
 mod send_guard;
 mod send_log;
+mod stream_origin;
 mod stream_progress;
 mod stream_relay;
 mod stream_transfer;
@@ -23,6 +24,7 @@
 mod traffic_state;
 
 pub(crate) use caller_server::serve_callers;
+pub(crate) use stream_origin::{OriginCall, StreamOrigin};
 pub(crate) use traffic_state::{
     ControlUpdate, SharedState, StopPhase, TrafficState, suspect_kind_name,
 };
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -20,6 +20,7 @@
 use super::request_trace::RequestTrace;
 use super::response_body::ResponseBody;
 use super::response_class::{ResponseClass, reuse_timeout};
+use super::stream_origin::{OriginCall, resolve_origin};
 use super::stream_relay::{StreamRelay, unknown_reason_text};
 use super::stream_transfer::{MAX_FAILED_CONNECTS, MAX_OVERLAP};
 use super::target_send::{PreparedSend, TargetResponse, TriedTargets, prepare_send};
@@ -43,9 +44,13 @@
     let mut trace = RequestTrace::new(state, arrived_at);
     let (head, mut body) = request.into_parts();
     match receive_request(state, &head, &mut body, arrived_at, &mut trace).await {
-        Ok(context) => {
+        Ok(mut context) => {
+            let origin = resolve_origin(state, &mut context, &trace).await;
             let handler = RequestHandler::new(state, context, trace);
-            handler.run().await
+            match origin {
+                Ok(()) => handler.run().await,
+                Err((cause, reason)) => handler.refuse(cause, reason),
+            }
         }
         Err(refusal) => {
             tokio::task::spawn_local(discard_body(body));
@@ -112,8 +117,13 @@
             if let RetryStep::Finish(outcome) = step {
                 return self.finish(outcome);
             }
-            let prepared =
-                prepare_send(&self.state, &self.context, &mut self.tried, &mut self.trace);
+            let prepared = prepare_send(
+                &self.state,
+                &self.context,
+                &mut self.tried,
+                self.context.resume_point,
+                &mut self.trace,
+            );
             let answer = match prepared.await {
                 Ok(prepared) => self.wait_answer(prepared).await,
                 Err(event) => FirstAnswer::Failed(event),
@@ -192,8 +202,13 @@
         let mut is_attempted = false;
         let mut failed_connects = 0;
         loop {
-            let preparing =
-                prepare_send(&self.state, &self.context, &mut self.tried, &mut self.trace);
+            let preparing = prepare_send(
+                &self.state,
+                &self.context,
+                &mut self.tried,
+                self.context.resume_point,
+                &mut self.trace,
+            );
             let prepared = tokio::select! {
                 biased;
                 answer = silent.answer() => return SearchEnd::Resumed(answer),
@@ -287,6 +302,9 @@
         let elapsed = response.guard.elapsed();
         self.state
             .record_response_time(&self.context.route, elapsed);
+        let stream = self.context.stream_key();
+        let call = OriginCall::Began(stream, response.release);
+        self.state.send_origin_call(call);
         self.trace.record_first_event();
         self.trace.events += first.len() as u64;
         let (chunk_sender, chunks) = mpsc::channel(STREAM_BUFFER_CHUNKS);
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -15,6 +15,7 @@
 use super::request_trace::RequestTrace;
 use super::response_body::BodyInterrupted;
 use super::response_class::{is_close_delimited, reuse_timeout};
+use super::stream_origin::{OriginCall, ResumePoint};
 use super::stream_progress::StreamProgress;
 use super::stream_transfer::{StreamTransfer, TransferEnd, can_continue_stream};
 use super::target_send::{SendResult, TargetResponse, TriedTargets, send_to_target};
@@ -148,6 +149,7 @@
         let max_gap =
             MilliDuration::from_millis(self.context.event_gap.as_millis() * GAP_TIMEOUT_FACTOR);
         let mut relayed_events = 0;
+        let release = self.response.release;
         let transfer = StreamTransfer {
             state: &self.state,
             context: &self.context,
@@ -155,6 +157,7 @@
             tried: &mut self.tried,
             trace: &mut self.trace,
             progress: &progress,
+            release,
             max_gap: max_gap.max(MIN_GAP_TIMEOUT),
         };
         let mut transfer = Box::pin(transfer.run());
@@ -232,12 +235,15 @@
                 return false;
             };
             self.checker.discard_partial();
-            let last_event = offset.checked_sub(1);
+            let resume_point = ResumePoint {
+                last_event: offset.saturating_sub(1),
+                release: self.response.release,
+            };
             let send = send_to_target(
                 &self.state,
                 &self.context,
                 &mut self.tried,
-                last_event,
+                Some(resume_point),
                 &mut self.trace,
             );
             let chunk_sender = self.chunk_sender.clone();
@@ -284,6 +290,7 @@
             ..
         } = *response;
         guard.record_completion();
+        state.send_origin_call(OriginCall::Ended(context.stream_key()));
         state.metrics.count_send(&context.service, "good");
         if let Some(keep_alive) = reuse_timeout(&head.headers) {
             let now = state.clock.now();
--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -2,13 +2,14 @@
 
 use std::rc::Rc;
 
-use briarrail_dispatch::SendOutcome;
+use briarrail_dispatch::{ReleaseKey, SendOutcome};
 use briarrail_model::{MilliDuration, MilliTime};
 use briarrail_outcome::{AttemptEvent, RetryMachine, RetryStep};
 
 use super::request_context::RequestContext;
 use super::request_trace::RequestTrace;
 use super::response_class::ResponseClass;
+use super::stream_origin::ResumePoint;
 use super::stream_progress::StreamProgress;
 use super::target_send::{
     PreparedSend, SendResult, TargetResponse, TriedTargets, prepare_send, retry_time, send_prepared,
@@ -41,6 +42,8 @@
     pub(crate) tried: &'a mut TriedTargets,
     pub(crate) trace: &'a mut RequestTrace<D>,
     pub(crate) progress: &'a StreamProgress,
+    /// Release that began the stream.
+    pub(crate) release: ReleaseKey,
     /// Gap between events after which the target counts as silent.
     pub(crate) max_gap: MilliDuration,
 }
@@ -97,16 +100,27 @@
         if !self.machine.may_leave_target(silence.resume_at, now) {
             return self.stay(silence, "no attempt left");
         }
+        let resume_point = silence.resume_at.map(|offset| ResumePoint {
+            last_event: offset.saturating_sub(1),
+            release: self.release,
+        });
         let mut is_attempted = false;
         let mut failed_connects = 0;
         loop {
+            let preparing = prepare_send(
+                self.state,
+                self.context,
+                self.tried,
+                resume_point,
+                self.trace,
+            );
             let prepared = tokio::select! {
                 biased;
                 () = self.progress.resumed(silence.events) => {
                     self.machine.keep_silent_target();
                     return self.stay(silence, "went on");
                 }
-                prepared = prepare_send(self.state, self.context, self.tried, self.trace) => prepared,
+                prepared = preparing => prepared,
             };
             let (event, retry_taken) = match prepared {
                 Ok(prepared) => {
@@ -168,18 +182,10 @@
     ) -> Option<SendResult<D>> {
         let progress = self.progress;
         let leave_at = self.state.clock.now() + MAX_OVERLAP;
-        let last_event = silence.resume_at.and_then(|offset| offset.checked_sub(1));
         progress.set_sent(true);
-        let retry_at = retry_time(self.state, self.context, prepared.target(), self.tried);
+        let retry_at = retry_time(self.state, self.context, &prepared, self.tried);
         let log = self.trace.start_send();
-        let sending = send_prepared(
-            self.state,
-            self.context,
-            last_event,
-            retry_at,
-            &log,
-            prepared,
-        );
+        let sending = send_prepared(self.state, self.context, retry_at, &log, prepared);
         let mut sending = std::pin::pin!(sending);
         let result = loop {
             tokio::select! {
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use briarrail_dispatch::{Placement, PlacementRequest, SendOutcome, TargetKey};
+use briarrail_dispatch::{Placement, PlacementRequest, ReleaseKey, SendOutcome, TargetKey};
 use briarrail_model::{CallSemantics, MilliDuration, MilliTime};
 use briarrail_outcome::AttemptEvent;
 use bytes::Bytes;
@@ -19,6 +19,7 @@
 use super::response_class::{ResponseClass, classify_response, read_response_marks};
 use super::send_guard::SendGuard;
 use super::send_log::SendLog;
+use super::stream_origin::ResumePoint;
 use super::traffic_state::TrafficState;
 use crate::WireDialect;
 use crate::net::{HttpConnection, SendError};
@@ -52,6 +53,8 @@
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
     pub(crate) class: ResponseClass,
+    /// Release of the target.
+    pub(crate) release: ReleaseKey,
 }
 
 /// Result of sending a request to a target.
@@ -81,6 +84,8 @@
     guard: SendGuard<D>,
     connection: HttpConnection,
     context_source: Option<SocketAddr>,
+    release: ReleaseKey,
+    resume_point: Option<ResumePoint>,
 }
 
 impl<D> PreparedSend<D> {
@@ -99,17 +104,17 @@
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
     tried: &mut TriedTargets,
-    last_event: Option<u64>,
+    resume_point: Option<ResumePoint>,
     trace: &mut RequestTrace<D>,
 ) -> SendResult<D>
 where
     D: WireDialect,
 {
-    match prepare_send(state, context, tried, trace).await {
+    match prepare_send(state, context, tried, resume_point, trace).await {
         Ok(prepared) => {
-            let retry_at = retry_time(state, context, prepared.target(), tried);
+            let retry_at = retry_time(state, context, &prepared, tried);
             let log = trace.start_send();
-            send_prepared(state, context, last_event, retry_at, &log, prepared).await
+            send_prepared(state, context, retry_at, &log, prepared).await
         }
         Err(event) => SendResult::Failed(event),
     }
@@ -124,6 +129,7 @@
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
     tried: &mut TriedTargets,
+    resume_point: Option<ResumePoint>,
     trace: &mut RequestTrace<D>,
 ) -> Result<PreparedSend<D>, AttemptEvent>
 where
@@ -137,9 +143,11 @@
         trace.send_log().record_failure("blocked", &"");
         return Err(AttemptEvent::NoTarget);
     }
-    let Some((key, context_source)) = choose_target(state, context, tried, trace) else {
+    let release = resume_point.map(|point| point.release);
+    let Some(chosen) = choose_target(state, context, tried, release, trace) else {
         return Err(AttemptEvent::NoTarget);
     };
+    let key = chosen.key;
     tried.0.push(key);
     let traits = context.traits.clone();
     let mut guard = SendGuard::start(state, key, cancellation_threshold(context), traits);
@@ -147,7 +155,9 @@
         Ok(connection) => Ok(PreparedSend {
             guard,
             connection,
-            context_source,
+            context_source: chosen.context_source,
+            release: chosen.release,
+            resume_point,
         }),
         Err(ConnectError::LimitReached) => {
             guard.ignore_outcome();
@@ -168,7 +178,6 @@
 pub(crate) async fn send_prepared<D>(
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
-    last_event: Option<u64>,
     retry_at: Option<MilliTime>,
     log: &SendLog<D>,
     prepared: PreparedSend<D>,
@@ -180,12 +189,14 @@
         mut guard,
         mut connection,
         context_source,
+        release,
+        resume_point,
     } = prepared;
     let key = guard.key();
     let request = context.build_target_request(
         &state.dialect,
         log.target_id(),
-        last_event,
+        resume_point.map(|point| point.last_event),
         context_source,
         state.clock,
     );
@@ -245,6 +256,7 @@
                 head,
                 body,
                 class,
+                release,
             }))
         }
     }
@@ -301,13 +313,23 @@
     SendResult::Failed(event)
 }
 
-/// Selects a target and, if possible, the address of another target with the shared context.
+/// The target that was selected for an attempt.
+#[derive(Debug, Clone, Copy)]
+struct ChosenTarget {
+    key: TargetKey,
+    release: ReleaseKey,
+    /// Address of another target with the shared context, if there is one.
+    context_source: Option<SocketAddr>,
+}
+
+/// Selects a target, of a certain release if only that can continue the stream.
 fn choose_target<D>(
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
     tried: &TriedTargets,
+    release: Option<ReleaseKey>,
     trace: &mut RequestTrace<D>,
-) -> Option<(TargetKey, Option<SocketAddr>)> {
+) -> Option<ChosenTarget> {
     let now = state.clock.now();
     let affinity_key = context.caller.prompt.affinity_key();
     let request = PlacementRequest {
@@ -317,23 +339,27 @@
         tried: &tried.0,
         seed: context.seed(),
         objective: context.objective,
+        release,
     };
     let placement = place_within_limits(state, context, &request, now)?;
     let key = placement.target;
     let registry = state.registry.borrow();
     trace.rank = placement.rank;
     trace.load_limit = placement.limit;
-    if let Some(target) = registry.get(key) {
-        trace.target_id.clone_from(&target.record.id);
-        trace.target_load = target.expected_load(now);
-        trace.counts_age = target.peer_count_age(now);
-        trace.mean_load = registry.mean_load(&context.service, now);
-    }
+    let target = registry.get(key)?;
+    trace.target_id.clone_from(&target.record.id);
+    trace.target_load = target.expected_load(now);
+    trace.counts_age = target.peer_count_age(now);
+    trace.mean_load = registry.mean_load(&context.service, now);
     let source = registry.context_source(&request, key, now);
-    let source_address = source
+    let context_source = source
         .and_then(|source| registry.get(source))
         .map(|source| source.record.address);
-    Some((key, source_address))
+    Some(ChosenTarget {
+        key,
+        release: target.release,
+        context_source,
+    })
 }
 
 /// Places a request, passing over the targets whose rate limit is used up.
@@ -363,14 +389,19 @@
 pub(crate) fn retry_time<D>(
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
-    key: TargetKey,
+    prepared: &PreparedSend<D>,
     tried: &TriedTargets,
 ) -> Option<MilliTime> {
+    let key = prepared.target();
+    let release = prepared.resume_point.map(|point| point.release);
     let may_retry = context.semantics.call_semantics() == CallSemantics::Idempotent
         && (tried.0.len() as u32) < context.max_attempts;
     let registry = state.registry.borrow();
     let mut targets = registry.service_targets(&context.service);
-    let has_other = targets.any(|(other, target)| other != key && target.is_available());
+    let has_other = targets.any(|(other, target)| {
+        let is_of_release = release.is_none_or(|release| target.release == release);
+        other != key && target.is_available() && is_of_release
+    });
     let retry_at = state.clock.now() + state.response_timeout(context);
     (may_retry && has_other && retry_at < context.deadline).then_some(retry_at)
 }
