--- a/crates/briarrail_outcome/tests/suite/retry.rs
+++ b/crates/briarrail_outcome/tests/suite/retry.rs
@@ -166,6 +166,21 @@
     assert_eq!(step, RetryStep::Finish(outcome));
 }
 
+/// Guards against a refusal that is reported as a possible run, because its target was silent before.
+#[test]
+fn a_request_did_not_run_if_the_silent_target_refuses_it() {
+    let mut machine = machine(CallSemantics::Idempotent, 4);
+    let now = MilliTime::default();
+    machine.start(now);
+    let silent = AttemptEvent::TargetSilent { resume_at: None };
+    let step = machine.handle(silent, now, &mut || false);
+    assert_eq!(step, RetryStep::KeepTarget);
+    let refused = AttemptEvent::Refused { not_run: true };
+    let step = machine.handle(refused, now, &mut || false);
+    let outcome = RequestOutcome::NotRun(NotRunReason::TargetRefused);
+    assert_eq!(step, RetryStep::Finish(outcome));
+}
+
 /// Sends and runs of one request, as the targets saw them.
 #[derive(Default)]
 struct TargetObservations {
