fix(outcome): report a request as not run if its silent target refuses it

Callers saw 502 where 503 with a Retry-After was true: a target was silent, no other one could be asked, and then it refused the request as not run.

Cause: the silence alone marked the request as possibly run, also when it stayed where it was. Class: a pause taken for an outcome. It is marked now only when another target is asked, since the silent one may be left then.

Evidence: `a_request_did_not_run_if_the_silent_target_refuses_it` failed and passes; 37 tests of the crate pass.

--- a/crates/briarrail_outcome/src/retry_machine.rs
+++ b/crates/briarrail_outcome/src/retry_machine.rs
@@ -242,11 +242,11 @@
     where
         L: RetryLimiter,
     {
-        self.may_have_run = true;
         if !self.may_leave_target(resume_at, now) || !self.try_start_attempt(now, limiter) {
             self.in_flight = true;
             return RetryStep::KeepTarget;
         }
+        self.may_have_run = true;
         self.has_silent_target = true;
         if self.response_started {
             self.resume_offset = resume_at;
