fix(gateway): let another target answer if the silent one fails

Callers saw the 500 of a target that had been silent although another target had the request by then and would have answered 200 (five of eight delays in the test).

Cause: only a broken response counted as a failure of the silent target while both had the request; a failure that it reported ended the race. It is kept now, and relayed only if the other target fails too.

The time for which both may have a request counts once for a search, not again for each target that is asked, so that no two work on it for longer than the 250 ms that the constant says.

Evidence: `a_silent_target_that_fails_leaves_the_request_to_the_other_one` failed and passes.

--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use briarrail_dispatch::{RefusalCause, SendOutcome, retry_after};
-use briarrail_model::MilliDuration;
+use briarrail_model::{MilliDuration, MilliTime};
 use briarrail_outcome::{
     AttemptEvent, NotRunReason, RequestOutcome, RetryMachine, RetryPolicy, RetryStep,
     StreamChecker, UnknownReason,
@@ -201,6 +201,7 @@
     async fn search_target(&mut self, silent: &mut PendingAnswer<D>) -> SearchEnd<D> {
         let mut is_attempted = false;
         let mut failed_connects = 0;
+        let mut leave_at = None;
         loop {
             let preparing = prepare_send(
                 &self.state,
@@ -221,7 +222,9 @@
                         return SearchEnd::Kept;
                     }
                     is_attempted = true;
-                    match self.race(silent, prepared).await {
+                    let leave_at =
+                        *leave_at.get_or_insert_with(|| self.state.clock.now() + MAX_OVERLAP);
+                    match self.race(silent, prepared, leave_at).await {
                         Ok(end) => return end,
                         Err(event) => event,
                     }
@@ -242,7 +245,7 @@
     }
 
     /// Sends the request to another target as well, until one of both answers or the silent one has
-    /// had its time.
+    /// had its time at `leave_at`.
     ///
     /// # Errors
     ///
@@ -251,15 +254,15 @@
         &mut self,
         silent: &mut PendingAnswer<D>,
         prepared: PreparedSend<D>,
+        leave_at: MilliTime,
     ) -> Result<SearchEnd<D>, AttemptEvent> {
         let mut other = self.start_attempt(prepared);
-        let leave_at = self.state.clock.now() + MAX_OVERLAP;
         tokio::select! {
             biased;
-            answer = silent.answer() => match answer {
+            answer = silent.answer() => match self.check_answer(answer) {
+                Ok(answer) => Ok(SearchEnd::Resumed(answer)),
                 // The other target may still answer.
-                FirstAnswer::Failed(_) => Ok(SearchEnd::Replaced(other)),
-                answer => Ok(SearchEnd::Resumed(answer)),
+                Err(_) => Ok(SearchEnd::Replaced(other)),
             },
             answer = other.answer() => self.check_answer(answer).map(SearchEnd::Answered),
             () = tokio::time::sleep_until(self.state.clock.instant(leave_at)) => {
--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -106,6 +106,7 @@
         });
         let mut is_attempted = false;
         let mut failed_connects = 0;
+        let mut leave_at = None;
         loop {
             let preparing = prepare_send(
                 self.state,
@@ -132,7 +133,9 @@
                             return self.stay(silence, "no retry left");
                         }
                     }
-                    let Some(result) = self.send(prepared, &silence).await else {
+                    let leave_at =
+                        *leave_at.get_or_insert_with(|| self.state.clock.now() + MAX_OVERLAP);
+                    let Some(result) = self.send(prepared, &silence, leave_at).await else {
                         self.machine.keep_silent_target();
                         return self.stay(silence, "went on");
                     };
@@ -173,15 +176,15 @@
         }
     }
 
-    /// Sends the request to another target; returns `None` if the silent one goes on before the
-    /// head of the response arrives.
+    /// Sends the request to another target, and leaves the silent one at `leave_at`; returns `None` if
+    /// that goes on before the head of the response arrives.
     async fn send(
         &mut self,
         prepared: PreparedSend<D>,
         silence: &TargetSilence,
+        leave_at: MilliTime,
     ) -> Option<SendResult<D>> {
         let progress = self.progress;
-        let leave_at = self.state.clock.now() + MAX_OVERLAP;
         progress.set_sent(true);
         let retry_at = retry_time(self.state, self.context, &prepared, self.tried);
         let log = self.trace.start_send();
