fix(example): repeat a refused ticket after the time that the refusal names

The quickstart repeated a post at once, so that its second reply could be a refusal by a target that had just been ejected. It waits for the Retry-After of the first reply now.

--- a/examples/quickstart/ticket_section.rs
+++ b/examples/quickstart/ticket_section.rs
@@ -1,5 +1,7 @@
 //! Ticket posts, and the three outcomes.
 
+use std::time::Duration;
+
 use briarload::{RoundRobinUrls, TicketPlan, run_tickets};
 use briarrail_standin::ServiceFaults;
 use reqwest::Response;
@@ -31,7 +33,8 @@
     show(site, "the target runs it and the answer is lost", lose).await;
 }
 
-/// Switches a fault on at all services, posts one ticket, switches it off and repeats the post.
+/// Switches a fault on at all services, posts one ticket, switches it off and repeats the post once
+/// the first reply says so.
 async fn show<F>(site: &DemoSite, title: &str, fault: F)
 where
     F: Fn(&mut ServiceFaults),
@@ -41,27 +44,41 @@
     for service in &site.standins.services {
         service.faults().update(&fault);
     }
-    post(site, 0, &key).await;
+    let wait = post(site, 0, &key).await;
     for service in &site.standins.services {
         service.faults().set(ServiceFaults::default());
     }
+    tokio::time::sleep(wait).await;
     post(site, 1, &key).await;
     let ledger = site.standins.ledger();
     let runs = ledger.get(&key).map_or(0, |entry| entry.runs);
     println!("    runs in the ledgers: {runs}");
 }
 
-/// Posts a ticket through a router and prints what the caller sees.
-async fn post(site: &DemoSite, router: usize, key: &str) {
+/// Posts a ticket through a router, prints what the caller sees, and returns its `Retry-After`.
+async fn post(site: &DemoSite, router: usize, key: &str) -> Duration {
     let url = format!("{}/tickets", site.urls()[router]);
     let request = site.client.post(url).header("idempotency-key", key);
     let request = request.header("x-customer", "customer-0").body("12.5 t");
     match request.send().await {
-        Ok(response) => println!("    {}", describe(response).await),
-        Err(error) => println!("    no answer: {error}"),
+        Ok(response) => {
+            let wait = retry_after(&response);
+            println!("    {}", describe(response).await);
+            wait
+        }
+        Err(error) => {
+            println!("    no answer: {error}");
+            Duration::ZERO
+        }
     }
 }
 
+fn retry_after(response: &Response) -> Duration {
+    let value = response.headers().get("retry-after");
+    let seconds = value.and_then(|value| value.to_str().ok()?.parse().ok());
+    Duration::from_secs(seconds.unwrap_or(0))
+}
+
 async fn describe(response: Response) -> String {
     let status = response.status();
     let header = |name| {
