fix(gateway): continue streams of the only release while the store is away

Cause: while one release serves, routers don't tell each other of streams, and the list of the store alone decided. Each router has read that list when it started and follows it since; that decides now if the store can't be read. A second release makes the routers tell each other, so a stream that none of them knows can't have begun at it, but for the loss of its router and both holders.

With it, reading and writing the store moves from `OriginExchange` into `OriginStore`, without a change of what it does.

--- a/crates/briarrail_dispatch/src/release_ledger.rs
+++ b/crates/briarrail_dispatch/src/release_ledger.rs
@@ -23,6 +23,12 @@
 }
 
 impl ReleaseLedger {
+    /// Returns the releases that the store lists.
+    #[must_use]
+    pub const fn listed(&self) -> &BTreeSet<ServiceRelease> {
+        &self.listed
+    }
+
     /// Replaces the releases by those that the store lists.
     pub fn replace_listed<R>(&mut self, releases: R)
     where
@@ -97,7 +103,7 @@
 #[must_use]
 pub fn sole_release(
     service: &str,
-    listed: &[ServiceRelease],
+    listed: &BTreeSet<ServiceRelease>,
     in_use: &BTreeSet<ServiceRelease>,
 ) -> Option<ReleaseKey> {
     let of_service = |release: &&ServiceRelease| release.service == service;
--- a/crates/briarrail_dispatch/tests/suite/stream_releases.rs
+++ b/crates/briarrail_dispatch/tests/suite/stream_releases.rs
@@ -174,11 +174,8 @@
 #[test]
 fn a_stream_of_unknown_origin_goes_on_only_if_one_release_can_have_begun_it() {
     let in_use = |versions: &[&str]| versions.iter().map(|version| release(version)).collect();
-    let listed = |versions: &[&str]| -> Vec<ServiceRelease> {
-        versions.iter().map(|version| release(version)).collect()
-    };
     let sole = |stored: &[&str], used: &[&str]| {
-        sole_release("model", &listed(stored), &in_use(used)).map(|found| {
+        sole_release("model", &in_use(stored), &in_use(used)).map(|found| {
             let all = ["1", "2"].map(release);
             let name = all.into_iter().find(|other| other.key() == found);
             name.map(|name| name.version)
@@ -197,7 +194,7 @@
         service: "other".into(),
         version: "2".into(),
     };
-    let both = [release("1"), other];
+    let both = BTreeSet::from([release("1"), other]);
     assert_eq!(
         sole_release("model", &both, &in_use(&["1"])),
         Some(release("1").key())
--- a/crates/briarrail_gateway/src/control/mod.rs
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod hub_sync;
 mod monitoring_server;
 mod origin_exchange;
+mod origin_store;
 mod release_records;
 mod roster_log;
 mod router_registration;
--- a/crates/briarrail_gateway/src/control/origin_exchange.rs
+++ b/crates/briarrail_gateway/src/control/origin_exchange.rs
@@ -12,10 +12,10 @@
 use std::time::Duration;
 
 use briarrail_dispatch::{
-    LiveOrigins, ReleaseKey, ServiceRelease, StreamKey, StreamOrigins, origin_holders,
-    origin_sources, sole_release,
+    LiveOrigins, ReleaseKey, ReleaseLedger, ServiceRelease, StreamKey, StreamOrigins,
+    origin_holders, origin_sources, sole_release,
 };
-use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash};
+use briarrail_model::{HostName, MilliTime, StableHash};
 use briarrail_peer::{Envelope, FrameError, MessageKind, OriginMessage, OriginNotice};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -23,9 +23,9 @@
 
 use super::SharedControlState;
 use super::control_state::ControlState;
-use super::release_records::count_call;
+use super::origin_store::OriginStore;
+use crate::SiteStore;
 use crate::traffic::{OriginCall, StreamOrigin};
-use crate::{OriginPageRecord, ReadConsistency, SiteStore};
 
 /// Maximum size of a datagram, in bytes; fits into a packet of any network.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
@@ -37,11 +37,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
 /// Number of times that a question is sent; routers that are down do not answer.
 const MAX_QUESTIONS: u32 = 3;
-/// Time for which the store's releases are used after they were read, so that many streams that are
-/// continued at once cost one call.
-const RELEASES_MAX_AGE: MilliDuration = MilliDuration::from_millis(500);
-/// Time for which the origins that the store holds are used after they were read.
-const ORIGINS_MAX_AGE: MilliDuration = MilliDuration::from_millis(1_000);
 /// Interval at which new origins are written to the store. Streams that began since the last time
 /// can't be continued after the loss of all routers, and each call of the store has a price.
 const RECORD_INTERVAL: Duration = Duration::from_millis(200);
@@ -59,7 +54,7 @@
 #[derive(Debug)]
 pub(crate) struct OriginExchange<S> {
     state: SharedControlState,
-    store: S,
+    store: OriginStore<S>,
     socket: UdpSocket,
     origins: RefCell<StreamOrigins>,
     /// This router's own streams.
@@ -69,40 +64,29 @@
     /// Receivers of answers, by stream and number of the search.
     searches: RefCell<HashMap<(StreamKey, u64), UnboundedSender<SourceAnswer>>>,
     last_search: Cell<u64>,
-    /// Releases that the store listed, and the time of the call; locked while it is read.
-    listed_releases: tokio::sync::Mutex<Option<(MilliTime, Rc<[ServiceRelease]>)>>,
-    /// Origins that the store held, and the time of the call; locked while it is read.
-    stored_origins: tokio::sync::Mutex<Option<(MilliTime, StoredOrigins)>>,
     /// Streams that this router writes to the store for its data centre.
     recorded_streams: RefCell<LiveOrigins>,
-    /// Number of this router's page; `None` until it has read those of its predecessors.
-    page_number: Cell<Option<u64>>,
     /// Router that was told of this router's streams last, to write them to the store.
     recorder: RefCell<Option<HostName>>,
     /// Releases of the services of which several serve; only their streams are told of.
     ambiguous: RefCell<BTreeSet<ReleaseKey>>,
 }
 
-type StoredOrigins = Rc<HashMap<StreamKey, ReleaseKey>>;
-
 impl<S> OriginExchange<S>
 where
     S: SiteStore,
 {
     pub(crate) fn new(state: SharedControlState, store: S, socket: UdpSocket) -> Self {
         Self {
+            store: OriginStore::new(Rc::clone(&state), store),
             state,
-            store,
             socket,
             origins: RefCell::default(),
             own_streams: RefCell::default(),
             ended_streams: RefCell::default(),
             searches: RefCell::default(),
             last_search: Cell::new(0),
-            listed_releases: tokio::sync::Mutex::default(),
-            stored_origins: tokio::sync::Mutex::default(),
             recorded_streams: RefCell::default(),
-            page_number: Cell::default(),
             recorder: RefCell::default(),
             ambiguous: RefCell::default(),
         }
@@ -188,14 +172,14 @@
         if let Some(release) = self.find_local(stream) {
             return StreamOrigin::Known(release, "local");
         }
-        let Some(listed) = self.read_releases().await else {
-            return StreamOrigin::Unavailable;
-        };
-        let in_use = self.state.borrow().releases_in_use();
-        if let Some(release) = sole_release(service, &listed, &in_use) {
+        let listed = self.store.read_releases().await;
+        if let Some(release) = self.sole_release(service, listed.as_deref()) {
             return StreamOrigin::Known(release, "sole");
         }
-        let Some(origins) = self.read_origins().await else {
+        if listed.is_none() {
+            return StreamOrigin::Unavailable;
+        }
+        let Some(origins) = self.store.read_origins().await else {
             return StreamOrigin::Unavailable;
         };
         let release = origins.get(&stream).copied();
@@ -205,6 +189,20 @@
         })
     }
 
+    /// Returns the only release that can have begun a stream which no other router knows.
+    ///
+    /// If the store can't be read, what this router has followed since it read the releases decides:
+    /// while several serve, the routers tell each other of the streams.
+    fn sole_release(
+        &self,
+        service: &str,
+        listed: Option<&BTreeSet<ServiceRelease>>,
+    ) -> Option<ReleaseKey> {
+        let state = self.state.borrow();
+        let followed = || state.releases.as_ref().map(ReleaseLedger::listed);
+        sole_release(service, listed.or_else(followed)?, &state.releases_in_use())
+    }
+
     fn find_local(&self, stream: StreamKey) -> Option<ReleaseKey> {
         self.origins.borrow_mut().find(stream, self.now())
     }
@@ -234,59 +232,6 @@
         release
     }
 
-    /// Returns the releases that the store lists, from a call at most a moment ago.
-    async fn read_releases(&self) -> Option<Rc<[ServiceRelease]>> {
-        let mut listed = self.listed_releases.lock().await;
-        let requested_at = self.now();
-        if let Some((at, releases)) = listed.as_ref()
-            && requested_at.since(*at) <= RELEASES_MAX_AGE
-        {
-            return Some(Rc::clone(releases));
-        }
-        let outcome = self.store.list_releases(ReadConsistency::Current).await;
-        count_call(&self.state, &outcome);
-        match outcome {
-            Ok(releases) => {
-                let releases: Rc<[ServiceRelease]> = releases.into();
-                *listed = Some((requested_at, Rc::clone(&releases)));
-                Some(releases)
-            }
-            Err(error) => {
-                tracing::warn!(event = "releases_not_read", %error);
-                None
-            }
-        }
-    }
-
-    /// Returns the origins that the store holds, from a call at most a moment ago.
-    async fn read_origins(&self) -> Option<StoredOrigins> {
-        let mut stored = self.stored_origins.lock().await;
-        let requested_at = self.now();
-        if let Some((at, origins)) = stored.as_ref()
-            && requested_at.since(*at) <= ORIGINS_MAX_AGE
-        {
-            return Some(Rc::clone(origins));
-        }
-        let outcome = self.store.list_origin_pages().await;
-        count_call(&self.state, &outcome);
-        match outcome {
-            Ok(pages) => {
-                let groups = pages.into_iter().flat_map(|page| page.streams);
-                let origins = groups.flat_map(|(release, streams)| {
-                    streams.into_iter().map(move |stream| (stream, release))
-                });
-                let origins: StoredOrigins = Rc::new(origins.collect());
-                *stored = Some((requested_at, Rc::clone(&origins)));
-                tracing::info!(event = "stream_origins_read", streams = origins.len());
-                Some(origins)
-            }
-            Err(error) => {
-                tracing::warn!(event = "stream_origins_not_read", %error);
-                None
-            }
-        }
-    }
-
     /// Updates which releases need their streams told of, and tells of those under way that are new
     /// among them, or of all if another router is to write them to the store.
     async fn update_ambiguous(&self) {
@@ -356,47 +301,15 @@
         if !is_recorder || self.ambiguous.borrow().is_empty() {
             return;
         }
-        let Some(number) = self.choose_page().await else {
+        let Some(number) = self.store.choose_page().await else {
             return;
         };
         let Some(streams) = self.recorded_streams.borrow_mut().next_page() else {
             return;
         };
-        let page = OriginPageRecord {
-            data_centre: self.state.borrow().local.data_centre.clone(),
-            number,
-            streams,
-        };
-        let outcome = self.store.put_origin_page(&page).await;
-        count_call(&self.state, &outcome);
-        match outcome {
-            Ok(()) => self.recorded_streams.borrow_mut().confirm_page(),
-            Err(error) => tracing::warn!(event = "stream_origins_not_stored", %error),
-        }
-    }
-
-    /// Returns the number of this router's page, which follows those of its predecessors: after a
-    /// loss of all routers, their pages are still needed.
-    async fn choose_page(&self) -> Option<u64> {
-        if let Some(number) = self.page_number.get() {
-            return Some(number);
+        if self.store.write_page(number, streams).await {
+            self.recorded_streams.borrow_mut().confirm_page();
         }
-        let outcome = self.store.list_origin_pages().await;
-        count_call(&self.state, &outcome);
-        let pages = match outcome {
-            Ok(pages) => pages,
-            Err(error) => {
-                tracing::warn!(event = "stream_origins_not_read", %error);
-                return None;
-            }
-        };
-        let data_centre = self.state.borrow().local.data_centre.clone();
-        let of_data_centre = pages.iter().filter(|page| page.data_centre == data_centre);
-        let last = of_data_centre.map(|page| page.number).max();
-        let number = last.map_or(0, |last| last + 1);
-        tracing::info!(event = "stream_origins_recorded_here", page = number);
-        self.page_number.set(Some(number));
-        Some(number)
     }
 
     async fn send(&self, receiver: &HostName, address: SocketAddr, message: OriginMessage) {
