fix(control): read the releases at the lower price, and continue streams before the first entry

Only the router that maintains the list needs it current; the others follow their targets from there. - `streams::a_resuming_caller_gets_the_following_events` (503): in the first second after the first start of a site the store lists no release yet, and a stream of unknown origin was refused although one release is all there is. An empty list leaves the targets in use to decide; several of them are refused as before.

--- a/crates/briarrail_dispatch/src/release_ledger.rs
+++ b/crates/briarrail_dispatch/src/release_ledger.rs
@@ -99,7 +99,7 @@
 /// one of several.
 ///
 /// `listed` are the releases that the store lists now, and `in_use` those of the targets that this
-/// router knows, which can be ahead of the store's list.
+/// router knows. These can be ahead of the store's list, which is empty when a service is new.
 #[must_use]
 pub fn sole_release(
     service: &str,
@@ -107,9 +107,7 @@
     in_use: &BTreeSet<ServiceRelease>,
 ) -> Option<ReleaseKey> {
     let of_service = |release: &&ServiceRelease| release.service == service;
-    let mut origins = listed.iter().filter(of_service);
+    let mut origins = listed.union(in_use).filter(of_service);
     let origin = origins.next()?;
-    let others = origins.chain(in_use.iter().filter(of_service));
-    let is_sole = others.into_iter().all(|other| other == origin);
-    is_sole.then(|| origin.key())
+    origins.next().is_none().then(|| origin.key())
 }
--- a/crates/briarrail_gateway/src/control/release_records.rs
+++ b/crates/briarrail_gateway/src/control/release_records.rs
@@ -111,7 +111,14 @@
             !is_maintainer || (now.since(at) < LIST_INTERVAL && listed_epoch == epoch)
         });
         if !is_current {
-            match read_entries(&state, &store).await {
+            // The others need no current list: the maintainer adds what it lacks to the store, and their
+            // own targets show what serves.
+            let consistency = if is_maintainer {
+                ReadConsistency::Current
+            } else {
+                ReadConsistency::AllowStale
+            };
+            match read_entries(&state, &store, consistency).await {
                 Ok(()) => listed_at = Some((now, epoch)),
                 Err(error) => {
                     tracing::warn!(event = "releases_not_read", %error);
@@ -127,11 +134,15 @@
     }
 }
 
-async fn read_entries<S>(state: &SharedControlState, store: &S) -> Result<(), StoreError>
+async fn read_entries<S>(
+    state: &SharedControlState,
+    store: &S,
+    consistency: ReadConsistency,
+) -> Result<(), StoreError>
 where
     S: SiteStore,
 {
-    let outcome = store.list_releases(ReadConsistency::Current).await;
+    let outcome = store.list_releases(consistency).await;
     count_call(state, &outcome);
     let mut state = state.borrow_mut();
     let ledger = state.releases.get_or_insert_with(ReleaseLedger::default);
