--- a/review/standin/kit.rs
+++ b/review/standin/kit.rs
@@ -312,6 +312,8 @@
     current: BTreeMap<(String, String), String>,
     /// Revision, kind, object, and whether it was deleted.
     history: Vec<(u64, String, String, bool)>,
+    /// Time and name of each change in the history.
+    changes: Vec<(Instant, String)>,
 }
 
 /// The store: one revision counter, lists, watches and conditional-free writes.
@@ -320,6 +322,8 @@
     pub address: SocketAddr,
     objects: Arc<(Mutex<Objects>, Condvar)>,
     pub is_silent: Arc<AtomicBool>,
+    /// Age of the lists that calls with `AllowStale` get.
+    pub stale_ms: Arc<AtomicU64>,
     record: Record,
 }
 
@@ -332,6 +336,7 @@
             address: listener.local_addr().expect("an address"),
             objects: Arc::default(),
             is_silent: Arc::default(),
+            stale_ms: Arc::default(),
             record: record.clone(),
         };
         let shared = store.clone();
@@ -416,7 +421,16 @@
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let spec = json_field(&body, "Spec").unwrap_or_else(|| "null".into());
         let outcome = match (request.method(), name) {
-            ("GET", None) => ("200 OK", objects.list(&kind, request.query("After"))),
+            ("GET", None) => {
+                let stale_ms = self.stale_ms.load(Ordering::Relaxed);
+                let after = request.query("After");
+                if request.query("AllowStale").is_some() && stale_ms > 0 {
+                    let age = Duration::from_millis(stale_ms);
+                    ("200 OK", objects.at_age(age).list(&kind, after))
+                } else {
+                    ("200 OK", objects.list(&kind, after))
+                }
+            }
             ("GET", Some(name)) => match objects.current.get(&(kind, name)) {
                 Some(object) => ("200 OK", object.clone()),
                 None => ("404 Not Found", "{}".into()),
@@ -486,9 +500,29 @@
         self.current.insert(key, object.clone());
         self.history
             .push((revision, kind.to_owned(), object.clone(), false));
+        self.changes.push((Instant::now(), name.to_owned()));
         object
     }
 
+    /// The objects as they were some time ago.
+    fn at_age(&self, age: Duration) -> Self {
+        let mut past = Self::default();
+        for (entry, (at, name)) in self.history.iter().zip(&self.changes) {
+            if at.elapsed() < age {
+                break;
+            }
+            let (revision, kind, object, deleted) = entry;
+            past.revision = *revision;
+            let key = (kind.clone(), name.clone());
+            if *deleted {
+                past.current.remove(&key);
+            } else {
+                past.current.insert(key, object.clone());
+            }
+        }
+        past
+    }
+
     fn delete(&mut self, kind: &str, name: &str) -> bool {
         let key = (kind.to_owned(), name.to_owned());
         let Some(object) = self.current.remove(&key) else {
@@ -497,6 +531,7 @@
         self.revision += 1;
         self.history
             .push((self.revision, kind.to_owned(), object, true));
+        self.changes.push((Instant::now(), name.to_owned()));
         true
     }
 
