--- a/review/standin/kit.rs
+++ b/review/standin/kit.rs
@@ -799,9 +799,21 @@
     }
 }
 
+/// Returns a free address for a listener, below the ports that outgoing channels usually get: such a
+/// channel could take the port before the listener does.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    const FIRST_PORT: u64 = 12_000;
+    const PORTS: u64 = 18_000;
+    let start = u64::from(std::process::id()) * 61;
+    for _ in 0..PORTS {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = (FIRST_PORT + (start + number) % PORTS) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
+    panic!("no free port");
 }
 
 /// A process of the router, started with the command of the deploy file.
