fix(gateway): leave a request with its silent target when no time is left for another one

Cause: RequestHandler::search_target asks other targets beside a silent one and went on unless the step was KeepTarget. When another target refuses within 5 ms of the deadline, prepare_send ends at once for lack of time, RetryMachine answered Finish, and the loop took that for another send. It never waited, so the task of the silent attempt could not end either.

Change: too little time for another attempt leaves the request with its silent target (RetryMachine); only the deadline itself ends both. The loop goes on only after a step that sends, and lists the others by name.

--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -218,7 +218,7 @@
             let event = match prepared {
                 Ok(prepared) => {
                     let silence = AttemptEvent::TargetSilent { resume_at: None };
-                    if !is_attempted && self.next_step(silence) == RetryStep::KeepTarget {
+                    if !is_attempted && !is_next_send(self.next_step(silence)) {
                         return SearchEnd::Kept;
                     }
                     is_attempted = true;
@@ -238,7 +238,8 @@
                 Err(_) if !is_attempted => return SearchEnd::Kept,
                 Err(event) => event,
             };
-            if self.next_step(event) == RetryStep::KeepTarget {
+            // The request still depends on the silent target, whatever ends the search.
+            if !is_next_send(self.next_step(event)) {
                 return SearchEnd::Kept;
             }
         }
@@ -433,6 +434,14 @@
     response
 }
 
+/// Returns whether a step is a send to another target.
+const fn is_next_send(step: RetryStep) -> bool {
+    match step {
+        RetryStep::Send { .. } | RetryStep::Resume { .. } => true,
+        RetryStep::Relay | RetryStep::KeepTarget | RetryStep::Finish(_) => false,
+    }
+}
+
 const fn not_run_reason_text(reason: NotRunReason) -> &'static str {
     match reason {
         NotRunReason::NoTarget => "no target",
--- a/crates/briarrail_outcome/src/retry_machine.rs
+++ b/crates/briarrail_outcome/src/retry_machine.rs
@@ -76,7 +76,7 @@
     /// Returns the first step.
     pub fn start(&mut self, now: MilliTime) -> RetryStep {
         if now >= self.policy.deadline {
-            return self.handle_deadline();
+            return self.handle_deadline(now);
         }
         self.attempt = 1;
         self.in_flight = true;
@@ -126,7 +126,7 @@
             AttemptEvent::Completed => self.finish(RequestOutcome::Answered),
             AttemptEvent::DeadlinePassed => {
                 self.may_have_run |= was_in_flight;
-                self.handle_deadline()
+                self.handle_deadline(now)
             }
             AttemptEvent::TargetSilent { resume_at } => {
                 self.handle_silence(resume_at, now, limiter)
@@ -333,8 +333,12 @@
         now < self.policy.deadline && self.attempt < self.policy.max_attempts
     }
 
-    fn handle_deadline(&mut self) -> RetryStep {
-        self.has_silent_target = false;
+    /// Handles that no time is left for the current attempt; before the deadline itself a silent
+    /// target keeps the request.
+    fn handle_deadline(&mut self, now: MilliTime) -> RetryStep {
+        if now >= self.policy.deadline {
+            self.has_silent_target = false;
+        }
         self.not_run_reason = NotRunReason::DeadlinePassed;
         self.fail(UnknownReason::DeadlinePassed)
     }
--- a/crates/briarrail_outcome/tests/suite/retry.rs
+++ b/crates/briarrail_outcome/tests/suite/retry.rs
@@ -166,6 +166,20 @@
     assert_eq!(step, RetryStep::Finish(outcome));
 }
 
+/// Guards against an end of the request while its silent target may still answer, because too little
+/// time is left to ask another one.
+#[test]
+fn a_silent_target_keeps_the_request_if_no_time_is_left_for_another_attempt() {
+    let mut machine = machine(CallSemantics::Idempotent, 4);
+    let now = MilliTime::default();
+    machine.start(now);
+    let silent = AttemptEvent::TargetSilent { resume_at: None };
+    machine.handle(silent, now, &mut NoRetryLimit);
+    let step = machine.handle(AttemptEvent::DeadlinePassed, now, &mut NoRetryLimit);
+    assert_eq!(step, RetryStep::KeepTarget);
+    assert_eq!(machine.outcome(), None);
+}
+
 /// Guards against a refusal that is reported as a possible run, because its target was silent before.
 #[test]
 fn a_request_did_not_run_if_the_silent_target_refuses_it() {
