fix(gateway): pause between searches for another target at any objective

What callers would see: a request on a route with an objective of zero, whose target is silent, keeps its router busy.

Cause: the time after which a target counts as silent is a part of the objective, and the next search was due after that time again, so the loop of wait_answer had nothing to wait for. The runtime ends such a turn after some polls, so other requests were served.

Change: two searches for one request are at least 20 ms apart.

--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -29,6 +29,8 @@
 
 /// Maximum number of retries after a target that provably did not run the request.
 const MAX_UNCOUNTED_RETRIES: u32 = 3;
+/// Minimum time between two searches for another target of a request, for any objective.
+const MIN_SEARCH_INTERVAL: MilliDuration = MilliDuration::from_millis(20);
 /// Maximum number of stream chunks buffered for a slow caller.
 const STREAM_BUFFER_CHUNKS: usize = 8;
 
@@ -193,7 +195,7 @@
                 }
                 SearchEnd::Kept => self.trace.target_id = target_id,
             }
-            next_search_at = self.state.clock.now() + timeout;
+            next_search_at = self.state.clock.now() + timeout.max(MIN_SEARCH_INTERVAL);
         }
     }
 
