fix(gateway): keep a silent target until another one has the request

Cause: StreamTransfer left the silent target 250 ms after another one was asked, whether or not that one had answered, and a late refusal left the stream at no target. Before the first event RequestHandler::race did the same (502). Class: a target is left before another one has the request.

Change: OverlapPolicy decides at the end of the 250 ms. Until the silent target has been so for 2 s, the other one is withdrawn and asked again then. A withdrawn target may be asked again beyond the attempts of the route, since no further target runs the request; one that was left is the last resort after a failure. Two targets have a stream for 250 ms at most, as before. A trial that also returned to a left target beside another silent one moved requests back and forth (504) and was reverted.

--- a/crates/briarrail_gateway/src/traffic/first_answer.rs
+++ b/crates/briarrail_gateway/src/traffic/first_answer.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use briarrail_dispatch::SendOutcome;
+use briarrail_dispatch::{SendOutcome, TargetKey};
 use briarrail_model::{MilliDuration, MilliTime};
 use briarrail_outcome::{AttemptEvent, StreamChecker};
 use bytes::{Bytes, BytesMut};
@@ -45,6 +45,7 @@
 #[derive(Debug)]
 pub(crate) struct PendingAnswer<D> {
     task: JoinHandle<FirstAnswer<D>>,
+    target: TargetKey,
     log: Rc<SendLog<D>>,
     /// Time since which the head, and then the rest, of the response is waited for.
     waiting_since: Rc<Cell<MilliTime>>,
@@ -64,6 +65,7 @@
     ) -> Self {
         let waiting_since = Rc::new(Cell::new(state.clock.now()));
         let silence_flag = prepared.silence_flag();
+        let target = prepared.target();
         let log = Rc::new(log);
         let attempt = AnswerAttempt {
             state: Rc::clone(state),
@@ -73,12 +75,22 @@
         };
         Self {
             task: tokio::task::spawn_local(attempt.run(prepared)),
+            target,
             log,
             waiting_since,
             silence_flag,
         }
     }
 
+    pub(crate) const fn target(&self) -> TargetKey {
+        self.target
+    }
+
+    /// Returns the time since which the head, and then the rest, of the response is waited for.
+    pub(crate) fn waiting_since(&self) -> MilliTime {
+        self.waiting_since.get()
+    }
+
     /// Returns the time at which the target is silent for `timeout`.
     pub(crate) fn silent_at(&self, timeout: MilliDuration) -> MilliTime {
         self.waiting_since.get() + timeout
--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -21,7 +21,9 @@
 mod stream_relay;
 mod stream_transfer;
 mod target_send;
+mod target_silence;
 mod traffic_state;
+mod tried_targets;
 
 pub(crate) use caller_server::serve_callers;
 pub(crate) use stream_origin::{OriginCall, StreamOrigin};
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -22,9 +22,11 @@
 use super::response_class::{ResponseClass, reuse_timeout};
 use super::stream_origin::{OriginCall, resolve_origin};
 use super::stream_relay::{StreamRelay, unknown_reason_text};
-use super::stream_transfer::{MAX_FAILED_CONNECTS, MAX_OVERLAP};
-use super::target_send::{PreparedSend, TargetResponse, TriedTargets, prepare_send};
+use super::stream_transfer::{MAX_FAILED_CONNECTS, OVERLAP};
+use super::target_send::{PreparedSend, TargetResponse, prepare_send};
+use super::target_silence::TargetSilence;
 use super::traffic_state::TrafficState;
+use super::tried_targets::{TargetScope, TriedTargets};
 use crate::WireDialect;
 
 /// Maximum number of retries after a target that provably did not run the request.
@@ -79,8 +81,11 @@
     Answered(FirstAnswer<D>),
     /// The silent target went on.
     Resumed(FirstAnswer<D>),
-    /// Another target has the request, and the silent one is left.
-    Replaced(PendingAnswer<D>),
+    /// Another target has the request; the silent one failed, or had its time.
+    Replaced {
+        other: PendingAnswer<D>,
+        has_failed: bool,
+    },
     /// No other target took the request.
     Kept,
 }
@@ -119,6 +124,10 @@
             if let RetryStep::Finish(outcome) = step {
                 return self.finish(outcome);
             }
+            self.tried.set_scope(TargetScope {
+                is_limited_to_returns: self.machine.is_return(),
+                includes_left: true,
+            });
             let prepared = prepare_send(
                 &self.state,
                 &self.context,
@@ -179,23 +188,41 @@
             if self.state.clock.now() < current.silent_at(timeout) {
                 continue;
             }
-            let target_id = self.trace.target_id.clone();
-            match self.search_target(&mut current).await {
-                SearchEnd::Replaced(other) => {
+            let silence = TargetSilence {
+                target_id: self.trace.target_id.clone(),
+                since: current.waiting_since(),
+                events: 0,
+                resume_at: None,
+            };
+            let searched = self.search_target(&mut current).await;
+            let now = self.state.clock.now();
+            match searched {
+                SearchEnd::Replaced { other, has_failed } => {
                     self.machine.leave_silent_target();
+                    if !has_failed {
+                        // The other target may still refuse.
+                        self.machine.allow_return();
+                        self.tried.record_left(current.target());
+                    }
+                    silence.log(&self.trace, now, "left", "another target has the request");
                     std::mem::replace(&mut current, other).leave();
                 }
                 SearchEnd::Answered(answer) => {
+                    silence.log(&self.trace, now, "left", "another target goes on");
                     current.leave();
                     return answer;
                 }
                 SearchEnd::Resumed(answer) => {
-                    self.trace.target_id = target_id;
+                    silence.log(&self.trace, now, "kept", "went on");
+                    self.trace.target_id = silence.target_id;
                     return answer;
                 }
-                SearchEnd::Kept => self.trace.target_id = target_id,
+                SearchEnd::Kept => {
+                    silence.log(&self.trace, now, "kept", "no other target");
+                    self.trace.target_id = silence.target_id;
+                }
             }
-            next_search_at = self.state.clock.now() + timeout.max(MIN_SEARCH_INTERVAL);
+            next_search_at = now + timeout.max(MIN_SEARCH_INTERVAL);
         }
     }
 
@@ -203,8 +230,16 @@
     async fn search_target(&mut self, silent: &mut PendingAnswer<D>) -> SearchEnd<D> {
         let mut is_attempted = false;
         let mut failed_connects = 0;
-        let mut leave_at = None;
+        let mut overlap_end = None;
         loop {
+            self.tried.set_scope(TargetScope {
+                is_limited_to_returns: if is_attempted {
+                    self.machine.is_return()
+                } else {
+                    self.machine.must_return_next()
+                },
+                includes_left: false,
+            });
             let preparing = prepare_send(
                 &self.state,
                 &self.context,
@@ -224,9 +259,9 @@
                         return SearchEnd::Kept;
                     }
                     is_attempted = true;
-                    let leave_at =
-                        *leave_at.get_or_insert_with(|| self.state.clock.now() + MAX_OVERLAP);
-                    match self.race(silent, prepared, leave_at).await {
+                    let now = self.state.clock.now();
+                    let overlap_end = *overlap_end.get_or_insert_with(|| OVERLAP.end_at(now));
+                    match self.race(silent, prepared, overlap_end).await {
                         Ok(end) => return end,
                         Err(event) => event,
                     }
@@ -247,8 +282,8 @@
         }
     }
 
-    /// Sends the request to another target as well, until one of both answers or the silent one has
-    /// had its time at `leave_at`.
+    /// Sends the request to another target as well, until one of both answers; at `overlap_end` the
+    /// silent one is given up.
     ///
     /// # Errors
     ///
@@ -257,7 +292,7 @@
         &mut self,
         silent: &mut PendingAnswer<D>,
         prepared: PreparedSend<D>,
-        leave_at: MilliTime,
+        overlap_end: MilliTime,
     ) -> Result<SearchEnd<D>, AttemptEvent> {
         let mut other = self.start_attempt(prepared);
         tokio::select! {
@@ -265,11 +300,17 @@
             answer = silent.answer() => match self.check_answer(answer) {
                 Ok(answer) => Ok(SearchEnd::Resumed(answer)),
                 // The other target may still answer.
-                Err(_) => Ok(SearchEnd::Replaced(other)),
+                Err(_) => Ok(SearchEnd::Replaced {
+                    other,
+                    has_failed: true,
+                }),
             },
             answer = other.answer() => self.check_answer(answer).map(SearchEnd::Answered),
-            () = tokio::time::sleep_until(self.state.clock.instant(leave_at)) => {
-                Ok(SearchEnd::Replaced(other))
+            () = tokio::time::sleep_until(self.state.clock.instant(overlap_end)) => {
+                Ok(SearchEnd::Replaced {
+                    other,
+                    has_failed: false,
+                })
             }
         }
     }
--- a/crates/briarrail_gateway/src/traffic/stream_progress.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_progress.rs
@@ -60,10 +60,9 @@
         self.resume_at.get()
     }
 
-    /// Returns for how long the target has been silent.
-    pub(crate) fn gap(&self, now: MilliTime) -> MilliDuration {
-        let since = self.waiting_since.get();
-        since.map_or(MilliDuration::ZERO, |since| now.since(since))
+    /// Returns the time since which the target is waited for; `None` while the caller takes events.
+    pub(crate) const fn waiting_since(&self) -> Option<MilliTime> {
+        self.waiting_since.get()
     }
 
     /// Returns the time at which the target is silent for `max_gap`, or `None` while the caller
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -18,8 +18,9 @@
 use super::stream_origin::{OriginCall, ResumePoint};
 use super::stream_progress::StreamProgress;
 use super::stream_transfer::{StreamTransfer, TransferEnd, can_continue_stream};
-use super::target_send::{SendResult, TargetResponse, TriedTargets, send_to_target};
+use super::target_send::{SendResult, TargetResponse, send_to_target};
 use super::traffic_state::TrafficState;
+use super::tried_targets::{TargetScope, TriedTargets};
 use crate::WireDialect;
 
 /// Minimum gap between events after which a resumable stream is resumed at another target.
@@ -157,6 +158,7 @@
             tried: &mut self.tried,
             trace: &mut self.trace,
             progress: &progress,
+            silent_target: self.response.guard.key(),
             release,
             max_gap: max_gap.max(MIN_GAP_TIMEOUT),
         };
@@ -239,6 +241,10 @@
                 last_event: offset.saturating_sub(1),
                 release: self.response.release,
             };
+            self.tried.set_scope(TargetScope {
+                is_limited_to_returns: self.machine.is_return(),
+                includes_left: true,
+            });
             let send = send_to_target(
                 &self.state,
                 &self.context,
--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -2,9 +2,9 @@
 
 use std::rc::Rc;
 
-use briarrail_dispatch::{ReleaseKey, SendOutcome};
+use briarrail_dispatch::{ReleaseKey, SendOutcome, TargetKey};
 use briarrail_model::{MilliDuration, MilliTime};
-use briarrail_outcome::{AttemptEvent, RetryMachine, RetryStep};
+use briarrail_outcome::{AttemptEvent, OverlapEnd, OverlapPolicy, RetryMachine, RetryStep};
 
 use super::request_context::RequestContext;
 use super::request_trace::RequestTrace;
@@ -12,14 +12,19 @@
 use super::stream_origin::ResumePoint;
 use super::stream_progress::StreamProgress;
 use super::target_send::{
-    PreparedSend, SendResult, TargetResponse, TriedTargets, prepare_send, retry_time, send_prepared,
+    PreparedSend, SendResult, TargetResponse, prepare_send, retry_time, send_prepared,
 };
+use super::target_silence::TargetSilence;
 use super::traffic_state::TrafficState;
+use super::tried_targets::{TargetScope, TriedTargets};
 use crate::WireDialect;
 
-/// Time for which a silent target keeps the request after it was sent to another one; a sound target
-/// refuses within a few round trips, and two targets must not work on a request for long.
-pub(super) const MAX_OVERLAP: MilliDuration = MilliDuration::from_millis(250);
+/// Limits on the time for which two targets have a request. A sound target refuses within a few round
+/// trips unless it is busy, and two targets must not work on a request for long.
+pub(super) const OVERLAP: OverlapPolicy = OverlapPolicy {
+    max_overlap: MilliDuration::from_millis(250),
+    max_pause: MilliDuration::from_millis(2_000),
+};
 /// Maximum number of targets without a connection that one search for another target tries.
 pub(super) const MAX_FAILED_CONNECTS: u32 = 3;
 
@@ -31,6 +36,26 @@
     Failed(RetryStep),
 }
 
+/// How a search for another target ended.
+enum SearchEnd<D> {
+    /// The stream does not stay where it is.
+    Ended(TransferEnd<D>),
+    Kept,
+    /// The stream stays where it is, and another target had no answer in time.
+    Withdrawn {
+        silent_since: MilliTime,
+    },
+}
+
+/// How asking another target beside the silent one ended.
+enum AskEnd<D> {
+    /// The silent target went on.
+    Resumed,
+    /// The other target had no answer in time, and the silent one keeps the stream.
+    Withdrawn,
+    Answered(SendResult<D>),
+}
+
 /// Moves a stream to another target if its current one is silent.
 ///
 /// The current target is left only once another one has the request, since a silent target may
@@ -42,20 +67,14 @@
     pub(crate) tried: &'a mut TriedTargets,
     pub(crate) trace: &'a mut RequestTrace<D>,
     pub(crate) progress: &'a StreamProgress,
+    /// The current target.
+    pub(crate) silent_target: TargetKey,
     /// Release that began the stream.
     pub(crate) release: ReleaseKey,
     /// Gap between events after which the target counts as silent.
     pub(crate) max_gap: MilliDuration,
 }
 
-/// The silence of a target, as seen when the search for another one began.
-struct TargetSilence {
-    target_id: String,
-    events: u64,
-    resume_at: Option<u64>,
-    gap: MilliDuration,
-}
-
 impl<D> StreamTransfer<'_, D>
 where
     D: WireDialect,
@@ -66,10 +85,13 @@
         let mut next_search_at = self.state.clock.now();
         loop {
             self.wait_silence(next_search_at).await;
-            if let Some(end) = self.search_target().await {
-                return end;
-            }
-            next_search_at = self.state.clock.now() + self.max_gap;
+            let searched = self.search_target().await;
+            let now = self.state.clock.now();
+            next_search_at = match searched {
+                SearchEnd::Ended(end) => return end,
+                SearchEnd::Kept => now + self.max_gap,
+                SearchEnd::Withdrawn { silent_since } => OVERLAP.next_search_at(silent_since, now),
+            };
         }
     }
 
@@ -88,14 +110,14 @@
         }
     }
 
-    /// Asks other targets to continue the stream; returns `None` if it stays where it is.
-    async fn search_target(&mut self) -> Option<TransferEnd<D>> {
+    /// Asks other targets to continue the stream.
+    async fn search_target(&mut self) -> SearchEnd<D> {
         let now = self.state.clock.now();
         let silence = TargetSilence {
             target_id: self.trace.target_id.clone(),
+            since: self.progress.waiting_since().unwrap_or(now),
             events: self.progress.events(),
             resume_at: self.progress.resume_at(),
-            gap: self.progress.gap(now),
         };
         if !self.machine.may_leave_target(silence.resume_at, now) {
             return self.stay(silence, "no attempt left");
@@ -106,8 +128,16 @@
         });
         let mut is_attempted = false;
         let mut failed_connects = 0;
-        let mut leave_at = None;
+        let mut overlap_end = None;
         loop {
+            self.tried.set_scope(TargetScope {
+                is_limited_to_returns: if is_attempted {
+                    self.machine.is_return()
+                } else {
+                    self.machine.must_return_next()
+                },
+                includes_left: false,
+            });
             let preparing = prepare_send(
                 self.state,
                 self.context,
@@ -133,16 +163,27 @@
                             return self.stay(silence, "no retry left");
                         }
                     }
-                    let leave_at =
-                        *leave_at.get_or_insert_with(|| self.state.clock.now() + MAX_OVERLAP);
-                    let Some(result) = self.send(prepared, &silence, leave_at).await else {
-                        self.machine.keep_silent_target();
-                        return self.stay(silence, "went on");
+                    let now = self.state.clock.now();
+                    let overlap_end = *overlap_end.get_or_insert_with(|| OVERLAP.end_at(now));
+                    let asked = prepared.target();
+                    let result = match self.ask(prepared, &silence, overlap_end).await {
+                        AskEnd::Answered(result) => result,
+                        AskEnd::Resumed => {
+                            self.withdraw(asked);
+                            return self.stay(silence, "went on");
+                        }
+                        AskEnd::Withdrawn => {
+                            self.withdraw(asked);
+                            let silent_since = silence.since;
+                            self.stay(silence, "no answer from another target yet");
+                            return SearchEnd::Withdrawn { silent_since };
+                        }
                     };
                     match result {
                         SendResult::Response(response) if can_continue_stream(&response) => {
-                            silence.log(self.trace, "left", "another target goes on");
-                            return Some(TransferEnd::Moved(response));
+                            let now = self.state.clock.now();
+                            silence.log(self.trace, now, "left", "another target goes on");
+                            return SearchEnd::Ended(TransferEnd::Moved(response));
                         }
                         SendResult::Response(mut response) => {
                             response.guard.record_outcome(SendOutcome::Failed);
@@ -167,8 +208,9 @@
             }
             let step = self.next_step(event, retry_taken);
             if is_left {
-                silence.log(self.trace, "left", "another target failed");
-                return Some(TransferEnd::Failed(step));
+                let now = self.state.clock.now();
+                silence.log(self.trace, now, "left", "another target failed");
+                return SearchEnd::Ended(TransferEnd::Failed(step));
             }
             if !matches!(step, RetryStep::Resume { .. }) {
                 return self.stay(silence, "no other target");
@@ -176,38 +218,58 @@
         }
     }
 
-    /// Sends the request to another target, and leaves the silent one at `leave_at`; returns `None` if
-    /// that goes on before the head of the response arrives.
-    async fn send(
+    /// Sends the request to another target, until the head of its response arrives or the silent target
+    /// goes on; at `overlap_end` one of both is given up.
+    async fn ask(
         &mut self,
         prepared: PreparedSend<D>,
         silence: &TargetSilence,
-        leave_at: MilliTime,
-    ) -> Option<SendResult<D>> {
+        overlap_end: MilliTime,
+    ) -> AskEnd<D> {
         let progress = self.progress;
         progress.set_sent(true);
         let retry_at = retry_time(self.state, self.context, &prepared, self.tried);
         let log = self.trace.start_send();
         let sending = send_prepared(self.state, self.context, retry_at, &log, prepared);
         let mut sending = std::pin::pin!(sending);
-        let result = loop {
+        let end = loop {
             tokio::select! {
                 biased;
-                () = progress.resumed(silence.events), if !progress.is_left() => break None,
-                result = sending.as_mut() => break Some(result),
-                () = tokio::time::sleep_until(self.state.clock.instant(leave_at)),
-                    if !progress.is_left() => progress.leave(),
+                () = progress.resumed(silence.events), if !progress.is_left() => {
+                    break AskEnd::Resumed;
+                }
+                result = sending.as_mut() => break AskEnd::Answered(result),
+                () = tokio::time::sleep_until(self.state.clock.instant(overlap_end)),
+                    if !progress.is_left() => {
+                        match OVERLAP.decide(silence.since, self.state.clock.now()) {
+                            OverlapEnd::WithdrawOther => break AskEnd::Withdrawn,
+                            OverlapEnd::LeaveSilent => {
+                                progress.leave();
+                                self.tried.record_left(self.silent_target);
+                                self.machine.allow_return();
+                            }
+                        }
+                    }
             }
         };
+        if matches!(end, AskEnd::Withdrawn) {
+            log.record_failure("withdrawn", &"");
+        }
         progress.set_sent(false);
-        result
+        end
+    }
+
+    /// Records that the request at another target was cancelled, which may be asked again.
+    fn withdraw(&mut self, other: TargetKey) {
+        self.machine.withdraw_attempt();
+        self.tried.record_withdrawn(other);
     }
 
     /// Records that the stream stays at the silent target.
-    fn stay(&mut self, silence: TargetSilence, reason: &'static str) -> Option<TransferEnd<D>> {
-        silence.log(self.trace, "kept", reason);
+    fn stay(&mut self, silence: TargetSilence, reason: &'static str) -> SearchEnd<D> {
+        silence.log(self.trace, self.state.clock.now(), "kept", reason);
         self.trace.target_id = silence.target_id;
-        None
+        SearchEnd::Kept
     }
 
     fn next_step(&mut self, event: AttemptEvent, retry_taken: bool) -> RetryStep {
@@ -217,22 +279,6 @@
     }
 }
 
-impl TargetSilence {
-    /// Logs what a silence led to.
-    fn log<D>(&self, trace: &RequestTrace<D>, outcome: &'static str, reason: &'static str) {
-        tracing::info!(
-            event = "target_silent",
-            request_id = %String::from_utf8_lossy(trace.request_id()),
-            target_id = self.target_id,
-            gap_ms = self.gap.as_millis(),
-            resume_at = self.resume_at,
-            sends = trace.sends,
-            outcome,
-            reason,
-        );
-    }
-}
-
 /// Returns whether a response to a resumption continues the stream.
 pub(crate) fn can_continue_stream<D>(response: &TargetResponse<D>) -> bool {
     response.class == ResponseClass::Relay && response.head.status.is_success()
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -21,6 +21,7 @@
 use super::send_log::SendLog;
 use super::stream_origin::ResumePoint;
 use super::traffic_state::TrafficState;
+use super::tried_targets::TriedTargets;
 use crate::WireDialect;
 use crate::net::{HttpConnection, SendError};
 
@@ -68,10 +69,6 @@
     TimedOut,
 }
 
-/// The targets at which a request was attempted, in order.
-#[derive(Debug, Default)]
-pub(crate) struct TriedTargets(pub(crate) Vec<TargetKey>);
-
 /// Returns the time after which a cancellation by the caller counts as a failure of the target.
 fn cancellation_threshold(context: &RequestContext) -> MilliDuration {
     let threshold_ms = context.objective.as_millis() * CANCELLATION_THRESHOLD_FACTOR;
@@ -148,7 +145,7 @@
         return Err(AttemptEvent::NoTarget);
     };
     let key = chosen.key;
-    tried.0.push(key);
+    tried.record(key);
     let traits = context.traits.clone();
     let mut guard = SendGuard::start(state, key, cancellation_threshold(context), traits);
     match acquire_connection(state, context, key).await {
@@ -336,12 +333,17 @@
         service: &context.service,
         affinity: affinity_key.filter(|_| context.caches_prompts),
         shared_tokens: context.caller.prompt.shared_tokens(),
-        tried: &tried.0,
+        tried: tried.keys(),
         seed: context.seed(),
         objective: context.objective,
         release,
     };
-    let placement = place_within_limits(state, context, &request, now)?;
+    let placement = if tried.is_limited_to_returns() {
+        None
+    } else {
+        place_within_limits(state, context, &request, now)
+    };
+    let placement = placement.or_else(|| place_return(state, context, tried, release))?;
     let key = placement.target;
     let registry = state.registry.borrow();
     trace.rank = placement.rank;
@@ -384,6 +386,29 @@
     }
 }
 
+/// Places a request at a target that had it before and may be asked again.
+fn place_return<D>(
+    state: &Rc<TrafficState<D>>,
+    context: &RequestContext,
+    tried: &TriedTargets,
+    release: Option<ReleaseKey>,
+) -> Option<Placement> {
+    let is_usable = |key: &TargetKey| {
+        let registry = state.registry.borrow();
+        let target = registry.get(*key);
+        target.is_some_and(|target| {
+            target.is_available() && release.is_none_or(|release| target.release == release)
+        })
+    };
+    let mut returns = tried.returns().filter(is_usable);
+    let target = returns.find(|key| state.admits(*key, context))?;
+    Some(Placement {
+        target,
+        rank: None,
+        limit: 0.0,
+    })
+}
+
 /// Returns the time at which the request is retried at another target if no response head has
 /// arrived, or `None` if a retry is not possible.
 pub(crate) fn retry_time<D>(
@@ -395,7 +420,7 @@
     let key = prepared.target();
     let release = prepared.resume_point.map(|point| point.release);
     let may_retry = context.semantics.call_semantics() == CallSemantics::Idempotent
-        && (tried.0.len() as u32) < context.max_attempts;
+        && (tried.keys().len() as u32) < context.max_attempts;
     let registry = state.registry.borrow();
     let mut targets = registry.service_targets(&context.service);
     let has_other = targets.any(|(other, target)| {
--- a/crates/briarrail_outcome/src/lib.rs
+++ b/crates/briarrail_outcome/src/lib.rs
@@ -22,6 +22,7 @@
 mod claim_step;
 mod commit_batch;
 mod outcome_reply;
+mod overlap_policy;
 mod pending_claims;
 mod pending_reports;
 mod report_queue;
@@ -46,6 +47,7 @@
 pub use outcome_reply::{
     NOT_RUN_HEADER, OUTCOME_HEADER, OutcomeReply, REQUEST_ID_HEADER, RetryAdvice,
 };
+pub use overlap_policy::{OverlapEnd, OverlapPolicy};
 pub use report_queue::{DueReport, ReportId, ReportQueue};
 pub use request_outcome::{NotRunReason, RequestOutcome, UnknownReason};
 pub use retry_limiter::{NoRetryLimit, RetryLimiter};
--- a/crates/briarrail_outcome/src/retry_machine.rs
+++ b/crates/briarrail_outcome/src/retry_machine.rs
@@ -48,6 +48,12 @@
     response_started: bool,
     /// Whether a silent target is kept beside the current attempt.
     has_silent_target: bool,
+    /// Whether a target whose attempt was withdrawn may be asked again.
+    has_withdrawn: bool,
+    /// Whether a silent target that was left may be asked again after a failure.
+    may_return: bool,
+    /// Whether the current attempt may only go to such a target.
+    is_return: bool,
     /// Offset of the last resumption.
     resume_offset: Option<u64>,
     /// Reason to report if the request ends without having run.
@@ -67,6 +73,9 @@
             may_have_run: false,
             response_started: false,
             has_silent_target: false,
+            has_withdrawn: false,
+            may_return: false,
+            is_return: false,
             resume_offset: None,
             not_run_reason: NotRunReason::NoTarget,
             outcome: None,
@@ -96,7 +105,8 @@
         self.outcome.is_none()
             && self.policy.semantics == CallSemantics::Idempotent
             && (!self.response_started || resume_at.is_some())
-            && self.may_start_attempt(now)
+            && now < self.policy.deadline
+            && (!self.must_return_next() || self.has_withdrawn)
     }
 
     /// Records that the silent target was given up, so that the request depends on the current
@@ -111,6 +121,32 @@
         self.in_flight = true;
     }
 
+    /// Records that the attempt beside the silent target was cancelled, and that its target may be
+    /// asked again. Such an attempt is not bounded by the number of attempts, because no further target
+    /// runs the request.
+    pub const fn withdraw_attempt(&mut self) {
+        self.keep_silent_target();
+        self.has_withdrawn = true;
+    }
+
+    /// Records that the silent target that was left may be asked again if the current attempt fails;
+    /// such an attempt is not bounded by the number of attempts either.
+    pub const fn allow_return(&mut self) {
+        self.may_return = true;
+    }
+
+    /// Returns whether the current attempt may only go to a target that had the request before.
+    #[must_use]
+    pub const fn is_return(&self) -> bool {
+        self.is_return
+    }
+
+    /// Returns whether the next attempt may only go to a target that had the request before.
+    #[must_use]
+    pub const fn must_return_next(&self) -> bool {
+        self.attempt >= self.policy.max_attempts
+    }
+
     /// Handles an event of the current attempt and returns the next step.
     ///
     /// Once the outcome is decided, each further event returns it again.
@@ -257,7 +293,7 @@
     /// Releases an attempt beside a silent target that provably did not run the request, so that it
     /// is left for a later one; returns whether there was one.
     const fn release_unused_attempt(&mut self) -> bool {
-        if self.has_silent_target {
+        if self.has_silent_target && !self.is_return {
             self.attempt -= 1;
         }
         self.has_silent_target
@@ -323,14 +359,18 @@
         if !self.may_start_attempt(now) || !limiter.try_acquire() {
             return false;
         }
-        self.attempt += 1;
+        self.is_return = self.must_return_next();
+        if !self.is_return {
+            self.attempt += 1;
+        }
         self.in_flight = true;
         true
     }
 
     /// Returns whether the deadline and the policy allow another attempt.
     fn may_start_attempt(&self, now: MilliTime) -> bool {
-        now < self.policy.deadline && self.attempt < self.policy.max_attempts
+        let may_return = self.has_withdrawn || self.may_return;
+        now < self.policy.deadline && (!self.must_return_next() || may_return)
     }
 
     /// Handles that no time is left for the current attempt; before the deadline itself a silent
--- a/crates/briarrail_outcome/tests/suite/main.rs
+++ b/crates/briarrail_outcome/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of outcomes, retries, streams and claims.
 
 mod claims;
+mod overlap;
 mod reply;
 mod retry;
 mod stream;
--- a/crates/briarrail_outcome/tests/suite/retry.rs
+++ b/crates/briarrail_outcome/tests/suite/retry.rs
@@ -180,6 +180,51 @@
     assert_eq!(machine.outcome(), None);
 }
 
+/// Guards against a withdrawn attempt that leaves a stream at a silent target for good, and against
+/// more targets than the policy allows.
+#[test]
+fn a_withdrawn_target_is_asked_again_without_a_further_attempt() {
+    let now = MilliTime::default();
+    let silent = AttemptEvent::TargetSilent { resume_at: Some(3) };
+    let mut machine = machine(CallSemantics::Idempotent, 2);
+    machine.start(now);
+    machine.handle(AttemptEvent::HeadReceived, now, &mut NoRetryLimit);
+    assert!(!machine.must_return_next());
+    machine.handle(silent, now, &mut NoRetryLimit);
+    machine.withdraw_attempt();
+    for _ in 0..3 {
+        assert!(machine.may_leave_target(Some(3), now));
+        assert!(machine.must_return_next());
+        let step = machine.handle(silent, now, &mut NoRetryLimit);
+        assert!(matches!(step, RetryStep::Resume { attempt: 2, .. }));
+        assert!(machine.is_return());
+        let refused = AttemptEvent::Refused { not_run: true };
+        let step = machine.handle(refused, now, &mut NoRetryLimit);
+        assert_eq!(step, RetryStep::KeepTarget);
+        // The target may have run the request before it refused, so no further one may be asked.
+        assert!(machine.must_return_next());
+    }
+    let broken = AttemptEvent::BodyBroken { resume_at: Some(3) };
+    let step = machine.handle(broken, now, &mut NoRetryLimit);
+    assert!(matches!(step, RetryStep::Resume { attempt: 2, .. }) && machine.is_return());
+}
+
+/// Guards against a request that moves back and forth between two silent targets.
+#[test]
+fn a_target_that_was_left_is_asked_again_only_after_a_failure() {
+    let now = MilliTime::default();
+    let silent = AttemptEvent::TargetSilent { resume_at: None };
+    let mut machine = machine(CallSemantics::Idempotent, 2);
+    machine.start(now);
+    machine.handle(silent, now, &mut NoRetryLimit);
+    machine.leave_silent_target();
+    machine.allow_return();
+    assert!(!machine.may_leave_target(None, now));
+    let step = machine.handle(AttemptEvent::SendFailed, now, &mut NoRetryLimit);
+    assert_eq!(step, RetryStep::Send { attempt: 2 });
+    assert!(machine.is_return());
+}
+
 /// Guards against a refusal that is reported as a possible run, because its target was silent before.
 #[test]
 fn a_request_did_not_run_if_the_silent_target_refuses_it() {
