fix(gateway): end a stream as complete only if its relay states so

Cause: the body of a streamed answer ended when the sender of its chunks was dropped, whatever ended the task that held it: a panic, or the give-up of StreamRelay::abort after a second. Class: an end that is concluded instead of stated.

Change: StreamCompletion is recorded by the relay when the checker has seen the end. Without it the body is interrupted and the caller's connection closed. abort has nothing left to send, so its time limit is gone.

--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -18,7 +18,7 @@
 use super::receive_request::{discard_body, receive_request};
 use super::request_context::{RequestContext, remove_hop_by_hop_headers};
 use super::request_trace::RequestTrace;
-use super::response_body::ResponseBody;
+use super::response_body::{ResponseBody, StreamCompletion};
 use super::response_class::{ResponseClass, reuse_timeout};
 use super::stream_origin::{OriginCall, resolve_origin};
 use super::stream_relay::{StreamRelay, unknown_reason_text};
@@ -355,7 +355,9 @@
         self.trace.record_first_event();
         self.trace.events += first.len() as u64;
         let (chunk_sender, chunks) = mpsc::channel(STREAM_BUFFER_CHUNKS);
-        let relayed = caller_response(&response.head, ResponseBody::stream(chunks));
+        let completion = StreamCompletion::default();
+        let body = ResponseBody::stream(chunks, completion.clone());
+        let relayed = caller_response(&response.head, body);
         let relay = StreamRelay {
             state: self.state,
             context: self.context,
@@ -365,6 +367,7 @@
             trace: self.trace,
             response,
             chunk_sender,
+            completion,
         };
         tokio::task::spawn_local(relay.run(first));
         relayed
--- a/crates/briarrail_gateway/src/traffic/response_body.rs
+++ b/crates/briarrail_gateway/src/traffic/response_body.rs
@@ -1,5 +1,6 @@
 //! Bodies of responses to callers.
 
+use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -17,10 +18,21 @@
 #[error("response body was interrupted")]
 pub(crate) struct BodyInterrupted;
 
+/// States that all chunks of a stream were sent, once for the sender and once for the body.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct StreamCompletion(Rc<Cell<bool>>);
+
+impl StreamCompletion {
+    /// Records that the stream is complete with the chunks that were sent.
+    pub(crate) fn record(&self) {
+        self.0.set(true);
+    }
+}
+
 #[derive(Debug)]
 enum BodySource {
     Full(Option<Bytes>),
-    Stream(Receiver<Result<Bytes, BodyInterrupted>>),
+    Stream(Receiver<Bytes>, StreamCompletion),
 }
 
 /// The body of a response: either complete, or a stream of chunks.
@@ -40,10 +52,11 @@
         }
     }
 
-    /// Creates a body that streams chunks; it ends when the sender is dropped.
-    pub(crate) const fn stream(chunks: Receiver<Result<Bytes, BodyInterrupted>>) -> Self {
+    /// Creates a body that streams chunks until the sender is dropped. It is interrupted then, unless
+    /// its completion was recorded before.
+    pub(crate) const fn stream(chunks: Receiver<Bytes>, completion: StreamCompletion) -> Self {
         Self {
-            source: BodySource::Stream(chunks),
+            source: BodySource::Stream(chunks, completion),
             activity: None,
         }
     }
@@ -75,9 +88,13 @@
             BodySource::Full(bytes) => {
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
-            BodySource::Stream(chunks) => chunks
-                .poll_recv(context)
-                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            BodySource::Stream(chunks, completion) => {
+                chunks.poll_recv(context).map(|chunk| match chunk {
+                    Some(chunk) => Some(Ok(Frame::data(chunk))),
+                    None if completion.0.get() => None,
+                    None => Some(Err(BodyInterrupted)),
+                })
+            }
         }
     }
 
@@ -90,7 +107,7 @@
             BodySource::Full(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
-            BodySource::Stream(_) => SizeHint::default(),
+            BodySource::Stream(..) => SizeHint::default(),
         }
     }
 }
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -1,7 +1,6 @@
 //! Relays the events of a stream, and resumes it at another target if it is interrupted.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use briarrail_dispatch::{RouteSemantics, SendOutcome};
 use briarrail_model::{MilliDuration, MilliTime};
@@ -13,7 +12,7 @@
 
 use super::request_context::RequestContext;
 use super::request_trace::RequestTrace;
-use super::response_body::BodyInterrupted;
+use super::response_body::StreamCompletion;
 use super::response_class::{is_close_delimited, reuse_timeout};
 use super::stream_origin::{OriginCall, ResumePoint};
 use super::stream_progress::StreamProgress;
@@ -71,7 +70,8 @@
     pub(crate) tried: TriedTargets,
     pub(crate) trace: RequestTrace<D>,
     pub(crate) response: Box<TargetResponse<D>>,
-    pub(crate) chunk_sender: Sender<Result<Bytes, BodyInterrupted>>,
+    pub(crate) chunk_sender: Sender<Bytes>,
+    pub(crate) completion: StreamCompletion,
 }
 
 /// Why relaying from one target ended.
@@ -105,7 +105,7 @@
     /// `first` contains the events that were already read.
     pub(crate) async fn run(mut self, first: Vec<Bytes>) {
         for chunk in first {
-            if self.chunk_sender.send(Ok(chunk)).await.is_err() {
+            if self.chunk_sender.send(chunk).await.is_err() {
                 return;
             }
         }
@@ -136,7 +136,7 @@
                 }
             };
             if !self.resume(step).await {
-                return self.abort().await;
+                return self.abort();
             }
         }
     }
@@ -282,6 +282,7 @@
     }
 
     fn finish(self) {
+        self.completion.record();
         let Self {
             state,
             context,
@@ -308,23 +309,15 @@
         trace.set_outcome("answered", "", head.status.as_u16());
     }
 
-    /// Ends the stream with an error, which closes the caller's connection, so that the caller does
-    /// not take the stream for complete.
-    async fn abort(mut self) {
+    /// Ends the stream without its completion, which closes the caller's connection, so that the caller
+    /// does not take the stream for complete.
+    fn abort(mut self) {
         let reason = match self.machine.outcome() {
             Some(RequestOutcome::Unknown(reason)) => unknown_reason_text(reason),
             _ => "not resumed",
         };
         let status = self.response.head.status.as_u16();
         self.trace.set_outcome("cut", reason, status);
-        // The send fails only if the caller has disconnected too.
-        let sending = self.chunk_sender.send(Err(BodyInterrupted));
-        if tokio::time::timeout(Duration::from_secs(1), sending)
-            .await
-            .is_err()
-        {
-            tracing::debug!("caller does not read the end of an interrupted stream");
-        }
     }
 }
 
@@ -334,7 +327,7 @@
     deadline: MilliTime,
     response: &'a mut TargetResponse<D>,
     checker: &'a mut StreamChecker,
-    chunk_sender: &'a Sender<Result<Bytes, BodyInterrupted>>,
+    chunk_sender: &'a Sender<Bytes>,
     progress: &'a StreamProgress,
     /// Number of events that were relayed.
     events: &'a mut u64,
@@ -356,7 +349,7 @@
                     }
                     for event in events {
                         *self.events += 1;
-                        if self.chunk_sender.send(Ok(event)).await.is_err() {
+                        if self.chunk_sender.send(event).await.is_err() {
                             return RelayEnd::CallerDisconnected;
                         }
                     }
