fix(dispatch): move a target between services when its entry names another one

Cause: TargetRegistry::upsert left the key of a known target in the list of its former service, and purge removed it from the new one only; reading the former list then panics.

Change: ServiceIndex holds the lists and is changed where a record comes, moves and goes.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -34,6 +34,7 @@
 mod retry_budget;
 mod routing_table;
 mod service_capacity;
+mod service_index;
 mod service_release;
 mod service_time_meter;
 mod site_config;
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -5,6 +5,7 @@
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes, hash_pair};
 use slotmap::{SlotMap, new_key_type};
 
+use crate::service_index::ServiceIndex;
 use crate::service_time_meter::{ServiceTimeMeter, SlotUse};
 use crate::target_limiter::TargetLimiter;
 use crate::{
@@ -142,15 +143,21 @@
 pub struct TargetRegistry {
     targets: SlotMap<TargetKey, TargetState>,
     by_id: HashMap<String, TargetKey>,
-    by_service: HashMap<String, Vec<TargetKey>>,
+    by_service: ServiceIndex,
 }
 
 impl TargetRegistry {
-    /// Adds a target or updates its record; a restart resets its state.
+    /// Adds a target or updates its record; a restart, or a change of its service, resets its state.
     pub fn upsert(&mut self, record: TargetRecord, now: MilliTime) -> TargetKey {
         if let Some(&key) = self.by_id.get(&record.id) {
             let state = &mut self.targets[key];
-            let restarted = state.record.started_unix_ms != record.started_unix_ms
+            let changes_service = state.record.service != record.service;
+            if changes_service {
+                self.by_service.remove(&state.record.service, key);
+                self.by_service.add(&record.service, key);
+            }
+            let restarted = changes_service
+                || state.record.started_unix_ms != record.started_unix_ms
                 || state.record.address != record.address;
             if restarted {
                 state.outlier_detector = OutlierDetector::default();
@@ -184,7 +191,7 @@
             removed_at: None,
         });
         self.by_id.insert(id, key);
-        self.by_service.entry(service).or_default().push(key);
+        self.by_service.add(&service, key);
         key
     }
 
@@ -231,7 +238,7 @@
         &self,
         service: &str,
     ) -> impl Iterator<Item = (TargetKey, &TargetState)> {
-        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let keys = self.by_service.targets(service);
         keys.iter().map(|&key| (key, &self.targets[key]))
     }
 
@@ -390,8 +397,6 @@
             return;
         };
         self.by_id.remove(&state.record.id);
-        if let Some(keys) = self.by_service.get_mut(&state.record.service) {
-            keys.retain(|&other| other != key);
-        }
+        self.by_service.remove(&state.record.service, key);
     }
 }
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -19,5 +19,6 @@
 mod routing;
 mod store_read_policy;
 mod stream_releases;
+mod target_registry;
 mod target_roster;
 mod view_tracker;
