fix(control): refuse streams of unknown origin on a router that is cut off from the fleet

Cause: without an answer of other routers or the store, OriginExchange::find let the releases that the router had followed decide, however old they were. Class: an old view trusted as current.

Change: without the store, up to 15 other routers are asked, and what was followed counts only if more than half of them and itself answer. Otherwise the stream is refused as not run. A shortcut by the age of the view was tried and taken out, since a router that was just cut off has a young view.

The replay covers 2 to 3,600 routers.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -81,7 +81,9 @@
 };
 pub use store_read_policy::{ReadConditions, ReadReason, retry_delay};
 pub use stream_key::StreamKey;
-pub use stream_origins::{StreamOrigins, origin_holders, origin_sources};
+pub use stream_origins::{
+    StreamOrigins, is_in_touch, origin_holders, origin_sources, origin_witnesses,
+};
 pub use suspect_change::SuspectChange;
 pub use suspect_report::{BlockReport, CrashReport, SuspectReport};
 pub use suspect_reports::SuspectReports;
--- a/crates/briarrail_dispatch/src/stream_origins.rs
+++ b/crates/briarrail_dispatch/src/stream_origins.rs
@@ -13,6 +13,8 @@
 /// Number of other routers that are told of a stream's origin, so that the loss of its router and of
 /// half of the others mostly leaves one that knows it.
 const ORIGIN_HOLDERS: usize = 2;
+/// Maximum number of other routers that are asked whether this router is in touch with the fleet.
+const MAX_WITNESSES: usize = 15;
 
 /// Releases at which streams began.
 #[derive(Debug, Clone, Default)]
@@ -78,6 +80,23 @@
     highest_ranked(stream, others, ORIGIN_HOLDERS + 1)
 }
 
+/// Returns the routers that are asked whether the asker is in touch with the fleet, of all others than
+/// the asker; they include those that are asked for the stream's origin.
+#[must_use]
+pub fn origin_witnesses<'r, R>(stream: StreamKey, others: R) -> Vec<&'r HostName>
+where
+    R: IntoIterator<Item = &'r HostName>,
+{
+    highest_ranked(stream, others, MAX_WITNESSES)
+}
+
+/// Returns whether a router that gets an answer from `answered` of `asked` others is in touch with
+/// most of the fleet, so that no part of it can have followed new releases without this router.
+#[must_use]
+pub const fn is_in_touch(asked: usize, answered: usize) -> bool {
+    2 * (answered + 1) > asked + 1
+}
+
 /// Returns the first routers in the rendezvous order of a stream.
 fn highest_ranked<'r, R>(stream: StreamKey, routers: R, count: usize) -> Vec<&'r HostName>
 where
--- a/crates/briarrail_dispatch/tests/suite/stream_releases.rs
+++ b/crates/briarrail_dispatch/tests/suite/stream_releases.rs
@@ -4,8 +4,8 @@
 
 use briarrail_dispatch::{
     LiveOrigins, PlacementRequest, ReleaseKey, ReleaseLedger, SendOutcome, ServiceRelease,
-    StreamKey, StreamOrigins, TargetPhase, TargetRecord, TargetRegistry, origin_holders,
-    origin_sources, sole_release,
+    StreamKey, StreamOrigins, TargetPhase, TargetRecord, TargetRegistry, is_in_touch,
+    origin_holders, origin_sources, origin_witnesses, sole_release,
 };
 use briarrail_model::HostName;
 
@@ -306,3 +306,45 @@
     }
     insta::assert_debug_snapshot!(shares);
 }
+
+/// Replays routers that are cut off from the rest alone or as a part of a data centre, and routers
+/// beside others that are lost, while none reads the store.
+#[test]
+fn a_router_trusts_what_it_followed_only_beside_most_of_the_fleet() {
+    for count in [2, 3, 7, 9, 90, 300, 3_600] {
+        let routers = routers(count);
+        let (asker, others) = routers.split_first().unwrap();
+        // Number of the others that the asker reaches, and whether it may trust its own view.
+        let cases = [
+            (0, false),
+            (count / 4, false),
+            (count * 3 / 4, true),
+            (count - 1, true),
+        ];
+        for (reached_count, may_trust) in cases {
+            if count < 7 && reached_count != 0 && reached_count != count - 1 {
+                continue;
+            }
+            let reached = &others[..reached_count.min(others.len())];
+            let mut trusted = 0;
+            for index in 0..100 {
+                let witnesses = origin_witnesses(stream(index), others);
+                assert!(!witnesses.contains(&asker));
+                let answered = witnesses.iter().filter(|name| reached.contains(name));
+                trusted += u32::from(is_in_touch(witnesses.len(), answered.count()));
+            }
+            // In large fleets the witnesses are a sample.
+            let is_as_expected = if may_trust {
+                trusted >= 90
+            } else {
+                trusted <= 10
+            };
+            assert!(
+                is_as_expected,
+                "{count} routers, {reached_count} reached: {trusted}"
+            );
+        }
+    }
+    // A router that knows no other one has nobody to miss.
+    assert!(is_in_touch(0, 0));
+}
--- a/crates/briarrail_gateway/src/control/origin_exchange.rs
+++ b/crates/briarrail_gateway/src/control/origin_exchange.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 use briarrail_dispatch::{
-    LiveOrigins, ReleaseKey, ReleaseLedger, ServiceRelease, StreamKey, StreamOrigins,
-    origin_holders, origin_sources, sole_release,
+    LiveOrigins, ReleaseKey, ServiceRelease, StreamKey, StreamOrigins, is_in_touch, origin_holders,
+    origin_sources, origin_witnesses, sole_release,
 };
 use briarrail_model::{HostName, MilliTime, StableHash};
 use briarrail_peer::{Envelope, FrameError, MessageKind, OriginMessage, OriginNotice};
@@ -50,6 +50,15 @@
     release: Option<ReleaseKey>,
 }
 
+/// What other routers answered to a question.
+#[derive(Debug)]
+struct SourceAnswers {
+    asked: usize,
+    /// Number of routers that answered that they don't know the stream.
+    answered: usize,
+    release: Option<ReleaseKey>,
+}
+
 /// Knows where streams began, from this router's own streams and from other routers.
 #[derive(Debug)]
 pub(crate) struct OriginExchange<S> {
@@ -165,20 +174,23 @@
         if let Some(release) = self.find_local(stream) {
             return StreamOrigin::Known(release, "local");
         }
-        if let Some(release) = self.ask_sources(stream).await {
+        let sources = {
+            let state = self.state.borrow();
+            addresses(&state, origin_sources(stream, state.peers.keys()))
+        };
+        if let Some(release) = self.ask(stream, sources).await.release {
             self.record(stream, release);
             return StreamOrigin::Known(release, "router");
         }
         if let Some(release) = self.find_local(stream) {
             return StreamOrigin::Known(release, "local");
         }
-        let listed = self.store.read_releases().await;
-        if let Some(release) = self.sole_release(service, listed.as_deref()) {
+        let Some(listed) = self.store.read_releases().await else {
+            return self.find_without_store(stream, service).await;
+        };
+        if let Some(release) = self.sole_release(service, &listed) {
             return StreamOrigin::Known(release, "sole");
         }
-        if listed.is_none() {
-            return StreamOrigin::Unavailable;
-        }
         let Some(origins) = self.store.read_origins().await else {
             return StreamOrigin::Unavailable;
         };
@@ -189,30 +201,55 @@
         })
     }
 
-    /// Returns the only release that can have begun a stream which no other router knows.
+    /// Finds where a stream began while the store can't be read.
     ///
-    /// If the store can't be read, what this router has followed since it read the releases decides:
-    /// while several serve, the routers tell each other of the streams.
-    fn sole_release(
-        &self,
-        service: &str,
-        listed: Option<&BTreeSet<ServiceRelease>>,
-    ) -> Option<ReleaseKey> {
-        let state = self.state.borrow();
-        let followed = || state.releases.as_ref().map(ReleaseLedger::listed);
-        sole_release(service, listed.or_else(followed)?, &state.releases_in_use())
+    /// What this router has followed decides, since routers tell each other of the streams while
+    /// several releases serve. A router that is cut off from the others is not told, and may have
+    /// missed a release, so most of the others have to answer.
+    async fn find_without_store(&self, stream: StreamKey, service: &str) -> StreamOrigin {
+        let (witnesses, followed) = {
+            let state = self.state.borrow();
+            let names = origin_witnesses(stream, state.peers.keys());
+            let releases = state.releases.as_ref();
+            let followed = releases.map(|releases| releases.listed().clone());
+            (addresses(&state, names), followed)
+        };
+        let answers = self.ask(stream, witnesses).await;
+        if let Some(release) = answers.release {
+            self.record(stream, release);
+            return StreamOrigin::Known(release, "router");
+        }
+        let is_in_touch = is_in_touch(answers.asked, answers.answered);
+        tracing::info!(
+            event = "stream_origin_witnesses",
+            asked = answers.asked,
+            answered = answers.answered,
+            is_in_touch,
+        );
+        let sole = followed.and_then(|followed| self.sole_release(service, &followed));
+        let origin = sole.filter(|_| is_in_touch);
+        origin.map_or(StreamOrigin::Unavailable, |release| {
+            StreamOrigin::Known(release, "sole")
+        })
+    }
+
+    /// Returns the only release that can have begun a stream which no other router knows.
+    fn sole_release(&self, service: &str, listed: &BTreeSet<ServiceRelease>) -> Option<ReleaseKey> {
+        let in_use = self.state.borrow().releases_in_use();
+        sole_release(service, listed, &in_use)
     }
 
     fn find_local(&self, stream: StreamKey) -> Option<ReleaseKey> {
         self.origins.borrow_mut().find(stream, self.now())
     }
 
-    /// Asks the routers that may have been told where a stream began.
-    async fn ask_sources(&self, stream: StreamKey) -> Option<ReleaseKey> {
-        let mut sources = {
-            let state = self.state.borrow();
-            addresses(&state, origin_sources(stream, state.peers.keys()))
-        };
+    /// Asks other routers where a stream began.
+    async fn ask(
+        &self,
+        stream: StreamKey,
+        mut sources: Vec<(HostName, SocketAddr)>,
+    ) -> SourceAnswers {
+        let asked = sources.len();
         let search = (stream, self.last_search.get() + 1);
         self.last_search.set(search.1);
         let (sender, mut answers) = unbounded_channel();
@@ -229,7 +266,11 @@
             }
         }
         self.searches.borrow_mut().remove(&search);
-        release
+        SourceAnswers {
+            asked,
+            answered: asked - sources.len(),
+            release,
+        }
     }
 
     /// Updates which releases need their streams told of, and tells of those under way that are new
