fix(gateway): answer what comes late in a planned stop

Cause: whether the router stops was checked before the body was read, which may take until the deadline; and the end of the grace period ended the process whatever was under way. Class: a check before a wait, taken for current after it.

Change: the check is repeated once the body is there (503, nothing was passed on). At the end of the grace period requests without an answer get 504, or 503 if nothing was sent.

--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -266,6 +266,7 @@
     while in_flight() > 0 && tokio::time::Instant::now() < deadline {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    set_phase(inputs, StopPhase::Ending);
     // The last responses may still be in the socket buffers.
     tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     tracing::info!(event = "stopped", cut = in_flight());
--- a/crates/briarrail_gateway/src/traffic/caller_server.rs
+++ b/crates/briarrail_gateway/src/traffic/caller_server.rs
@@ -45,7 +45,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|&phase| phase == StopPhase::Draining) => return,
+            _ = stop.wait_for(|&phase| phase >= StopPhase::Draining) => return,
         };
         match accepted {
             Ok((stream, _)) if state.open_connections.get() < max_connections => {
@@ -83,11 +83,13 @@
             .map_or(DEFAULT_LIMITS, |table| table.limits())
     };
     let activity = Rc::new(ConnectionActivity::new(state.clock));
+    let request_stop = stop.clone();
     let service = service_fn(|request| {
         let (state, activity) = (Rc::clone(&state), Rc::clone(&activity));
+        let stop = request_stop.clone();
         async move {
             activity.start_request();
-            let mut response = serve_request(&state, request).await;
+            let mut response = serve_request(&state, request, stop).await;
             if state.shared.stop_phase() != StopPhase::Serving {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -123,7 +125,7 @@
                     break;
                 }
             }
-            _ = stop.wait_for(|&phase| phase == StopPhase::Draining), if !is_stopping => {
+            _ = stop.wait_for(|&phase| phase >= StopPhase::Draining), if !is_stopping => {
                 is_stopping = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/crates/briarrail_gateway/src/traffic/receive_request.rs
+++ b/crates/briarrail_gateway/src/traffic/receive_request.rs
@@ -21,6 +21,8 @@
 
 /// Maximum number of bytes that are read of a refused request's body; usual bodies are smaller.
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
+/// Reason of responses to requests that the router no longer serves.
+pub(super) const STOP_REASON: &str = "the router stops";
 /// Time limit for reading the body of a refused request; many round trips of a caller.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -96,9 +98,11 @@
     let Some(table) = state.shared.routing_table.load_full() else {
         return Err(router_unavailable("no configuration yet"));
     };
-    if state.shared.stop_phase() == StopPhase::Draining {
-        return Err(router_unavailable("the router stops"));
-    }
+    let refuse_if_stopping = || match state.shared.stop_phase() {
+        StopPhase::Serving | StopPhase::Leaving => Ok(()),
+        StopPhase::Draining | StopPhase::Ending => Err(router_unavailable(STOP_REASON)),
+    };
+    refuse_if_stopping()?;
     trace.config_version = table.version();
     let host = request_host(head)
         .ok_or_else(|| Refusal::new(StatusCode::BAD_REQUEST, "no host, or more than one"))?;
@@ -130,6 +134,8 @@
     let body = tokio::time::timeout_at(deadline, body).await;
     let timed_out = |_| Refusal::new(StatusCode::REQUEST_TIMEOUT, "the body came too slowly");
     context.body = body.map_err(timed_out)??;
+    // The body may have come late in the stop.
+    refuse_if_stopping()?;
     trace.traits.fingerprint = Some(request_fingerprint(&context, host));
     context.traits = trace.traits.clone();
     Ok(context)
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -11,11 +11,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, response};
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use super::first_answer::{FirstAnswer, PendingAnswer};
 use super::gateway_reply::gateway_reply;
-use super::receive_request::{discard_body, receive_request};
+use super::receive_request::{STOP_REASON, discard_body, receive_request};
 use super::request_context::{RequestContext, remove_hop_by_hop_headers};
 use super::request_trace::RequestTrace;
 use super::response_body::{ResponseBody, StreamCompletion};
@@ -25,7 +25,7 @@
 use super::stream_transfer::{MAX_FAILED_CONNECTS, OVERLAP};
 use super::target_send::{PreparedSend, TargetResponse, prepare_send};
 use super::target_silence::TargetSilence;
-use super::traffic_state::TrafficState;
+use super::traffic_state::{StopPhase, TrafficState};
 use super::tried_targets::{TargetScope, TriedTargets};
 use crate::WireDialect;
 
@@ -40,6 +40,7 @@
 pub(crate) async fn serve_request<D>(
     state: &Rc<TrafficState<D>>,
     request: Request<Incoming>,
+    stop: watch::Receiver<StopPhase>,
 ) -> Response<ResponseBody>
 where
     D: WireDialect,
@@ -52,7 +53,7 @@
             let origin = resolve_origin(state, &mut context, &trace).await;
             let handler = RequestHandler::new(state, context, trace);
             match origin {
-                Ok(()) => handler.run().await,
+                Ok(()) => handler.run(stop).await,
                 Err((cause, reason)) => handler.refuse(cause, reason),
             }
         }
@@ -108,7 +109,8 @@
         }
     }
 
-    async fn run(mut self) -> Response<ResponseBody> {
+    /// Attempts the request; once the grace period of a stop is over, it is answered without a target.
+    async fn run(mut self, mut stop: watch::Receiver<StopPhase>) -> Response<ResponseBody> {
         self.state.record_request(&self.context.service);
         if let Some(until) = self.state.blocked_until(&self.context.traits) {
             let remaining = until.since(self.state.clock.now());
@@ -119,10 +121,34 @@
             let cause = RefusalCause::AtCapacity(self.context.objective);
             return self.refuse(cause, "over capacity");
         }
+        let attempted = tokio::select! {
+            biased;
+            attempted = self.attempt() => Some(attempted),
+            _ = stop.wait_for(|&phase| phase == StopPhase::Ending) => None,
+        };
+        match attempted {
+            Some(Ok(FirstAnswer::Stream(response, checker, first))) => {
+                self.start_stream(response, checker, first)
+            }
+            Some(Ok(FirstAnswer::Complete(response, body))) => self.relay_response(*response, body),
+            Some(Err(outcome)) => self.finish(outcome),
+            Some(Ok(FirstAnswer::Failed(_))) => {
+                self.finish(RequestOutcome::Unknown(UnknownReason::ConnectionLost))
+            }
+            None => self.end_at_stop(),
+        }
+    }
+
+    /// Attempts the request until a target answers it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the outcome if no target does.
+    async fn attempt(&mut self) -> Result<FirstAnswer<D>, RequestOutcome> {
         let mut step = self.machine.start(self.state.clock.now());
         loop {
             if let RetryStep::Finish(outcome) = step {
-                return self.finish(outcome);
+                return Err(outcome);
             }
             self.tried.set_scope(TargetScope {
                 is_limited_to_returns: self.machine.is_return(),
@@ -142,17 +168,23 @@
             // A silent target that was kept has answered or failed by now.
             self.machine.leave_silent_target();
             step = match self.check_answer(answer) {
-                Ok(FirstAnswer::Stream(response, checker, first)) => {
-                    return self.start_stream(response, checker, first);
-                }
-                Ok(FirstAnswer::Complete(response, body)) => {
-                    return self.relay_response(*response, body);
-                }
                 Ok(FirstAnswer::Failed(event)) | Err(event) => self.next_step(event),
+                Ok(answer) => return Ok(answer),
             };
         }
     }
 
+    /// Builds the response to a request that has no answer when the router has to end.
+    fn end_at_stop(mut self) -> Response<ResponseBody> {
+        if self.trace.sends == 0 {
+            return self.refuse(RefusalCause::RouterUnavailable, STOP_REASON);
+        }
+        let status = StatusCode::GATEWAY_TIMEOUT;
+        self.trace
+            .set_outcome("unknown", STOP_REASON, status.as_u16());
+        self.reply(status, STOP_REASON, None)
+    }
+
     /// Returns whether to send the request to a target at all.
     ///
     /// Engines with a prompt cache report their load, so placement alone bounds it.
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -41,6 +41,8 @@
     Leaving,
     /// The router rejects new requests and completes those in flight.
     Draining,
+    /// The grace period is over; requests without an answer get one from the router.
+    Ending,
 }
 
 /// State that both threads read.
@@ -72,7 +74,8 @@
         match self.stop.load(Ordering::Relaxed) {
             0 => StopPhase::Serving,
             1 => StopPhase::Leaving,
-            _ => StopPhase::Draining,
+            2 => StopPhase::Draining,
+            _ => StopPhase::Ending,
         }
     }
 
