fix(gateway): count a target as tried only once its connection was opened or refused

What callers saw: a request that may be repeated got 502 at once, although another target would have answered.

Cause: prepare_send recorded the target before it connected. If the silent target failed during that wait, the search was dropped with its connection, and the other target counted as tried, so none was left.

Change: the target is recorded when the connection was opened or failed.

--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -145,10 +145,12 @@
         return Err(AttemptEvent::NoTarget);
     };
     let key = chosen.key;
-    tried.record(key);
     let traits = context.traits.clone();
     let mut guard = SendGuard::start(state, key, cancellation_threshold(context), traits);
-    match acquire_connection(state, context, key).await {
+    let acquired = acquire_connection(state, context, key).await;
+    // A target is not tried if the wait for its connection is cancelled.
+    tried.record(key);
+    match acquired {
         Ok(connection) => Ok(PreparedSend {
             guard,
             connection,
