fix(gateway): a router whose traffic thread has ended or goes round is not ready

Cause: readiness was answered from the state of the control thread alone, and a panic ended its task without a log line.

Change: the traffic thread counts its turns, the control thread checks them four times a second. Without a turn for a second the router is not ready, after 10 s the process ends, as it does if that thread panics. Tasks that follow the store are started again after a panic, since their input may be the same on all routers; those that can't be lead to a planned stop. A panic no longer leaves its connection counted as open.

Not played: a panic of the traffic thread itself, and of tasks of the control thread.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -51,6 +51,7 @@
 mod target_record;
 mod target_registry;
 mod target_roster;
+mod thread_watch;
 mod view_tracker;
 
 pub use adaptive_timeout::AdaptiveTimeout;
@@ -91,4 +92,5 @@
 pub use target_record::{TargetPhase, TargetRecord};
 pub use target_registry::{TargetKey, TargetRegistry, TargetState};
 pub use target_roster::{RemovalPolicy, RosterChange, RosterRecord, TargetRoster};
+pub use thread_watch::{ThreadHealth, ThreadWatch};
 pub use view_tracker::{ViewPosition, ViewTimeBounds, ViewTracker};
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -21,4 +21,5 @@
 mod stream_releases;
 mod target_registry;
 mod target_roster;
+mod thread_watch;
 mod view_tracker;
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -17,9 +17,10 @@
 use hyper::body::Incoming;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
 
+use super::SharedControlState;
 use super::config_watcher::ConfigWatcher;
 use super::control_state::ControlState;
 use super::hub_server::serve_peers;
@@ -32,8 +33,11 @@
 use super::store_watcher::run_watcher;
 use super::suspect_exchange::maintain_blocked_suspects;
 use super::target_watcher::TargetWatcher;
+use super::task_supervisor::{spawn_essential, spawn_restarting};
+use super::thread_monitor::watch_traffic_thread;
 use super::unreadable_entries::UnreadableEntries;
 use crate::fleet_counts::FleetCounts;
+use crate::gateway_daemon::GatewayError;
 use crate::telemetry::GatewayMetrics;
 use crate::traffic::{ControlUpdate, OriginCall, SharedState, StopPhase};
 use crate::{ProcessClock, SiteStore, WireDialect};
@@ -80,12 +84,13 @@
 ///
 /// # Errors
 ///
-/// Fails if a listener or a signal handler cannot be registered.
+/// Fails if a listener or a signal handler cannot be registered, or after a planned stop if a task that
+/// can't be started again has panicked.
 pub(crate) async fn run_control<D, S>(
     inputs: ControlInputs<D>,
     listeners: ControlListeners,
     store: S,
-) -> std::io::Result<()>
+) -> Result<(), GatewayError>
 where
     D: WireDialect,
     S: SiteStore,
@@ -97,37 +102,32 @@
     let mut sigterm = signal(SignalKind::terminate())?;
     let mut sighup = signal(SignalKind::hangup())?;
     let state = Rc::new(RefCell::new(new_state(&inputs)));
-    tokio::task::spawn_local(serve_peers(Rc::clone(&state), peers));
-    tokio::task::spawn_local(run_hub_sync(Rc::clone(&state)));
-    let config_watcher = ConfigWatcher {
-        state: Rc::clone(&state),
-        store: store.clone(),
-    };
-    tokio::task::spawn_local(run_watcher(Rc::clone(&state), config_watcher));
-    let target_watcher = TargetWatcher {
-        state: Rc::clone(&state),
-        store: store.clone(),
-    };
-    tokio::task::spawn_local(run_watcher(Rc::clone(&state), target_watcher));
-    tokio::task::spawn_local(maintain_registration(Rc::clone(&state), store.clone()));
-    tokio::task::spawn_local(maintain_blocked_suspects(Rc::clone(&state), store.clone()));
-    tokio::task::spawn_local(maintain_releases(Rc::clone(&state), store.clone()));
+    let (failures, mut failed_tasks) = unbounded_channel();
+    spawn_store_tasks(&state, &store);
+    let serving = serve_peers(Rc::clone(&state), peers);
+    spawn_essential("peers", failures.clone(), serving);
     let exchange = OriginExchange::new(Rc::clone(&state), store.clone(), origins);
-    tokio::task::spawn_local(run_origin_exchange(exchange, listeners.origin_calls));
+    let exchanging = run_origin_exchange(exchange, listeners.origin_calls);
+    spawn_essential("stream origins", failures.clone(), exchanging);
     let readiness_state = Rc::clone(&state);
     let path = inputs.dialect.readiness_path();
-    tokio::task::spawn_local(serve_monitoring(readiness, move |request| {
+    let serving = serve_monitoring(readiness, move |request| {
         check_readiness(&readiness_state.borrow(), path, request)
-    }));
+    });
+    spawn_essential("readiness", failures.clone(), serving);
     let gateway_metrics = Arc::clone(&inputs.metrics);
-    tokio::task::spawn_local(serve_monitoring(metrics, move |_| {
+    let serving = serve_monitoring(metrics, move |_| {
         Response::new(Full::new(Bytes::from(gateway_metrics.encode())))
-    }));
+    });
+    spawn_essential("metrics", failures.clone(), serving);
+    let watching = watch_traffic_thread(Arc::clone(&inputs.shared));
+    spawn_essential("traffic thread", failures, watching);
     let mut settings_poll = tokio::time::interval(SETTINGS_POLL_INTERVAL);
     let mut modified_at = modification_time(&inputs.settings_path);
-    loop {
+    let failed_task = loop {
         tokio::select! {
-            _ = sigterm.recv() => break,
+            _ = sigterm.recv() => break None,
+            task = failed_tasks.recv() => break task,
             _ = sighup.recv() => {
                 reload_settings(&inputs, "signal");
                 modified_at = modification_time(&inputs.settings_path);
@@ -140,9 +140,47 @@
                 }
             }
         }
-    }
+    };
     shut_down(&inputs, &store).await;
-    Ok(())
+    failed_task.map_or(Ok(()), |task| Err(GatewayError::TaskFailed(task)))
+}
+
+/// Starts the tasks that follow the store and the other routers.
+fn spawn_store_tasks<S>(state: &SharedControlState, store: &S)
+where
+    S: SiteStore,
+{
+    let inputs = || (Rc::clone(state), store.clone());
+    let (state, _) = inputs();
+    spawn_restarting("sync", move || run_hub_sync(Rc::clone(&state)));
+    let (state, store) = inputs();
+    spawn_restarting("configuration", move || {
+        let watcher = ConfigWatcher {
+            state: Rc::clone(&state),
+            store: store.clone(),
+        };
+        run_watcher(Rc::clone(&state), watcher)
+    });
+    let (state, store) = inputs();
+    spawn_restarting("targets", move || {
+        let watcher = TargetWatcher {
+            state: Rc::clone(&state),
+            store: store.clone(),
+        };
+        run_watcher(Rc::clone(&state), watcher)
+    });
+    let (state, store) = inputs();
+    spawn_restarting("registration", move || {
+        maintain_registration(Rc::clone(&state), store.clone())
+    });
+    let (state, store) = inputs();
+    spawn_restarting("blocked suspects", move || {
+        maintain_blocked_suspects(Rc::clone(&state), store.clone())
+    });
+    let (state, store) = inputs();
+    spawn_restarting("releases", move || {
+        maintain_releases(Rc::clone(&state), store.clone())
+    });
 }
 
 /// Returns the capacity of the host as a base-2 logarithm.
@@ -199,7 +237,8 @@
     path: &str,
     request: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let is_serving = state.shared.stop_phase() == StopPhase::Serving;
+    let is_serving = state.shared.stop_phase() == StopPhase::Serving
+        && !state.shared.is_traffic_stalled.load(Ordering::Relaxed);
     let status = if request.uri().path() != path {
         StatusCode::NOT_FOUND
     } else if is_serving && state.is_ready() {
--- a/crates/briarrail_gateway/src/control/mod.rs
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -20,11 +20,14 @@
 mod store_watcher;
 mod suspect_exchange;
 mod target_watcher;
+mod task_supervisor;
+mod thread_monitor;
 mod unreadable_entries;
 
 use control_state::ControlState;
 
 pub(crate) use control_loop::{ControlInputs, ControlListeners, log_fleet_settings, run_control};
+pub(crate) use thread_monitor::{CHECK_INTERVAL, exit_without_traffic};
 
 /// State shared by the tasks of the control thread.
 type SharedControlState = Rc<RefCell<ControlState>>;
--- a/crates/briarrail_gateway/src/gateway_daemon.rs
+++ b/crates/briarrail_gateway/src/gateway_daemon.rs
@@ -1,9 +1,11 @@
 //! Starts the gateway and its threads.
 
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use briarrail_settings::{GatewaySettings, SettingsErrors};
@@ -14,7 +16,10 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-use crate::control::{ControlInputs, ControlListeners, log_fleet_settings, run_control};
+use crate::control::{
+    CHECK_INTERVAL, ControlInputs, ControlListeners, exit_without_traffic, log_fleet_settings,
+    run_control,
+};
 use crate::telemetry::{GatewayMetrics, flush_logs, init_json_logs};
 use crate::traffic::{
     ControlUpdate, OriginCall, SharedState, StopPhase, TrafficState, serve_callers,
@@ -51,6 +56,9 @@
     /// A thread could not be started, or a listener or a signal handler could not be registered.
     #[error("cannot start the gateway: {0}")]
     Start(#[from] std::io::Error),
+    /// A task without which the gateway can't run has panicked.
+    #[error("the task {0} has failed (hint: see the event \"panicked\" in the log)")]
+    TaskFailed(&'static str),
     /// The metrics could not be initialized.
     #[error("cannot initialize the metrics: {0}")]
     Metrics(String),
@@ -80,6 +88,7 @@
         origin_calls,
     };
     let dropped_lines = init_json_logs(&settings.logs.filter);
+    log_panics();
     tracing::info!(
         event = "started",
         name = %settings.name,
@@ -109,7 +118,7 @@
     let traffic_runtime = new_runtime()?;
     std::thread::Builder::new()
         .name("traffic".into())
-        .spawn(move || run_traffic(&traffic_runtime, callers, traffic))?;
+        .spawn(move || serve_traffic(&traffic_runtime, callers, traffic))?;
     let store = open_store(settings.store);
     let inputs = ControlInputs {
         settings,
@@ -123,7 +132,7 @@
     };
     let result = LocalSet::new().block_on(&new_runtime()?, run_control(inputs, listeners, store));
     flush_logs(LOG_FLUSH_TIMEOUT);
-    Ok(result?)
+    result
 }
 
 fn bind(setting: &'static str, address: SocketAddr) -> Result<std::net::TcpListener, GatewayError> {
@@ -170,7 +179,51 @@
     origin_calls: UnboundedSender<OriginCall>,
 }
 
-fn run_traffic<D>(runtime: &Runtime, listener: std::net::TcpListener, inputs: TrafficInputs<D>)
+/// Writes a log line for each panic, before the usual report on standard error.
+fn log_panics() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        let thread = std::thread::current();
+        tracing::error!(
+            event = "panicked",
+            thread = thread.name(),
+            location = info.location().map(ToString::to_string),
+            message = info.payload_as_str(),
+        );
+        report(info);
+    }));
+}
+
+/// Runs the traffic thread, and ends the process if it fails.
+fn serve_traffic<D>(runtime: &Runtime, listener: std::net::TcpListener, inputs: TrafficInputs<D>)
+where
+    D: WireDialect,
+{
+    match catch_unwind(AssertUnwindSafe(|| run_traffic(runtime, listener, inputs))) {
+        Ok(Ok(())) => {}
+        Ok(Err(reason)) => exit_without_traffic(&reason),
+        Err(_) => exit_without_traffic("the traffic thread has panicked"),
+    }
+}
+
+/// Counts the turns of the traffic thread indefinitely.
+async fn count_turns(shared: Arc<SharedState>) {
+    loop {
+        shared.traffic_turns.fetch_add(1, Ordering::Relaxed);
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
+/// Serves callers until the control thread ends.
+///
+/// # Errors
+///
+/// Fails with the reason if callers can't be served any more.
+fn run_traffic<D>(
+    runtime: &Runtime,
+    listener: std::net::TcpListener,
+    inputs: TrafficInputs<D>,
+) -> Result<(), String>
 where
     D: WireDialect,
 {
@@ -185,13 +238,8 @@
         origin_calls,
     } = inputs;
     LocalSet::new().block_on(runtime, async move {
-        let listener = match TcpListener::from_std(listener) {
-            Ok(listener) => listener,
-            Err(error) => {
-                tracing::error!(event = "callers_not_served", %error);
-                return;
-            }
-        };
+        let listener = TcpListener::from_std(listener).map_err(|error| error.to_string())?;
+        tokio::task::spawn_local(count_turns(Arc::clone(&shared)));
         let state = Rc::new(TrafficState::new(
             dialect,
             clock,
@@ -200,9 +248,17 @@
             origin_calls,
         ));
         let serving = serve_callers(Rc::clone(&state), listener, max_callers, stop);
-        tokio::task::spawn_local(serving);
-        while let Some(update) = updates.recv().await {
-            state.apply(update);
+        let mut serving = tokio::task::spawn_local(serving);
+        loop {
+            tokio::select! {
+                update = updates.recv() => match update {
+                    Some(update) => state.apply(update),
+                    None => return Ok(()),
+                },
+                served = &mut serving, if !serving.is_finished() => {
+                    served.map_err(|error| error.to_string())?;
+                }
+            }
         }
-    });
+    })
 }
--- a/crates/briarrail_gateway/src/traffic/caller_server.rs
+++ b/crates/briarrail_gateway/src/traffic/caller_server.rs
@@ -64,6 +64,23 @@
     }
 }
 
+/// Counts a connection as open until it is dropped, also by a panic.
+struct OpenConnection<'a, D>(&'a TrafficState<D>);
+
+impl<'a, D> OpenConnection<'a, D> {
+    fn count(state: &'a TrafficState<D>) -> Self {
+        state.open_connections.set(state.open_connections.get() + 1);
+        Self(state)
+    }
+}
+
+impl<D> Drop for OpenConnection<'_, D> {
+    fn drop(&mut self) {
+        let open = &self.0.open_connections;
+        open.set(open.get() - 1);
+    }
+}
+
 async fn serve_connection<D>(
     state: Rc<TrafficState<D>>,
     stream: TcpStream,
@@ -71,7 +88,7 @@
 ) where
     D: WireDialect,
 {
-    state.open_connections.set(state.open_connections.get() + 1);
+    let _open = OpenConnection::count(&state);
     let caller = stream.peer_addr().ok();
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "failed to set TCP_NODELAY");
@@ -131,5 +148,4 @@
             }
         }
     }
-    state.open_connections.set(state.open_connections.get() - 1);
 }
--- a/crates/briarrail_gateway/src/traffic/receive_request.rs
+++ b/crates/briarrail_gateway/src/traffic/receive_request.rs
@@ -1,6 +1,7 @@
 //! Receives requests from callers and checks them before they are sent to a target.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use briarrail_dispatch::{RefusalCause, RouteLookup, RouteSemantics, retry_after};
@@ -86,6 +87,8 @@
         .decode_caller(&head.headers)
         .map_err(|_| Refusal::new(StatusCode::BAD_REQUEST, "unreadable request head"))?;
     trace.set_request_id(&caller.request_id);
+    let last_request = Arc::new(caller.request_id.clone());
+    state.shared.last_request.store(Some(last_request));
     let affinity_key = caller.prompt.affinity_key();
     trace.context_hash = affinity_key.map(|key| key.0 as u32);
     trace.shared_tokens = caller.prompt.shared_tokens();
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use briarrail_dispatch::{
@@ -15,6 +15,7 @@
 use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
 use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit};
 use briarrail_settings::FleetLimits;
+use bytes::Bytes;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -56,6 +57,12 @@
     pub(crate) live_routers: AtomicUsize,
     /// Number of requests in flight.
     pub(crate) in_flight: AtomicUsize,
+    /// Number of turns of the traffic thread, which grows while the thread makes progress.
+    pub(crate) traffic_turns: AtomicU64,
+    /// Whether the traffic thread has made no progress for a while.
+    pub(crate) is_traffic_stalled: AtomicBool,
+    /// Identifier of the last request that was received.
+    pub(crate) last_request: ArcSwapOption<Bytes>,
     stop: AtomicU8,
 }
 
@@ -66,6 +73,9 @@
             terms: ArcSwap::from_pointee(terms),
             live_routers: AtomicUsize::new(1),
             in_flight: AtomicUsize::new(0),
+            traffic_turns: AtomicU64::new(0),
+            is_traffic_stalled: AtomicBool::new(false),
+            last_request: ArcSwapOption::empty(),
             stop: AtomicU8::new(StopPhase::Serving as u8),
         }
     }
