fix(gateway): log a panic without the report on standard error

Cause: the usual report of a panic resolves a backtrace if RUST_BACKTRACE is set, on the thread that panicked. On a starved core that takes longer than the second after which the traffic thread counts as stalled. Class: a log that blocks the thread.

Change: a panic is logged as one line, which never blocks, and nothing else.

--- a/crates/briarrail_gateway/src/gateway_daemon.rs
+++ b/crates/briarrail_gateway/src/gateway_daemon.rs
@@ -179,10 +179,10 @@
     origin_calls: UnboundedSender<OriginCall>,
 }
 
-/// Writes a log line for each panic, before the usual report on standard error.
+/// Writes a log line for each panic, in place of the report on standard error, whose backtrace would
+/// hold up the thread for seconds.
 fn log_panics() {
-    let report = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |info| {
+    std::panic::set_hook(Box::new(|info| {
         let thread = std::thread::current();
         tracing::error!(
             event = "panicked",
@@ -190,7 +190,6 @@
             location = info.location().map(ToString::to_string),
             message = info.payload_as_str(),
         );
-        report(info);
     }));
 }
 
