fix(gateway): move a stream whose silent target breaks beside another one

What callers saw: the silent target of a resumable stream broke off while another target had the request and no answer yet. The stream went on about a second later than it could, or, if the other target left meanwhile, neither went on nor ended: its connection stayed open past the deadline.

Cause: the branch of `StreamTransfer::ask` that ends the overlap checks once, when the wait begins, whether the silent target was given up. If that happens during the wait, the branch still withdraws the other target, as if the silent one had the stream. Each later search then keeps a target that is gone, and nothing ends the transfer: its relay, which watches the deadline, was dropped.

Change: the end of the overlap is ignored once the silent target was given up. From then on the answer, failure or deadline of the other target ends the transfer.

--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -241,6 +241,10 @@
                 result = sending.as_mut() => break AskEnd::Answered(result),
                 () = tokio::time::sleep_until(self.state.clock.instant(overlap_end)),
                     if !progress.is_left() => {
+                        // The silent target may have broken off since the wait began.
+                        if progress.is_left() {
+                            continue;
+                        }
                         match OVERLAP.decide(silence.since, self.state.clock.now()) {
                             OverlapEnd::WithdrawOther => break AskEnd::Withdrawn,
                             OverlapEnd::LeaveSilent => {
