fix(gateway): end a planned stop only when the callers have their answers

What callers saw: a planned stop closed the connection in the middle of an answer, although the target had answered in full, the deadline was not near and most of the grace period was left. No log line showed it: the request was logged as answered, and the stop as "cut":0.

Cause: the stop waited for the requests in flight, and a request stops to be in flight once its answer is complete in the router. What the caller has not taken by then, in the channel of the stream and the write buffer of the connection, was lost when the process exited 50 ms later.

Change: the stop also waits until the connections from callers are closed, up to the same end of the grace period. A caller that sends only a part of a head can hold the stop until its timeout. `stopped` logs the connections that were left as `unsent`.

--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -282,12 +282,15 @@
 }
 
 /// Shuts down: fails the readiness checks, removes the router's entry from the store, and waits for
-/// the requests in flight, at most until `EXIT_MARGIN` before the end of the grace period.
+/// the requests in flight and for callers that still receive their answers, at most until `EXIT_MARGIN`
+/// before the end of the grace period.
 async fn shut_down<D, S>(inputs: &ControlInputs<D>, store: &S)
 where
     S: SiteStore,
 {
     let in_flight = || inputs.shared.in_flight.load(Ordering::Relaxed);
+    // While the router drains, each connection closes once its answer is sent.
+    let open_connections = || inputs.shared.open_connections.load(Ordering::Relaxed);
     let started_at = tokio::time::Instant::now();
     tracing::info!(event = "stopping", in_flight = in_flight());
     set_phase(inputs, StopPhase::Leaving);
@@ -302,13 +305,15 @@
     set_phase(inputs, StopPhase::Draining);
     let grace: Duration = inputs.shared.terms.load().stop_grace.into();
     let deadline = started_at + grace.saturating_sub(EXIT_MARGIN);
-    while in_flight() > 0 && tokio::time::Instant::now() < deadline {
+    let is_busy = || in_flight() > 0 || open_connections() > 0;
+    while is_busy() && tokio::time::Instant::now() < deadline {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     set_phase(inputs, StopPhase::Ending);
     // The last responses may still be in the socket buffers.
     tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-    tracing::info!(event = "stopped", cut = in_flight());
+    let unsent = open_connections();
+    tracing::info!(event = "stopped", cut = in_flight(), unsent);
 }
 
 fn set_phase<D>(inputs: &ControlInputs<D>, phase: StopPhase) {
--- a/crates/briarrail_gateway/src/traffic/caller_server.rs
+++ b/crates/briarrail_gateway/src/traffic/caller_server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use briarrail_dispatch::CallerLimits;
@@ -42,13 +43,14 @@
     D: WireDialect,
 {
     let connection_stop = stop.clone();
+    let open_connections = || state.shared.open_connections.load(Ordering::Relaxed);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|&phase| phase >= StopPhase::Draining) => return,
         };
         match accepted {
-            Ok((stream, _)) if state.open_connections.get() < max_connections => {
+            Ok((stream, _)) if open_connections() < max_connections => {
                 let serving = serve_connection(Rc::clone(&state), stream, connection_stop.clone());
                 tokio::task::spawn_local(serving);
             }
@@ -65,19 +67,18 @@
 }
 
 /// Counts a connection as open until it is dropped, also by a panic.
-struct OpenConnection<'a, D>(&'a TrafficState<D>);
+struct OpenConnection<'a>(&'a AtomicUsize);
 
-impl<'a, D> OpenConnection<'a, D> {
-    fn count(state: &'a TrafficState<D>) -> Self {
-        state.open_connections.set(state.open_connections.get() + 1);
-        Self(state)
+impl<'a> OpenConnection<'a> {
+    fn count(open: &'a AtomicUsize) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(open)
     }
 }
 
-impl<D> Drop for OpenConnection<'_, D> {
+impl Drop for OpenConnection<'_> {
     fn drop(&mut self) {
-        let open = &self.0.open_connections;
-        open.set(open.get() - 1);
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -88,7 +89,7 @@
 ) where
     D: WireDialect,
 {
-    let _open = OpenConnection::count(&state);
+    let _open = OpenConnection::count(&state.shared.open_connections);
     let caller = stream.peer_addr().ok();
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "failed to set TCP_NODELAY");
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -57,6 +57,9 @@
     pub(crate) live_routers: AtomicUsize,
     /// Number of requests in flight.
     pub(crate) in_flight: AtomicUsize,
+    /// Number of open connections from callers. An answer may be under way on one that has no request
+    /// in flight.
+    pub(crate) open_connections: AtomicUsize,
     /// Number of turns of the traffic thread, which grows while the thread makes progress.
     pub(crate) traffic_turns: AtomicU64,
     /// Whether the traffic thread has made no progress for a while.
@@ -73,6 +76,7 @@
             terms: ArcSwap::from_pointee(terms),
             live_routers: AtomicUsize::new(1),
             in_flight: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
             traffic_turns: AtomicU64::new(0),
             is_traffic_stalled: AtomicBool::new(false),
             last_request: ArcSwapOption::empty(),
@@ -125,7 +129,6 @@
     pub(crate) metrics: Arc<GatewayMetrics>,
     pub(crate) registry: RefCell<TargetRegistry>,
     pub(crate) idle_connections: RefCell<ConnectionPool>,
-    pub(crate) open_connections: Cell<usize>,
     /// Retry budgets by service.
     retry_budgets: RefCell<HashMap<String, RetryBudget>>,
     /// Admission of plain calls, by service.
@@ -156,7 +159,6 @@
             metrics,
             registry: RefCell::default(),
             idle_connections: RefCell::default(),
-            open_connections: Cell::new(0),
             retry_budgets: RefCell::default(),
             admissions: RefCell::default(),
             timeouts: RefCell::default(),
