fix(gateway): count a response as unfinished until it was written

Callers that paused while they took a large answer got its first part and then the end of the connection, if a configuration shortened the idle timeout meanwhile or the router was stopped.

Cause: a request ended when its response was handed to the HTTP library, which can hold all of it while the socket takes no more. Then the idle timeout ran, and a stop saw no request in flight. A head that began meanwhile was timed from its first byte.

Change: `ConnectionTimer` counts a connection as busy until the last byte was written to the socket; idle and head times start then, and a stop waits for it within its grace period. Arrived bytes are read before timeouts are checked.

--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod adaptive_timeout;
 mod admission;
+mod connection_timer;
 mod context_source;
 mod crash_quarantine;
 mod crash_replay;
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -282,12 +282,13 @@
 }
 
 /// Shuts down: fails the readiness checks, removes the router's entry from the store, and waits for
-/// the requests in flight, at most until `EXIT_MARGIN` before the end of the grace period.
+/// the requests in flight and for callers that still take responses, at most until `EXIT_MARGIN` before the end of the grace period.
 async fn shut_down<D, S>(inputs: &ControlInputs<D>, store: &S)
 where
     S: SiteStore,
 {
     let in_flight = || inputs.shared.in_flight.load(Ordering::Relaxed);
+    let busy_connections = || inputs.shared.busy_connections.load(Ordering::Relaxed);
     let started_at = tokio::time::Instant::now();
     tracing::info!(event = "stopping", in_flight = in_flight());
     set_phase(inputs, StopPhase::Leaving);
@@ -302,13 +303,18 @@
     set_phase(inputs, StopPhase::Draining);
     let grace: Duration = inputs.shared.terms.load().stop_grace.into();
     let deadline = started_at + grace.saturating_sub(EXIT_MARGIN);
-    while in_flight() > 0 && tokio::time::Instant::now() < deadline {
+    let is_serving = || in_flight() > 0 || busy_connections() > 0;
+    while is_serving() && tokio::time::Instant::now() < deadline {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     set_phase(inputs, StopPhase::Ending);
     // The last responses may still be in the socket buffers.
     tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-    tracing::info!(event = "stopped", cut = in_flight());
+    tracing::info!(
+        event = "stopped",
+        cut = in_flight(),
+        unwritten = busy_connections()
+    );
 }
 
 fn set_phase<D>(inputs: &ControlInputs<D>, phase: StopPhase) {
--- a/crates/briarrail_gateway/src/traffic/caller_server.rs
+++ b/crates/briarrail_gateway/src/traffic/caller_server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use briarrail_dispatch::CallerLimits;
@@ -99,7 +100,10 @@
             .as_ref()
             .map_or(DEFAULT_LIMITS, |table| table.limits())
     };
-    let activity = Rc::new(ConnectionActivity::new(state.clock));
+    let activity = Rc::new(ConnectionActivity::new(
+        state.clock,
+        Arc::clone(&state.shared),
+    ));
     let request_stop = stop.clone();
     let service = service_fn(|request| {
         let (state, activity) = (Rc::clone(&state), Rc::clone(&activity));
@@ -123,6 +127,8 @@
     let mut is_stopping = false;
     loop {
         tokio::select! {
+            // Bytes that have arrived are read before the timeouts are checked.
+            biased;
             result = connection.as_mut() => {
                 if let Err(error) = result {
                     tracing::debug!(%error, "caller connection failed");
--- a/crates/briarrail_gateway/src/traffic/connection_activity.rs
+++ b/crates/briarrail_gateway/src/traffic/connection_activity.rs
@@ -1,90 +1,90 @@
-//! Activity of a caller connection, for its idle timeout and request head timeout.
+//! Activity of a caller connection, for its timeouts and for the end of a stop.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::task::{Context, Poll};
 
-use briarrail_dispatch::CallerLimits;
+use briarrail_dispatch::{CallerLimits, ConnectionTimeout, ConnectionTimer};
 use briarrail_model::MilliTime;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::traffic_state::SharedState;
 use crate::ProcessClock;
 
-/// The timeout of a connection that expired.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum ConnectionTimeout {
-    /// A request head is still incomplete.
-    Head,
-    /// No request arrived.
-    Idle,
-}
-
-/// Tracks what the timeouts of a connection depend on.
+/// Records what happens on a connection, and counts it while its caller is owed a response.
 #[derive(Debug)]
 pub(crate) struct ConnectionActivity {
     clock: ProcessClock,
-    /// Whether a complete head was received and the response was not yet sent.
-    request_in_progress: Cell<bool>,
-    /// Time of the first byte of a request head that is still incomplete.
-    header_started_at: Cell<Option<MilliTime>>,
-    idle_since: Cell<MilliTime>,
+    shared: Arc<SharedState>,
+    timer: RefCell<ConnectionTimer>,
 }
 
 impl ConnectionActivity {
-    pub(crate) fn new(clock: ProcessClock) -> Self {
+    pub(crate) fn new(clock: ProcessClock, shared: Arc<SharedState>) -> Self {
         Self {
             clock,
-            request_in_progress: Cell::new(false),
-            header_started_at: Cell::new(None),
-            idle_since: Cell::new(clock.now()),
+            shared,
+            timer: RefCell::new(ConnectionTimer::new(clock.now())),
         }
     }
 
     /// Records that a complete request head was received.
     pub(crate) fn start_request(&self) {
-        self.request_in_progress.set(true);
-        self.header_started_at.set(None);
+        self.update(|timer, _| timer.start_request());
     }
 
-    /// Records that the response to a request was sent or dropped.
+    /// Records that the response to a request was handed over to be written, or dropped.
     pub(crate) fn finish_request(&self) {
-        self.request_in_progress.set(false);
-        self.idle_since.set(self.clock.now());
+        self.update(ConnectionTimer::finish_request);
     }
 
     /// Returns which timeout of the connection has expired, if any.
-    ///
-    /// None applies while a request is in progress.
     pub(crate) fn expired_timeout(
         &self,
         limits: &CallerLimits,
         now: MilliTime,
     ) -> Option<ConnectionTimeout> {
-        if self.request_in_progress.get() {
-            return None;
+        self.timer.borrow().expired_timeout(limits, now)
+    }
+
+    fn record_write(&self, written: &Poll<std::io::Result<usize>>) {
+        match written {
+            Poll::Ready(Ok(count)) if *count > 0 => self.update(|timer, _| timer.record_write()),
+            Poll::Ready(_) => {}
+            Poll::Pending => self.update(ConnectionTimer::record_blocked_write),
         }
-        let (timeout, since, limit) = match self.header_started_at.get() {
-            Some(since) => (ConnectionTimeout::Head, since, limits.header_timeout),
-            None => (
-                ConnectionTimeout::Idle,
-                self.idle_since.get(),
-                limits.idle_timeout,
-            ),
+    }
+
+    fn update<U>(&self, update: U)
+    where
+        U: FnOnce(&mut ConnectionTimer, MilliTime),
+    {
+        let mut timer = self.timer.borrow_mut();
+        let was_busy = timer.is_busy();
+        update(&mut timer, self.clock.now());
+        let busy_connections = &self.shared.busy_connections;
+        match (was_busy, timer.is_busy()) {
+            (false, true) => busy_connections.fetch_add(1, Ordering::Relaxed),
+            (true, false) => busy_connections.fetch_sub(1, Ordering::Relaxed),
+            _ => return,
         };
-        (now.since(since) >= limit).then_some(timeout)
     }
+}
 
-    /// Records that bytes were read; outside a request, they start the next request head.
-    fn record_read(&self) {
-        if !self.request_in_progress.get() && self.header_started_at.get().is_none() {
-            self.header_started_at.set(Some(self.clock.now()));
+impl Drop for ConnectionActivity {
+    fn drop(&mut self) {
+        if self.timer.get_mut().is_busy() {
+            let busy_connections = &self.shared.busy_connections;
+            busy_connections.fetch_sub(1, Ordering::Relaxed);
         }
     }
 }
 
-/// A caller's TCP stream that records reads in a [`ConnectionActivity`].
+/// A caller's TCP stream that records reads and writes in a [`ConnectionActivity`].
 #[derive(Debug)]
 pub(crate) struct TrackedStream {
     inner: TcpStream,
@@ -106,7 +106,7 @@
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.inner).poll_read(context, buffer);
         if buffer.filled().len() > before {
-            self.activity.record_read();
+            self.activity.update(ConnectionTimer::record_read);
         }
         result
     }
@@ -118,14 +118,21 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.activity.record_write(&written);
+        written
     }
 
+    /// Flushes the stream; the HTTP library calls this only once it holds no more bytes.
     fn poll_flush(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
+        let flushed = Pin::new(&mut self.inner).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.activity.update(ConnectionTimer::record_flush);
+        }
+        flushed
     }
 
     fn poll_shutdown(
@@ -144,6 +151,8 @@
         context: &mut Context<'_>,
         slices: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
+        self.activity.record_write(&written);
+        written
     }
 }
--- a/crates/briarrail_gateway/src/traffic/response_body.rs
+++ b/crates/briarrail_gateway/src/traffic/response_body.rs
@@ -61,7 +61,8 @@
         }
     }
 
-    /// Marks the caller's connection as idle when the body is dropped, normally once it was sent.
+    /// Records the end of the request when the body is dropped, normally once it was handed over to be
+    /// written.
     pub(crate) fn with_activity(mut self, activity: Rc<ConnectionActivity>) -> Self {
         self.activity = Some(activity);
         self
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -57,6 +57,8 @@
     pub(crate) live_routers: AtomicUsize,
     /// Number of requests in flight.
     pub(crate) in_flight: AtomicUsize,
+    /// Number of callers' connections with a request in progress or a response that is being written.
+    pub(crate) busy_connections: AtomicUsize,
     /// Number of turns of the traffic thread, which grows while the thread makes progress.
     pub(crate) traffic_turns: AtomicU64,
     /// Whether the traffic thread has made no progress for a while.
@@ -73,6 +75,7 @@
             terms: ArcSwap::from_pointee(terms),
             live_routers: AtomicUsize::new(1),
             in_flight: AtomicUsize::new(0),
+            busy_connections: AtomicUsize::new(0),
             traffic_turns: AtomicU64::new(0),
             is_traffic_stalled: AtomicBool::new(false),
             last_request: ArcSwapOption::empty(),
