--- a/crates/briarrail_gateway/src/traffic/caller_server.rs
+++ b/crates/briarrail_gateway/src/traffic/caller_server.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use briarrail_dispatch::CallerLimits;
@@ -43,14 +43,13 @@
     D: WireDialect,
 {
     let connection_stop = stop.clone();
-    let open_connections = || state.shared.open_connections.load(Ordering::Relaxed);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|&phase| phase >= StopPhase::Draining) => return,
         };
         match accepted {
-            Ok((stream, _)) if open_connections() < max_connections => {
+            Ok((stream, _)) if state.open_connections.get() < max_connections => {
                 let serving = serve_connection(Rc::clone(&state), stream, connection_stop.clone());
                 tokio::task::spawn_local(serving);
             }
@@ -67,18 +66,19 @@
 }
 
 /// Counts a connection as open until it is dropped, also by a panic.
-struct OpenConnection<'a>(&'a AtomicUsize);
+struct OpenConnection<'a, D>(&'a TrafficState<D>);
 
-impl<'a> OpenConnection<'a> {
-    fn count(open: &'a AtomicUsize) -> Self {
-        open.fetch_add(1, Ordering::Relaxed);
-        Self(open)
+impl<'a, D> OpenConnection<'a, D> {
+    fn count(state: &'a TrafficState<D>) -> Self {
+        state.open_connections.set(state.open_connections.get() + 1);
+        Self(state)
     }
 }
 
-impl Drop for OpenConnection<'_> {
+impl<D> Drop for OpenConnection<'_, D> {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        let open = &self.0.open_connections;
+        open.set(open.get() - 1);
     }
 }
 
@@ -89,7 +89,7 @@
 ) where
     D: WireDialect,
 {
-    let _open = OpenConnection::count(&state.shared.open_connections);
+    let _open = OpenConnection::count(&state);
     let caller = stream.peer_addr().ok();
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "failed to set TCP_NODELAY");
@@ -100,7 +100,10 @@
             .as_ref()
             .map_or(DEFAULT_LIMITS, |table| table.limits())
     };
-    let activity = Rc::new(ConnectionActivity::new(state.clock));
+    let activity = Rc::new(ConnectionActivity::new(
+        state.clock,
+        Arc::clone(&state.shared),
+    ));
     let request_stop = stop.clone();
     let service = service_fn(|request| {
         let (state, activity) = (Rc::clone(&state), Rc::clone(&activity));
@@ -124,6 +127,8 @@
     let mut is_stopping = false;
     loop {
         tokio::select! {
+            // Bytes that have arrived are read before the timeouts are checked.
+            biased;
             result = connection.as_mut() => {
                 if let Err(error) = result {
                     tracing::debug!(%error, "caller connection failed");
