fix(gateway): accept only the rest of a stream as its continuation

Callers of an interrupted stream saw a stream that ended as complete after some of its events, or foreign text within it, if the next target answered the resumption with a success that is not the rest: 205, an empty 200, text/plain, a block of text, or the events of another run.

Cause: the head alone decided whether a target continues a stream, ids were compared only in events that have one, and the end of a body without an event counted as the end of the stream.

Change: a continuation must have the status and media type of its stream and begin with the next event. A silent target is left once another one has sent that event, or at the end of the overlap. An answer that is not the rest is a failed send with the cause `not_continued`.

--- a/crates/briarrail_gateway/src/traffic/first_answer.rs
+++ b/crates/briarrail_gateway/src/traffic/first_answer.rs
@@ -12,6 +12,7 @@
 use super::request_context::RequestContext;
 use super::response_class::{ResponseClass, is_close_delimited};
 use super::send_log::SendLog;
+use super::stream_head::StreamHead;
 use super::stream_relay::{BodyRead, read_body_chunk};
 use super::target_send::{PreparedSend, SendResult, TargetResponse, send_prepared};
 use super::traffic_state::TrafficState;
@@ -20,7 +21,7 @@
 /// Maximum size of a response that is not a stream, and of the part of a stream before its first
 /// event with data. A response that is not a stream is read completely before it is relayed, so
 /// that an interrupted one can be retried or reported as a failure.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
+pub(super) const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
 
 /// What a target answered to an attempt.
 #[derive(Debug)]
@@ -145,6 +146,14 @@
         let is_stream = self.context.semantics.is_stream()
             && response.head.status.is_success()
             && response.class == ResponseClass::Relay;
+        if is_stream
+            && self.context.caller.last_event.is_some()
+            && let Err(reason) = StreamHead::check_take_up(&response.head)
+        {
+            self.log.record_failure("not_continued", &reason);
+            response.guard.record_outcome(SendOutcome::Failed);
+            return FirstAnswer::Failed(AttemptEvent::BadAnswer);
+        }
         let result = if is_stream {
             let events = self.read_first_events(&mut response).await;
             events.map(|(checker, events)| (Some(checker), events))
@@ -180,7 +189,11 @@
         &self,
         response: &mut TargetResponse<D>,
     ) -> Result<(StreamChecker, Vec<Bytes>), ResponseFailure> {
-        let mut checker = StreamChecker::without_terminal_event(self.context.caller.last_event);
+        let last_event = self.context.caller.last_event;
+        let mut checker = StreamChecker::without_terminal_event(last_event);
+        if last_event.is_some() {
+            checker.begin_continuation();
+        }
         let mut events = Vec::new();
         let mut read_bytes = 0;
         loop {
@@ -201,6 +214,10 @@
                 }
                 BodyRead::End => {
                     let result = checker.finish();
+                    // A caller may have all events of its stream but the end.
+                    if checker.awaits_continuation() {
+                        checker = StreamChecker::without_terminal_event(last_event);
+                    }
                     return result
                         .map(|()| (checker, events))
                         .map_err(|_| ResponseFailure::ConnectionLost);
--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -16,6 +16,8 @@
 mod response_class;
 mod send_guard;
 mod send_log;
+mod stream_continuation;
+mod stream_head;
 mod stream_origin;
 mod stream_progress;
 mod stream_relay;
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -20,6 +20,7 @@
 use super::request_trace::RequestTrace;
 use super::response_body::{ResponseBody, StreamCompletion};
 use super::response_class::{ResponseClass, reuse_timeout};
+use super::stream_head::StreamHead;
 use super::stream_origin::{OriginCall, resolve_origin};
 use super::stream_relay::{StreamRelay, unknown_reason_text};
 use super::stream_transfer::{MAX_FAILED_CONNECTS, OVERLAP};
@@ -391,6 +392,7 @@
         let body = ResponseBody::stream(chunks, completion.clone());
         let relayed = caller_response(&response.head, body);
         let relay = StreamRelay {
+            stream_head: StreamHead::read(&response.head),
             state: self.state,
             context: self.context,
             machine: self.machine,
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -14,9 +14,11 @@
 use super::request_trace::RequestTrace;
 use super::response_body::StreamCompletion;
 use super::response_class::{is_close_delimited, reuse_timeout};
+use super::stream_continuation::StreamContinuation;
+use super::stream_head::StreamHead;
 use super::stream_origin::{OriginCall, ResumePoint};
 use super::stream_progress::StreamProgress;
-use super::stream_transfer::{StreamTransfer, TransferEnd, can_continue_stream};
+use super::stream_transfer::{StreamTransfer, TransferEnd, check_continuation};
 use super::target_send::{SendResult, TargetResponse, send_to_target};
 use super::traffic_state::TrafficState;
 use super::tried_targets::{TargetScope, TriedTargets};
@@ -70,6 +72,8 @@
     pub(crate) tried: TriedTargets,
     pub(crate) trace: RequestTrace<D>,
     pub(crate) response: Box<TargetResponse<D>>,
+    /// Head of the response that began the stream.
+    pub(crate) stream_head: StreamHead,
     pub(crate) chunk_sender: Sender<Bytes>,
     pub(crate) completion: StreamCompletion,
 }
@@ -80,7 +84,7 @@
     /// The stream was interrupted; contains the cause and the error text.
     Interrupted(&'static str, String),
     /// The target was silent, and another one continues the stream.
-    Moved(Box<TargetResponse<D>>),
+    Moved(Box<StreamContinuation<D>>),
     /// The target was left while another one had the request, which failed there.
     MoveFailed(RetryStep),
     DeadlinePassed,
@@ -90,7 +94,7 @@
 impl<D> From<TransferEnd<D>> for RelayEnd<D> {
     fn from(end: TransferEnd<D>) -> Self {
         match end {
-            TransferEnd::Moved(response) => Self::Moved(response),
+            TransferEnd::Moved(continuation) => Self::Moved(continuation),
             TransferEnd::Failed(step) => Self::MoveFailed(step),
         }
     }
@@ -122,10 +126,12 @@
                     self.response.guard.ignore_outcome();
                     return;
                 }
-                RelayEnd::Moved(response) => {
-                    self.checker.discard_partial();
-                    self.continue_with(response);
-                    continue;
+                RelayEnd::Moved(continuation) => {
+                    if self.move_to(*continuation).await {
+                        continue;
+                    }
+                    self.response.guard.ignore_outcome();
+                    return;
                 }
                 RelayEnd::MoveFailed(step) => step,
                 RelayEnd::DeadlinePassed => self.next_step(AttemptEvent::DeadlinePassed, false),
@@ -160,6 +166,7 @@
             progress: &progress,
             silent_target: self.response.guard.key(),
             release,
+            stream_head: &self.stream_head,
             max_gap: max_gap.max(MIN_GAP_TIMEOUT),
         };
         let mut transfer = Box::pin(transfer.run());
@@ -236,7 +243,6 @@
             let RetryStep::Resume { offset, .. } = step else {
                 return false;
             };
-            self.checker.discard_partial();
             let resume_point = ResumePoint {
                 last_event: offset.saturating_sub(1),
                 release: self.response.release,
@@ -258,13 +264,20 @@
                 () = chunk_sender.closed() => return false,
             };
             let (event, retry_taken) = match result {
-                SendResult::Response(response) if can_continue_stream(&response) => {
-                    self.continue_with(response);
-                    return true;
-                }
                 SendResult::Response(mut response) => {
-                    response.guard.record_outcome(SendOutcome::Failed);
-                    (AttemptEvent::Refused { not_run: false }, false)
+                    match check_continuation(&response, &self.stream_head) {
+                        Ok(()) => {
+                            self.checker.begin_continuation();
+                            self.continue_with(response);
+                            return true;
+                        }
+                        Err(reason) => {
+                            let log = self.trace.send_log();
+                            log.record_failure("not_continued", &reason);
+                            response.guard.record_outcome(SendOutcome::Failed);
+                            (AttemptEvent::Refused { not_run: false }, false)
+                        }
+                    }
                 }
                 SendResult::Failed(event) => (event, false),
                 SendResult::TimedOut => (AttemptEvent::SendFailed, true),
@@ -273,6 +286,28 @@
         }
     }
 
+    /// Takes the stream up from the target to which it moved; returns `false` if the caller
+    /// disconnects.
+    async fn move_to(&mut self, continuation: StreamContinuation<D>) -> bool {
+        let StreamContinuation {
+            response,
+            checker,
+            events,
+        } = continuation;
+        self.checker = checker;
+        self.continue_with(response);
+        if !self.checker.awaits_continuation() {
+            self.response.guard.record_event();
+        }
+        for event in events {
+            self.trace.events += 1;
+            if self.chunk_sender.send(event).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Takes the stream up from another target.
     fn continue_with(&mut self, response: Box<TargetResponse<D>>) {
         self.response = response;
@@ -364,6 +399,11 @@
                     let detail = "the connection ended before an event".to_owned();
                     return RelayEnd::Interrupted("cut_event", detail);
                 }
+                // The caller can take the stream up itself, but not if it looks complete.
+                BodyRead::End if self.checker.awaits_continuation() => {
+                    let detail = "the body ended before an event".to_owned();
+                    return RelayEnd::Interrupted("not_continued", detail);
+                }
                 BodyRead::End => match self.checker.finish() {
                     Ok(()) => return RelayEnd::Complete,
                     Err(error) => return RelayEnd::Interrupted("cut_event", error.to_string()),
--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -9,6 +9,9 @@
 use super::request_context::RequestContext;
 use super::request_trace::RequestTrace;
 use super::response_class::ResponseClass;
+use super::send_log::SendLog;
+use super::stream_continuation::StreamContinuation;
+use super::stream_head::StreamHead;
 use super::stream_origin::ResumePoint;
 use super::stream_progress::StreamProgress;
 use super::target_send::{
@@ -31,7 +34,7 @@
 /// How a transfer ended.
 pub(crate) enum TransferEnd<D> {
     /// Another target continues the stream.
-    Moved(Box<TargetResponse<D>>),
+    Moved(Box<StreamContinuation<D>>),
     /// The silent target was left, and the other one did not continue the stream.
     Failed(RetryStep),
 }
@@ -53,7 +56,11 @@
     Resumed,
     /// The other target had no answer in time, and the silent one keeps the stream.
     Withdrawn,
-    Answered(SendResult<D>),
+    /// The other target goes on with the stream.
+    Continued(Box<StreamContinuation<D>>),
+    /// The other target does not go on with it; contains whether a retry was already taken from
+    /// the budget.
+    Failed(AttemptEvent, bool),
 }
 
 /// Moves a stream to another target if its current one is silent.
@@ -71,6 +78,8 @@
     pub(crate) silent_target: TargetKey,
     /// Release that began the stream.
     pub(crate) release: ReleaseKey,
+    /// Head of the response that began the stream.
+    pub(crate) stream_head: &'a StreamHead,
     /// Gap between events after which the target counts as silent.
     pub(crate) max_gap: MilliDuration,
 }
@@ -166,8 +175,13 @@
                     let now = self.state.clock.now();
                     let overlap_end = *overlap_end.get_or_insert_with(|| OVERLAP.end_at(now));
                     let asked = prepared.target();
-                    let result = match self.ask(prepared, &silence, overlap_end).await {
-                        AskEnd::Answered(result) => result,
+                    match self.ask(prepared, &silence, overlap_end).await {
+                        AskEnd::Continued(continuation) => {
+                            let now = self.state.clock.now();
+                            silence.log(self.trace, now, "left", "another target goes on");
+                            return SearchEnd::Ended(TransferEnd::Moved(continuation));
+                        }
+                        AskEnd::Failed(event, retry_taken) => (event, retry_taken),
                         AskEnd::Resumed => {
                             self.withdraw(asked);
                             return self.stay(silence, "went on");
@@ -178,19 +192,6 @@
                             self.stay(silence, "no answer from another target yet");
                             return SearchEnd::Withdrawn { silent_since };
                         }
-                    };
-                    match result {
-                        SendResult::Response(response) if can_continue_stream(&response) => {
-                            let now = self.state.clock.now();
-                            silence.log(self.trace, now, "left", "another target goes on");
-                            return SearchEnd::Ended(TransferEnd::Moved(response));
-                        }
-                        SendResult::Response(mut response) => {
-                            response.guard.record_outcome(SendOutcome::Failed);
-                            (AttemptEvent::Refused { not_run: false }, false)
-                        }
-                        SendResult::Failed(event) => (event, false),
-                        SendResult::TimedOut => (AttemptEvent::SendFailed, true),
                     }
                 }
                 Err(AttemptEvent::ConnectFailed)
@@ -218,8 +219,8 @@
         }
     }
 
-    /// Sends the request to another target, until the head of its response arrives or the silent target
-    /// goes on; at `overlap_end` one of both is given up.
+    /// Sends the request to another target, until the first event of its response arrives or the
+    /// silent target goes on; at `overlap_end` one of both is given up.
     async fn ask(
         &mut self,
         prepared: PreparedSend<D>,
@@ -238,7 +239,13 @@
                 () = progress.resumed(silence.events), if !progress.is_left() => {
                     break AskEnd::Resumed;
                 }
-                result = sending.as_mut() => break AskEnd::Answered(result),
+                result = sending.as_mut() => break match result {
+                    SendResult::Response(response) => {
+                        self.check_response(response, silence, overlap_end, &log).await
+                    }
+                    SendResult::Failed(event) => AskEnd::Failed(event, false),
+                    SendResult::TimedOut => AskEnd::Failed(AttemptEvent::SendFailed, true),
+                },
                 () = tokio::time::sleep_until(self.state.clock.instant(overlap_end)),
                     if !progress.is_left() => {
                         match OVERLAP.decide(silence.since, self.state.clock.now()) {
@@ -259,6 +266,43 @@
         end
     }
 
+    /// Waits for the first event of a response, unless the silent target is given up before.
+    ///
+    /// At `overlap_end` the head of the response decides.
+    async fn check_response(
+        &self,
+        mut response: Box<TargetResponse<D>>,
+        silence: &TargetSilence,
+        overlap_end: MilliTime,
+        log: &SendLog<D>,
+    ) -> AskEnd<D> {
+        if let Err(reason) = check_continuation(&response, self.stream_head) {
+            log.record_failure("not_continued", &reason);
+            response.guard.record_outcome(SendOutcome::Failed);
+            return AskEnd::Failed(AttemptEvent::Refused { not_run: false }, false);
+        }
+        let last_event = silence.resume_at.map(|offset| offset.saturating_sub(1));
+        let mut continuation = Box::new(StreamContinuation::new(response, last_event));
+        if self.progress.is_left() {
+            return AskEnd::Continued(continuation);
+        }
+        let result = tokio::select! {
+            biased;
+            () = self.progress.resumed(silence.events) => return AskEnd::Resumed,
+            result = continuation.read_first_event(self.state, self.context.deadline) => result,
+            () = self.progress.left() => Ok(()),
+            () = tokio::time::sleep_until(self.state.clock.instant(overlap_end)) => Ok(()),
+        };
+        match result {
+            Ok(()) => AskEnd::Continued(continuation),
+            Err(detail) => {
+                log.record_failure("not_continued", &detail);
+                continuation.response.guard.record_connection_loss();
+                AskEnd::Failed(AttemptEvent::SendFailed, false)
+            }
+        }
+    }
+
     /// Records that the request at another target was cancelled, which may be asked again.
     fn withdraw(&mut self, other: TargetKey) {
         self.machine.withdraw_attempt();
@@ -279,7 +323,17 @@
     }
 }
 
-/// Returns whether a response to a resumption continues the stream.
-pub(crate) fn can_continue_stream<D>(response: &TargetResponse<D>) -> bool {
-    response.class == ResponseClass::Relay && response.head.status.is_success()
+/// Checks by its head that a response to a resumption can continue the stream.
+///
+/// # Errors
+///
+/// Fails with the reason if it can't.
+pub(crate) fn check_continuation<D>(
+    response: &TargetResponse<D>,
+    stream_head: &StreamHead,
+) -> Result<(), &'static str> {
+    if response.class != ResponseClass::Relay {
+        return Err("the target failed");
+    }
+    stream_head.check_continuation(&response.head)
 }
--- a/crates/briarrail_outcome/src/stream_checker.rs
+++ b/crates/briarrail_outcome/src/stream_checker.rs
@@ -53,6 +53,8 @@
     ends_with_body: bool,
     /// Whether the id of the next event with one is accepted as the first id.
     accepts_any_first_id: bool,
+    /// Whether a response to a resumption has not sent an event yet.
+    awaits_continuation: bool,
 }
 
 impl Default for StreamChecker {
@@ -75,6 +77,7 @@
             data_events: 0,
             ends_with_body: false,
             accepts_any_first_id: false,
+            awaits_continuation: false,
         }
     }
 
@@ -169,6 +172,22 @@
         self.partial.clear();
     }
 
+    /// Expects the response to a resumption, which must begin with the next event.
+    ///
+    /// Only comments may precede that event. An incomplete event of the response before is
+    /// discarded.
+    pub fn begin_continuation(&mut self) {
+        self.discard_partial();
+        self.has_ids = Some(true);
+        self.awaits_continuation = true;
+    }
+
+    /// Returns whether a response to a resumption has not sent an event yet.
+    #[must_use]
+    pub const fn awaits_continuation(&self) -> bool {
+        self.awaits_continuation
+    }
+
     /// Returns the number of events that were dropped as duplicates.
     #[must_use]
     pub const fn duplicate_events(&self) -> u64 {
@@ -241,6 +260,9 @@
             return Err(self.too_large());
         }
         let event = StreamEvent::parse(text)?;
+        if self.awaits_continuation && !event.is_comment {
+            self.check_continuation(event)?;
+        }
         if self.ends_with_body {
             let is_new = event.id.is_none() || self.accept_id(event.id)?;
             self.duplicate_events += u64::from(!is_new);
@@ -266,6 +288,19 @@
         Ok(is_new)
     }
 
+    /// Validates the first event of a response to a resumption.
+    fn check_continuation(&mut self, event: StreamEvent) -> Result<(), StreamError> {
+        let expected = self.next_id;
+        match event.id {
+            Some(id) if id == expected && event.has_data => {
+                self.awaits_continuation = false;
+                Ok(())
+            }
+            Some(found) if found > expected => Err(StreamError::MissingEvents { expected, found }),
+            _ => Err(StreamError::NotContinued { expected }),
+        }
+    }
+
     /// Validates an event id and returns whether the event is new.
     fn accept_id(&mut self, id: Option<u64>) -> Result<bool, StreamError> {
         let has_ids = *self.has_ids.get_or_insert(id.is_some());
--- a/crates/briarrail_outcome/src/stream_error.rs
+++ b/crates/briarrail_outcome/src/stream_error.rs
@@ -23,6 +23,12 @@
         /// Id that was received.
         found: u64,
     },
+    /// A response to a resumption does not begin with the next event.
+    #[error("the response does not continue with event id {expected}")]
+    NotContinued {
+        /// Id of the next event.
+        expected: u64,
+    },
     /// Some events have ids and others don't.
     #[error("the stream mixes events with and without ids")]
     MixedIds,
--- a/crates/briarrail_outcome/tests/suite/stream.rs
+++ b/crates/briarrail_outcome/tests/suite/stream.rs
@@ -192,3 +192,44 @@
         assert_eq!(relayed, expected, "seed {seed}");
     }
 }
+
+#[test]
+fn a_continuation_must_begin_with_the_next_event() {
+    let not_continued = Err(StreamError::NotContinued { expected: 12 });
+    let gap = StreamError::MissingEvents {
+        expected: 12,
+        found: 13,
+    };
+    let cases = [
+        (event(11), not_continued),
+        (event(13), Err(gap)),
+        ("upstream error\n\n".to_owned(), not_continued),
+        ("data: x\n\n".to_owned(), not_continued),
+        ("id: 12\n\n".to_owned(), not_continued),
+        (": ping\n\n".to_owned(), Ok(StreamState::Open)),
+        (event(12), Ok(StreamState::Open)),
+    ];
+    for (text, expected) in cases {
+        let mut checker = StreamChecker::without_terminal_event(Some(11));
+        checker.begin_continuation();
+        let (state, relayed) = push_text(&mut checker, &text);
+        assert_eq!(state, expected, "{text:?}");
+        assert_eq!(relayed.is_empty(), expected.is_err(), "{text:?}");
+        assert_eq!(checker.awaits_continuation(), text != event(12), "{text:?}");
+        assert_eq!(
+            checker.resume_offset(),
+            Some(12 + u64::from(text == event(12)))
+        );
+    }
+}
+
+#[test]
+fn a_continuation_discards_the_incomplete_event_before_it() {
+    let mut checker = StreamChecker::without_terminal_event(None);
+    push_text(&mut checker, &format!("{}id: 6\nda", event(5)))
+        .0
+        .unwrap();
+    checker.begin_continuation();
+    let (state, relayed) = push_text(&mut checker, &event(6));
+    assert_eq!((state, relayed), (Ok(StreamState::Open), event(6)));
+}
