fix(outcome): keep the error of an invalid event until the next body

A stream whose first chunk held its first event and then a gap ended as complete without the missing event.

Cause: the part of the gateway that reads up to the first event returned as soon as that event was there and dropped the error that came with it; the checker went on as if the body were sound.

Change: the checker fails again on each call after an error, until `discard_partial` begins another body.

--- a/crates/briarrail_gateway/src/traffic/first_answer.rs
+++ b/crates/briarrail_gateway/src/traffic/first_answer.rs
@@ -201,6 +201,7 @@
                 BodyRead::Chunk(chunk) => {
                     read_bytes += chunk.len();
                     let result = checker.push(chunk, &mut events);
+                    // The checker reports an error after that event again.
                     if checker.data_events() > 0 {
                         return Ok((checker, events));
                     }
--- a/crates/briarrail_gateway/src/traffic/stream_continuation.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_continuation.rs
@@ -49,6 +49,7 @@
                 BodyRead::Chunk(chunk) => {
                     read_bytes += chunk.len();
                     let result = self.checker.push(chunk, &mut self.events);
+                    // The checker reports an error after that event again.
                     if self.checker.data_events() > 0 {
                         return Ok(());
                     }
--- a/crates/briarrail_outcome/src/stream_checker.rs
+++ b/crates/briarrail_outcome/src/stream_checker.rs
@@ -55,6 +55,8 @@
     accepts_any_first_id: bool,
     /// Whether a response to a resumption has not sent an event yet.
     awaits_continuation: bool,
+    /// Error of the current body, after which nothing of it is accepted.
+    error: Option<StreamError>,
 }
 
 impl Default for StreamChecker {
@@ -78,6 +80,7 @@
             ends_with_body: false,
             accepts_any_first_id: false,
             awaits_continuation: false,
+            error: None,
         }
     }
 
@@ -124,8 +127,22 @@
     /// # Errors
     ///
     /// Fails if an event is invalid; the caller then treats the body as interrupted at
-    /// [`resume_offset`](Self::resume_offset).
+    /// [`resume_offset`](Self::resume_offset). Each later call fails again, until
+    /// [`discard_partial`](Self::discard_partial) begins another body.
     pub fn push(&mut self, chunk: Bytes, out: &mut Vec<Bytes>) -> Result<StreamState, StreamError> {
+        if let Some(error) = self.error {
+            return Err(error);
+        }
+        let result = self.push_chunk(chunk, out);
+        self.error = result.err();
+        result
+    }
+
+    fn push_chunk(
+        &mut self,
+        chunk: Bytes,
+        out: &mut Vec<Bytes>,
+    ) -> Result<StreamState, StreamError> {
         let mut chunk = chunk;
         if !self.partial.is_empty() {
             chunk = self.complete_partial(chunk, out)?;
@@ -148,8 +165,12 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`StreamError::Unfinished`] if the response is incomplete.
+    /// Fails with [`StreamError::Unfinished`] if the response is incomplete, or with the error of an
+    /// invalid event.
     pub fn finish(&self) -> Result<(), StreamError> {
+        if let Some(error) = self.error {
+            return Err(error);
+        }
         let body_complete = self.ends_with_body && self.partial.is_empty();
         if self.is_complete || body_complete {
             Ok(())
@@ -167,9 +188,10 @@
         }
     }
 
-    /// Discards an incomplete event, before the response to a resumption is parsed.
+    /// Discards an incomplete event and the error of the body, before the response to a resumption is parsed.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.error = None;
     }
 
     /// Expects the response to a resumption, which must begin with the next event.
--- a/crates/briarrail_outcome/tests/suite/stream.rs
+++ b/crates/briarrail_outcome/tests/suite/stream.rs
@@ -233,3 +233,20 @@
     let (state, relayed) = push_text(&mut checker, &event(6));
     assert_eq!((state, relayed), (Ok(StreamState::Open), event(6)));
 }
+
+#[test]
+fn an_invalid_event_ends_its_body() {
+    let mut checker = StreamChecker::without_terminal_event(None);
+    let gap = StreamError::MissingEvents {
+        expected: 1,
+        found: 2,
+    };
+    let (state, relayed) = push_text(&mut checker, &format!("{}{}", event(0), event(2)));
+    assert_eq!((state, relayed), (Err(gap), event(0)));
+    assert_eq!(checker.finish(), Err(gap));
+    let (state, relayed) = push_text(&mut checker, &event(1));
+    assert_eq!((state, relayed), (Err(gap), String::new()));
+    checker.discard_partial();
+    let (state, relayed) = push_text(&mut checker, &event(1));
+    assert_eq!((state, relayed), (Ok(StreamState::Open), event(1)));
+}
