--- a/crates/briarrail_outcome/src/stream_checker.rs
+++ b/crates/briarrail_outcome/src/stream_checker.rs
@@ -53,6 +53,10 @@
     ends_with_body: bool,
     /// Whether the id of the next event with one is accepted as the first id.
     accepts_any_first_id: bool,
+    /// Whether a response to a resumption has not sent an event yet.
+    awaits_continuation: bool,
+    /// Error of the current body, after which nothing of it is accepted.
+    error: Option<StreamError>,
 }
 
 impl Default for StreamChecker {
@@ -75,6 +79,8 @@
             data_events: 0,
             ends_with_body: false,
             accepts_any_first_id: false,
+            awaits_continuation: false,
+            error: None,
         }
     }
 
@@ -121,8 +127,22 @@
     /// # Errors
     ///
     /// Fails if an event is invalid; the caller then treats the body as interrupted at
-    /// [`resume_offset`](Self::resume_offset).
+    /// [`resume_offset`](Self::resume_offset). Each later call fails again, until
+    /// [`discard_partial`](Self::discard_partial) begins another body.
     pub fn push(&mut self, chunk: Bytes, out: &mut Vec<Bytes>) -> Result<StreamState, StreamError> {
+        if let Some(error) = self.error {
+            return Err(error);
+        }
+        let result = self.push_chunk(chunk, out);
+        self.error = result.err();
+        result
+    }
+
+    fn push_chunk(
+        &mut self,
+        chunk: Bytes,
+        out: &mut Vec<Bytes>,
+    ) -> Result<StreamState, StreamError> {
         let mut chunk = chunk;
         if !self.partial.is_empty() {
             chunk = self.complete_partial(chunk, out)?;
@@ -145,8 +165,12 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`StreamError::Unfinished`] if the response is incomplete.
+    /// Fails with [`StreamError::Unfinished`] if the response is incomplete, or with the error of an
+    /// invalid event.
     pub fn finish(&self) -> Result<(), StreamError> {
+        if let Some(error) = self.error {
+            return Err(error);
+        }
         let body_complete = self.ends_with_body && self.partial.is_empty();
         if self.is_complete || body_complete {
             Ok(())
@@ -164,9 +188,26 @@
         }
     }
 
-    /// Discards an incomplete event, before the response to a resumption is parsed.
+    /// Discards an incomplete event and the error of the body, before the response to a resumption is parsed.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.error = None;
+    }
+
+    /// Expects the response to a resumption, which must begin with the next event.
+    ///
+    /// Only comments may precede that event. An incomplete event of the response before is
+    /// discarded.
+    pub fn begin_continuation(&mut self) {
+        self.discard_partial();
+        self.has_ids = Some(true);
+        self.awaits_continuation = true;
+    }
+
+    /// Returns whether a response to a resumption has not sent an event yet.
+    #[must_use]
+    pub const fn awaits_continuation(&self) -> bool {
+        self.awaits_continuation
     }
 
     /// Returns the number of events that were dropped as duplicates.
@@ -241,6 +282,9 @@
             return Err(self.too_large());
         }
         let event = StreamEvent::parse(text)?;
+        if self.awaits_continuation && !event.is_comment {
+            self.check_continuation(event)?;
+        }
         if self.ends_with_body {
             let is_new = event.id.is_none() || self.accept_id(event.id)?;
             self.duplicate_events += u64::from(!is_new);
@@ -266,6 +310,19 @@
         Ok(is_new)
     }
 
+    /// Validates the first event of a response to a resumption.
+    fn check_continuation(&mut self, event: StreamEvent) -> Result<(), StreamError> {
+        let expected = self.next_id;
+        match event.id {
+            Some(id) if id == expected && event.has_data => {
+                self.awaits_continuation = false;
+                Ok(())
+            }
+            Some(found) if found > expected => Err(StreamError::MissingEvents { expected, found }),
+            _ => Err(StreamError::NotContinued { expected }),
+        }
+    }
+
     /// Validates an event id and returns whether the event is new.
     fn accept_id(&mut self, id: Option<u64>) -> Result<bool, StreamError> {
         let has_ids = *self.has_ids.get_or_insert(id.is_some());
