fix(briarraild): continue a stream only with an event stream

If a target answered the resumption of a stream with a text, callers found that text in the middle of their stream.

Cause: a response to a resumption was taken for the rest of the stream unless its status was 429 or 5xx; its media type was not looked at.

Evidence: `a_resumption_that_is_answered_with_a_text_is_not_relayed` failed before (the text is in the stream). The stand-in engine got a fault for it.

Change: a continuation must be a 200 with an event stream; anything else is logged and counts as another interruption without progress.

--- a/crates/briarrail_standin/src/engine/engine_faults.rs
+++ b/crates/briarrail_standin/src/engine/engine_faults.rs
@@ -25,6 +25,8 @@
     pub repeat_events_next: u32,
     /// Responses that carry the ID of another request.
     pub wrong_id_next: u32,
+    /// Resumptions that are answered with a text that is not the rest of the stream.
+    pub foreign_resumption_next: u32,
     /// Whether a stream is dropped as soon as its client disconnects, so that it can't be resumed.
     pub forgets_streams: bool,
     /// Whether load reports are answered with status 503.
--- a/crates/briarrail_standin/src/engine/engine_state.rs
+++ b/crates/briarrail_standin/src/engine/engine_state.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use salvo::http::ResBody;
 use serde_json::json;
@@ -91,6 +92,15 @@
             Ok(request) => request,
             Err(message) => return StandinResponse::not_run(StatusCode::BAD_REQUEST, &message),
         };
+        if request.resume_after.is_some()
+            && self
+                .faults
+                .consume(|faults| &mut faults.foreign_resumption_next)
+        {
+            let text = Bytes::from_static(b"upstream error\n\n");
+            let response = StandinResponse::bytes(StatusCode::OK, "text/plain", text);
+            return response.with_header(REQUEST_ID_HEADER, &request.request_id);
+        }
         if let Some(after) = request.resume_after
             && let Some(response) = self.resume_stream(&request, after)
         {
--- a/crates/briarraild/src/traffic/event_relay.rs
+++ b/crates/briarraild/src/traffic/event_relay.rs
@@ -124,20 +124,26 @@
     async fn resume(&mut self) {
         self.checker.discard_partial();
         let resume_at = self.checker.resume_offset();
-        match self
-            .driver
-            .continue_after(AttemptEvent::BodyBroken { resume_at })
-            .await
-        {
-            Ok(response) => {
-                self.driver.handle(AttemptEvent::HeadReceived);
-                self.phase = RelayPhase::Open(response.inner);
-            }
-            Err(reply) => {
-                if let ReplyBody::Complete(body) = reply.body {
-                    self.pending.push_back(error_event(&body));
+        loop {
+            let event = AttemptEvent::BodyBroken { resume_at };
+            match self.driver.continue_after(event).await {
+                Ok(response) if response.continues_stream() => {
+                    self.driver.handle(AttemptEvent::HeadReceived);
+                    self.phase = RelayPhase::Open(response.inner);
+                    return;
+                }
+                Ok(response) => {
+                    let request_id = &self.driver.request.id;
+                    let status = response.inner.status().as_u16();
+                    tracing::warn!(%request_id, status, "traffic: response is not the rest of the stream");
+                }
+                Err(reply) => {
+                    if let ReplyBody::Complete(body) = reply.body {
+                        self.pending.push_back(error_event(&body));
+                    }
+                    self.phase = RelayPhase::Failed;
+                    return;
                 }
-                self.phase = RelayPhase::Failed;
             }
         }
     }
--- a/crates/briarraild/src/traffic/target_response.rs
+++ b/crates/briarraild/src/traffic/target_response.rs
@@ -53,6 +53,11 @@
         content_type.is_some_and(|value| value.starts_with(EVENT_STREAM_MEDIA_TYPE))
     }
 
+    /// Returns whether a response to a resumption can be the rest of an event stream.
+    pub(crate) fn continues_stream(&self) -> bool {
+        self.inner.status() == StatusCode::OK && self.is_event_stream()
+    }
+
     /// Returns the numbers of prompt tokens and cached prompt tokens, if the head states both.
     pub(crate) fn prompt_tokens(&self) -> Option<(u64, u64)> {
         let headers = self.inner.headers();
--- a/crates/briarraild/tests/suite/responses.rs
+++ b/crates/briarraild/tests/suite/responses.rs
@@ -115,3 +115,24 @@
     assert_eq!(runs, 1);
     harness.stop().await;
 }
+
+/// Guards against the text of an error within a stream.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_resumption_that_is_answered_with_a_text_is_not_relayed() {
+    let harness = TestHarness::start(1, 1, 1).await;
+    harness.engines[0].faults().update(|faults| {
+        faults.cut_next = 1;
+        faults.cut_after_events = 5;
+        faults.foreign_resumption_next = 1;
+    });
+    let request = harness.chat_request(0, "chat-1", &chat_body("foreign", 30));
+    let mut response = request.send().await.expect("head");
+    let mut seen = Vec::new();
+    while let Ok(Some(chunk)) = response.chunk().await {
+        seen.extend_from_slice(&chunk);
+    }
+    let text = String::from_utf8(seen).expect("text");
+    assert!(text.contains("id: 4"), "{text}");
+    assert!(!text.contains("upstream"), "{text}");
+    harness.stop().await;
+}
