fix(gateway): return to a silent target that another one replaced and failed

What callers saw: a stream moved from a silent target to another one, which broke it off. With the attempts used up the stream was cut, although the silent target was sound and would have gone on.

Cause: a target that is left because the overlap ends may be asked again after a failure of the other one. A target that is left because the other one answered first was not recorded as such, although a stream can still break after its first events.

Evidence, run before the fix: with two attempts, a pause of 1.4 s before the head and another target that resets after six events, the stream was cut 126 ms after it was sent. The second case of the test, a pause within the stream, was not reached then.

Change: both ways to leave a silent target record it. As before, a return goes to a target that had the request and takes a retry from the budget; no further target is asked. A silent target that broke off itself is not recorded.

--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use briarrail_dispatch::{RefusalCause, SendOutcome, retry_after};
+use briarrail_dispatch::{RefusalCause, SendOutcome, TargetKey, retry_after};
 use briarrail_model::{MilliDuration, MilliTime};
 use briarrail_outcome::{
     AttemptEvent, NotRunReason, RequestOutcome, RetryMachine, RetryPolicy, RetryStep,
@@ -233,13 +233,14 @@
                     self.machine.leave_silent_target();
                     if !has_failed {
                         // The other target may still refuse.
-                        self.machine.allow_return();
-                        self.tried.record_left(current.target());
+                        self.record_left(current.target());
                     }
                     silence.log(&self.trace, now, "left", "another target has the request");
                     std::mem::replace(&mut current, other).leave();
                 }
                 SearchEnd::Answered(answer) => {
+                    // The other target may still break its answer off.
+                    self.record_left(current.target());
                     silence.log(&self.trace, now, "left", "another target goes on");
                     current.leave();
                     return answer;
@@ -347,6 +348,12 @@
         }
     }
 
+    /// Records that a silent target was left, which may be asked again if the other one fails.
+    fn record_left(&mut self, silent: TargetKey) {
+        self.machine.allow_return();
+        self.tried.record_left(silent);
+    }
+
     fn start_attempt(&mut self, prepared: PreparedSend<D>) -> PendingAnswer<D> {
         let log = self.trace.start_send();
         PendingAnswer::start(&self.state, &self.context, log, prepared)
--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -183,6 +183,9 @@
                         SendResult::Response(response) if can_continue_stream(&response) => {
                             let now = self.state.clock.now();
                             silence.log(self.trace, now, "left", "another target goes on");
+                            if !self.progress.is_left() {
+                                self.record_left();
+                            }
                             return SearchEnd::Ended(TransferEnd::Moved(response));
                         }
                         SendResult::Response(mut response) => {
@@ -249,8 +252,7 @@
                             OverlapEnd::WithdrawOther => break AskEnd::Withdrawn,
                             OverlapEnd::LeaveSilent => {
                                 progress.leave();
-                                self.tried.record_left(self.silent_target);
-                                self.machine.allow_return();
+                                self.record_left();
                             }
                         }
                     }
@@ -263,6 +265,12 @@
         end
     }
 
+    /// Records that the silent target was left, which may be asked again if the other one fails.
+    fn record_left(&mut self) {
+        self.machine.allow_return();
+        self.tried.record_left(self.silent_target);
+    }
+
     /// Records that the request at another target was cancelled, which may be asked again.
     fn withdraw(&mut self, other: TargetKey) {
         self.machine.withdraw_attempt();
