--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -179,6 +179,9 @@
                         AskEnd::Continued(continuation) => {
                             let now = self.state.clock.now();
                             silence.log(self.trace, now, "left", "another target goes on");
+                            if !self.progress.is_left() {
+                                self.record_left();
+                            }
                             return SearchEnd::Ended(TransferEnd::Moved(continuation));
                         }
                         AskEnd::Failed(event, retry_taken) => (event, retry_taken),
@@ -256,8 +259,7 @@
                             OverlapEnd::WithdrawOther => break AskEnd::Withdrawn,
                             OverlapEnd::LeaveSilent => {
                                 progress.leave();
-                                self.tried.record_left(self.silent_target);
-                                self.machine.allow_return();
+                                self.record_left();
                             }
                         }
                     }
@@ -270,6 +272,12 @@
         end
     }
 
+    /// Records that the silent target was left, which may be asked again if the other one fails.
+    fn record_left(&mut self) {
+        self.machine.allow_return();
+        self.tried.record_left(self.silent_target);
+    }
+
     /// Waits for the first event of a response, unless the silent target is given up before.
     ///
     /// At `overlap_end` the head of the response decides.
