fix(platform): require keys if the list of customers is empty

Cause: a missing and an empty list decoded to the same value.

Change: `SiteConfig::requires_keys` states whether the list was there. Routers of earlier versions don't send it, and the customers decide then.

--- a/crates/briarrail_dispatch/src/routing_table.rs
+++ b/crates/briarrail_dispatch/src/routing_table.rs
@@ -77,6 +77,12 @@
         self.config.limits
     }
 
+    /// Returns whether routes that are not public require a key.
+    #[must_use]
+    pub const fn requires_keys(&self) -> bool {
+        self.config.requires_keys || !self.config.customers.is_empty()
+    }
+
     /// Returns the underlying configuration.
     #[must_use]
     pub const fn config(&self) -> &SiteConfig {
@@ -115,8 +121,7 @@
         let customer = key
             .and_then(|key| self.customers_by_key.get(key))
             .map(|&index| &self.config.customers[index]);
-        let requires_key =
-            !self.config.customers.is_empty() && !self.config.routes[index].is_public;
+        let requires_key = self.requires_keys() && !self.config.routes[index].is_public;
         if requires_key && customer.is_none() {
             return RouteLookup::UnknownKey;
         }
--- a/crates/briarrail_dispatch/src/site_config.rs
+++ b/crates/briarrail_dispatch/src/site_config.rs
@@ -115,8 +115,13 @@
     pub routes: Vec<RouteConfig>,
     /// Services to which routes refer.
     pub services: Vec<ServiceConfig>,
-    /// Customers; if empty, no route requires a key.
+    /// Customers; their keys are required on all routes that are not public.
     pub customers: Vec<CustomerConfig>,
+    /// Whether keys are required although there are no customers, so that no key is valid.
+    ///
+    /// Routers of earlier versions don't send this field.
+    #[serde(default)]
+    pub requires_keys: bool,
     /// Limits that apply to callers.
     pub limits: CallerLimits,
 }
--- a/crates/briarrail_dispatch/tests/suite/routing.rs
+++ b/crates/briarrail_dispatch/tests/suite/routing.rs
@@ -43,6 +43,7 @@
             keys: vec!["k1".into(), "k2".into()],
             priority: None,
         }],
+        requires_keys: true,
         limits: CallerLimits {
             header_bytes: 1,
             body_bytes: 1,
@@ -82,6 +83,30 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+#[test]
+fn without_customers_a_key_is_required_only_if_the_configuration_says_so() {
+    for requires_keys in [true, false] {
+        let mut config = table().config().clone();
+        config.customers.clear();
+        config.requires_keys = requires_keys;
+        let table = RoutingTable::new(config);
+        for key in [None, Some("k1")] {
+            let is_denied = table.look_up("one.example", "/x", key) == RouteLookup::UnknownKey;
+            assert_eq!(is_denied, requires_keys, "{key:?}");
+            let lookup = table.look_up("one.example", "/open/x", key);
+            assert!(matches!(lookup, RouteLookup::Found { customer: None, .. }));
+        }
+    }
+}
+
+/// Routers of earlier versions send no flag; the customers decide then.
+#[test]
+fn a_configuration_with_customers_requires_keys_without_the_flag() {
+    let mut config = table().config().clone();
+    config.requires_keys = false;
+    assert!(RoutingTable::new(config).requires_keys());
+}
+
 #[test]
 fn a_split_follows_its_weights_and_is_the_same_on_every_router() {
     let table = table();
--- a/crates/briarrail_gateway/src/control/config_exchange.rs
+++ b/crates/briarrail_gateway/src/control/config_exchange.rs
@@ -79,6 +79,8 @@
             revision = stored.revision,
             version,
             routes = stored.config.routes.len(),
+            customers = stored.config.customers.len(),
+            requires_keys = stored.config.requires_keys,
             replaced_version = running_version,
         );
         let table = RoutingTable::new(stored.config);
