fix(gateway): take an empty success that only its connection ends for lost

Callers got a 200 with an empty body and `Content-Length: 0` when a target stopped right after a head without length and chunks. The end of the connection was taken for the end of the answer; streams without an event were already treated as lost.

Such an answer now counts as a lost connection: an idempotent request is retried, another one gets 502. Bodies that are not empty, 204, 205, 304, HEAD and failures stay as they are.

Evidence: `cut_responses` cuts eight shapes of heads after each byte, with a close and with a reset, on four kinds of routes. Before the fix `an_empty_success...` got 200 instead of 502, and the plain cuts failed at one place, the end of a head without a length (200, empty, complete); streams, continuations and answers with several lengths passed. HEAD has no test.

Failed tries: the first draft of the tests held a lock across an await and hung; the second cut by the length of an identifier that was longer than the real ones, so that some answers were whole. Both were faults of the test only.

--- a/crates/briarrail_gateway/src/traffic/first_answer.rs
+++ b/crates/briarrail_gateway/src/traffic/first_answer.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 
 use super::request_context::RequestContext;
-use super::response_class::{ResponseClass, is_close_delimited};
+use super::response_class::{ResponseClass, is_close_delimited, is_empty_body_lost};
 use super::send_log::SendLog;
 use super::stream_relay::{BodyRead, read_body_chunk};
 use super::target_send::{PreparedSend, SendResult, TargetResponse, send_prepared};
@@ -228,6 +228,12 @@
                 BodyRead::Chunk(_) => {
                     return Err(ResponseFailure::Failed(AttemptEvent::BadAnswer));
                 }
+                BodyRead::End
+                    if buffer.is_empty()
+                        && is_empty_body_lost(&self.context.method, &response.head) =>
+                {
+                    return Err(ResponseFailure::ConnectionLost);
+                }
                 BodyRead::End => return Ok(buffer.freeze()),
                 BodyRead::DeadlinePassed => {
                     return Err(ResponseFailure::Failed(AttemptEvent::DeadlinePassed));
--- a/crates/briarrail_gateway/src/traffic/response_class.rs
+++ b/crates/briarrail_gateway/src/traffic/response_class.rs
@@ -2,7 +2,7 @@
 
 use briarrail_model::MilliDuration;
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode, header, response};
+use http::{HeaderMap, Method, StatusCode, header, response};
 
 use crate::{ResponseHeaders, WireDialect};
 
@@ -59,6 +59,20 @@
     ResponseClass::Relay
 }
 
+/// Returns whether an empty body can be that of a success whose target stopped after the head.
+///
+/// A failure is relayed also without its body, since its status already tells the caller.
+pub(crate) fn is_empty_body_lost(method: &Method, head: &response::Parts) -> bool {
+    let is_bodyless = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT
+    );
+    head.status.is_success()
+        && !is_bodyless
+        && method != Method::HEAD
+        && is_close_delimited(&head.headers)
+}
+
 /// Returns whether the body has no length and no chunks, and so ends with its connection.
 ///
 /// A target that crashes can end such a body without an error.
