fix(gateway): refuse answers with a transfer coding other than chunks

Callers got a 200 whose body was in a transfer coding that nothing decoded. hyper reads a body whose last coding isn't `chunked` up to the end of the connection, and relays what stands below `chunked` as it is, while the gateway took any `Transfer-Encoding` for a body that states its end, also for a stream without an event.

A coding other than exactly `chunked` is now an encoded body, as with `Content-Encoding`.

Evidence: `a_response_with_another_transfer_coding_is_not_relayed` got 200 with the digest instead of 502 at its first case (`gzip`, plain) before the fix, and passes after it with five headers on a plain and a streaming route. hyper refuses unequal lengths and any coding in HTTP/1.0, and lets chunks take precedence over a length (`responses_with_several_lengths...`, passes before and after).

--- a/crates/briarrail_gateway/src/traffic/response_class.rs
+++ b/crates/briarrail_gateway/src/traffic/response_class.rs
@@ -50,7 +50,9 @@
     if !marks.has_digest || marks.request_id.is_none() {
         return ResponseClass::Invalid("no digest or identifier");
     }
-    if head.headers.contains_key(header::CONTENT_ENCODING) {
+    if head.headers.contains_key(header::CONTENT_ENCODING)
+        || has_other_transfer_coding(&head.headers)
+    {
         return ResponseClass::Invalid("encoded body");
     }
     if head.status.is_server_error() {
@@ -59,6 +61,15 @@
     ResponseClass::Relay
 }
 
+/// Returns whether the body has a transfer coding other than chunks, which the HTTP client doesn't
+/// decode; without chunks at last, such a body ends with its connection.
+fn has_other_transfer_coding(headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(header::TRANSFER_ENCODING).iter();
+    values.next().is_some_and(|value| {
+        !value.as_bytes().eq_ignore_ascii_case(b"chunked") || values.next().is_some()
+    })
+}
+
 /// Returns whether an empty body can be that of a success whose target stopped after the head.
 ///
 /// A failure is relayed also without its body, since its status already tells the caller.
