fix(control): never tell a view as younger than it can be

Requests reached targets whose leaving the store had acknowledged up to 2.45 s before, from routers that had already stopped using them (DRAIN).

Cause: a router measured the age of its view from the moment at which it handled a reply. By reading, the age of another router's view was also cut to the uptime of the process, and a late stale list kept the age of the view that it replaced.

Change: ViewTime is unknown or within bounds. A view of unknown age is used, but told without an age, and replaces no view of known age. ReplyWindow bounds when the reply to a watch can have arrived by checking every 100 ms that it is still missing. Messages and calls to the store are as before.

A test of a late stale list was tried and dropped: the hub calls a router that starts only after that list has timed out.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -8,7 +8,7 @@
 //! retries across the fleet. [`TargetRoster`] decides which listed targets are in use while the
 //! store is unavailable or was restored from a copy. [`choose_hub`] selects the router that
 //! reads the store for the others, and [`ViewTracker`] decides whether another router's view of the
-//! targets is newer than the current one.
+//! targets is newer than the current one. [`ViewTime`] says how old a view can be.
 
 mod adaptive_timeout;
 mod admission_controller;
@@ -30,6 +30,7 @@
 mod prompt_parts;
 mod release_key;
 mod release_ledger;
+mod reply_window;
 mod retry_after;
 mod retry_budget;
 mod routing_table;
@@ -52,6 +53,7 @@
 mod target_registry;
 mod target_roster;
 mod thread_watch;
+mod view_time;
 mod view_tracker;
 
 pub use adaptive_timeout::AdaptiveTimeout;
@@ -71,6 +73,7 @@
 pub use prompt_parts::PromptParts;
 pub use release_key::ReleaseKey;
 pub use release_ledger::{ReleaseLedger, sole_release};
+pub use reply_window::ReplyWindow;
 pub use retry_after::{RefusalCause, retry_after};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use routing_table::{RouteKey, RouteLookup, RoutingTable};
@@ -93,4 +96,5 @@
 pub use target_registry::{TargetKey, TargetRegistry, TargetState};
 pub use target_roster::{RemovalPolicy, RosterChange, RosterRecord, TargetRoster};
 pub use thread_watch::{ThreadHealth, ThreadWatch};
-pub use view_tracker::{ViewPosition, ViewTimeBounds, ViewTracker};
+pub use view_time::{ViewTime, ViewTimeBounds};
+pub use view_tracker::{ViewPosition, ViewTracker};
--- a/crates/briarrail_dispatch/src/view_tracker.rs
+++ b/crates/briarrail_dispatch/src/view_tracker.rs
@@ -4,7 +4,9 @@
 //! routers in turn follow the reader. If one of them lags and views are adopted in order of
 //! arrival, its view brings back a target that has left, and the other routers pass it on.
 
-use briarrail_model::MilliTime;
+use briarrail_model::{MilliDuration, MilliTime};
+
+use crate::ViewTime;
 
 /// A position in a router's sequence of roster changes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -15,28 +17,6 @@
     pub sequence: u64,
 }
 
-/// Bounds on the time at which a view reflected the store.
-///
-/// A router reports the age of its view at an unknown time between the request and the response.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ViewTimeBounds {
-    /// Earliest possible time.
-    pub earliest: MilliTime,
-    /// Latest possible time.
-    pub latest: MilliTime,
-}
-
-impl ViewTimeBounds {
-    /// Creates bounds for a time that is known exactly.
-    #[must_use]
-    pub const fn exact(at: MilliTime) -> Self {
-        Self {
-            earliest: at,
-            latest: at,
-        }
-    }
-}
-
 /// Tracks the age and the origin of the current view.
 ///
 /// # Examples
@@ -54,7 +34,7 @@
 /// ```
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ViewTracker {
-    bounds: Option<ViewTimeBounds>,
+    time: ViewTime,
     position: ViewPosition,
 }
 
@@ -63,8 +43,11 @@
     ///
     /// After a change, the roster no longer matches that of any followed router, so the next view
     /// is adopted as a whole.
-    pub fn record_store_read(&mut self, time: ViewTimeBounds, is_changed: bool) {
-        self.advance(time);
+    pub fn record_store_read<T>(&mut self, time: T, is_changed: bool)
+    where
+        T: Into<ViewTime>,
+    {
+        self.time.advance(time.into());
         if is_changed {
             self.position = ViewPosition::default();
         }
@@ -74,27 +57,28 @@
     /// certainly no older.
     ///
     /// Views of the same router never go backwards, so the next view of the followed router is
-    /// always accepted.
+    /// always accepted. A view of unknown age replaces only another one of unknown age.
     #[must_use]
-    pub fn accepts(&self, epoch: u64, time: ViewTimeBounds) -> bool {
-        let is_not_older = |bounds: ViewTimeBounds| bounds.latest <= time.earliest;
-        epoch == self.position.epoch || self.bounds.is_none_or(is_not_older)
+    pub fn accepts<T>(&self, epoch: u64, time: T) -> bool
+    where
+        T: Into<ViewTime>,
+    {
+        let Some(known) = self.time.bounds() else {
+            return true;
+        };
+        let found = time.into().bounds();
+        epoch == self.position.epoch || found.is_some_and(|found| known.latest <= found.earliest)
     }
 
     /// Records that another router's view was adopted.
-    pub fn record_adopted_view(&mut self, position: ViewPosition, time: ViewTimeBounds) {
-        self.advance(time);
+    pub fn record_adopted_view<T>(&mut self, position: ViewPosition, time: T)
+    where
+        T: Into<ViewTime>,
+    {
+        self.time.advance(time.into());
         self.position = position;
     }
 
-    fn advance(&mut self, time: ViewTimeBounds) {
-        let bounds = self.bounds.unwrap_or_default();
-        self.bounds = Some(ViewTimeBounds {
-            earliest: bounds.earliest.max(time.earliest),
-            latest: bounds.latest.max(time.latest),
-        });
-    }
-
     /// Returns the position up to which the followed router's changes are applied.
     #[must_use]
     pub const fn position(&self) -> ViewPosition {
@@ -102,9 +86,15 @@
     }
 
     /// Returns the earliest time at which the current view may have reflected the store, or `None`
-    /// before the first view.
+    /// if it is unknown.
     #[must_use]
     pub fn observed_at(&self) -> Option<MilliTime> {
-        self.bounds.map(|bounds| bounds.earliest)
+        self.time.bounds().map(|bounds| bounds.earliest)
+    }
+
+    /// Returns the highest possible age of the current view, or `None` if it is unknown.
+    #[must_use]
+    pub fn age(&self, now: MilliTime) -> Option<MilliDuration> {
+        self.time.age(now)
     }
 }
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -22,4 +22,5 @@
 mod target_registry;
 mod target_roster;
 mod thread_watch;
+mod view_time;
 mod view_tracker;
--- a/crates/briarrail_gateway/src/control/config_watcher.rs
+++ b/crates/briarrail_gateway/src/control/config_watcher.rs
@@ -1,10 +1,10 @@
 //! Reads the configuration from the store.
 
-use briarrail_model::MilliTime;
+use briarrail_dispatch::{ViewTime, ViewTimeBounds};
 use briarrail_platform::StoreError;
 
 use super::SharedControlState;
-use super::store_watcher::{StoreWatcher, WATCH_TIMEOUT};
+use super::store_watcher::{StoreWatcher, WATCH_TIMEOUT, await_watch};
 use crate::{ReadConsistency, SiteStore, StoreRevision, VersionedConfig, WatchOutcome};
 
 /// Watches the configuration.
@@ -21,14 +21,14 @@
         &self,
         configs: Vec<VersionedConfig>,
         revision: StoreRevision,
-        observed_at: MilliTime,
+        time: ViewTime,
     ) {
         let mut state = self.state.borrow_mut();
         state.observe_store_revision(revision, Self::CALL);
         for config in configs {
             state.adopt_config(config, "store");
         }
-        state.record_config_observed(observed_at);
+        state.config_time.advance(time);
     }
 }
 
@@ -45,23 +45,26 @@
         let requested_at = self.state.borrow().clock.now();
         let listing = self.store.read_config(consistency).await?;
         let is_current = consistency == ReadConsistency::Current;
-        // A possibly stale result counts as older than any other view that this router receives.
-        let observed_at = if is_current {
-            requested_at
+        let time = if is_current {
+            ViewTime::Within(ViewTimeBounds {
+                earliest: requested_at,
+                latest: self.state.borrow().clock.now(),
+            })
         } else {
-            MilliTime::default()
+            ViewTime::Unknown
         };
         let configs = listing.config.into_iter().collect();
-        self.adopt_configs(configs, listing.revision, observed_at);
+        self.adopt_configs(configs, listing.revision, time);
         Ok(is_current.then_some(listing.revision))
     }
 
     async fn watch(&self, revision: StoreRevision) -> Result<Option<StoreRevision>, StoreError> {
-        match self.store.watch_config(revision, WATCH_TIMEOUT).await? {
+        let clock = self.state.borrow().clock;
+        let call = self.store.watch_config(revision, WATCH_TIMEOUT);
+        let (outcome, bounds) = await_watch(clock, call).await;
+        match outcome? {
             WatchOutcome::Changes { changes, revision } => {
-                // The result of a watch is current when the watch ends.
-                let now = self.state.borrow().clock.now();
-                self.adopt_configs(changes, revision, now);
+                self.adopt_configs(changes, revision, bounds.into());
                 Ok(Some(revision))
             }
             WatchOutcome::HistoryExpired => {
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use briarrail_dispatch::{CrashQuarantine, TargetRoster, ViewTracker};
+use briarrail_dispatch::{CrashQuarantine, TargetRoster, ViewTime, ViewTracker};
 use briarrail_model::MilliDuration;
 use briarrail_peer::{FrameCodec, KeyRing, SharedKey, SyncRouter};
 use briarrail_settings::{FleetLimits, GatewaySettings};
@@ -215,7 +215,7 @@
         peers: std::collections::BTreeMap::new(),
         hub_counts: None,
         hub_starting_at: None,
-        config_observed_at: None,
+        config_time: ViewTime::Unknown,
         view_tracker: ViewTracker::default(),
         store_revision: None,
         restored_at: None,
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -7,7 +7,7 @@
 
 use briarrail_dispatch::{
     CrashQuarantine, GreetingState, HubCandidate, ReleaseLedger, RosterChange, TargetRoster,
-    ViewTracker, choose_hub, choose_view_sources,
+    ViewTime, ViewTracker, choose_hub, choose_view_sources,
 };
 use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash, hash_pair};
 use briarrail_peer::{FrameCodec, SyncRouter};
@@ -96,7 +96,7 @@
     /// Time of the last reply of a hub that had no view of the store yet because it was starting.
     pub(crate) hub_starting_at: Option<MilliTime>,
     /// Time at which the configuration was last known to be current.
-    pub(crate) config_observed_at: Option<MilliTime>,
+    pub(crate) config_time: ViewTime,
     /// Age and origin of the current view of the targets.
     pub(crate) view_tracker: ViewTracker,
     /// Newest revision of the store that a reply named; a stale reply may name an older one.
@@ -127,17 +127,11 @@
 }
 
 impl ControlState {
-    /// Returns the age of the view of the store, or `None` before the first complete view.
+    /// Returns the highest possible age of the view of the store, or `None` if it is unknown because
+    /// no current view was read yet.
     pub(crate) fn view_age(&self, now: MilliTime) -> Option<MilliDuration> {
-        let oldest = self
-            .config_observed_at?
-            .min(self.view_tracker.observed_at()?);
-        Some(now.since(oldest))
-    }
-
-    /// Records that the configuration was current at a time.
-    pub(crate) fn record_config_observed(&mut self, at: MilliTime) {
-        self.config_observed_at = self.config_observed_at.max(Some(at));
+        let config_age = self.config_time.age(now)?;
+        Some(config_age.max(self.view_tracker.age(now)?))
     }
 
     /// Records the revision that the store or another router named, and notices a restore of the
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use briarrail_dispatch::{
-    RemovalPolicy, RosterChange, RosterRecord, TargetRecord, ViewPosition, ViewTimeBounds,
+    RemovalPolicy, RosterChange, RosterRecord, TargetRecord, ViewPosition, ViewTime,
 };
 use briarrail_model::{HostName, MilliDuration, MilliTime};
 use briarrail_peer::{
@@ -312,11 +312,8 @@
     };
     let previous_age = state.view_age(now);
     state.roster.observe_view_age(now, previous_age);
-    let bounds = ViewTimeBounds {
-        earliest: requested_at - age,
-        latest: now - age,
-    };
-    state.record_config_observed(bounds.earliest);
+    let time = ViewTime::reported(age, requested_at, now);
+    state.config_time.advance(time);
     let current = state.view_tracker.position();
     let position = reply
         .roster
@@ -325,7 +322,7 @@
             epoch: update.epoch,
             sequence: update.sequence,
         });
-    if !state.view_tracker.accepts(position.epoch, bounds) {
+    if !state.view_tracker.accepts(position.epoch, time) {
         state.metrics.count_sync("older");
         return;
     }
@@ -334,7 +331,7 @@
     {
         return;
     }
-    state.view_tracker.record_adopted_view(position, bounds);
+    state.view_tracker.record_adopted_view(position, time);
     state.metrics.count_sync("good");
 }
 
--- a/crates/briarrail_gateway/src/control/store_watcher.rs
+++ b/crates/briarrail_gateway/src/control/store_watcher.rs
@@ -1,14 +1,16 @@
 //! Lists and watches a collection of the store while this router reads the store.
 
+use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use briarrail_dispatch::ReadReason;
+use briarrail_dispatch::{ReadReason, ReplyWindow, ViewTimeBounds};
 use briarrail_platform::{StoreError, StoreErrorKind};
 
 use super::SharedControlState;
 use super::store_health::{StoreHealth, read_conditions};
-use crate::{ReadConsistency, StoreRevision};
+use crate::{ProcessClock, ReadConsistency, StoreRevision};
 
 /// Maximum duration of a watch, so that an unresponsive watch is detected well within the time in
 /// which changes must take effect.
@@ -16,6 +18,9 @@
 /// Delay while another router reads the store, and before a collection is listed again.
 const LIST_DELAY: Duration = Duration::from_millis(100);
 
+/// Interval at which a pending watch is checked; bounds how much too old its result can count.
+const PENDING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Reads a collection of the store, which is listed once and then watched.
 pub(crate) trait StoreWatcher {
     /// Name of the calls in logs and metrics.
@@ -78,6 +83,22 @@
     }
 }
 
+/// Waits for the reply to a watch; returns it with the time at which it reflected the store.
+pub(crate) async fn await_watch<F>(clock: ProcessClock, call: F) -> (F::Output, ViewTimeBounds)
+where
+    F: Future,
+{
+    let mut call = pin!(call);
+    let mut window = ReplyWindow::open(clock.now());
+    loop {
+        tokio::select! {
+            biased;
+            reply = &mut call => return (reply, window.close(clock.now())),
+            () = tokio::time::sleep(PENDING_CHECK_INTERVAL) => window.record_pending(clock.now()),
+        }
+    }
+}
+
 /// Returns whether a reply belongs to the same history of the store as the revision from which it
 /// was requested. If not, it lacks the changes before that revision was given out again.
 fn continues_history(watched: Option<StoreRevision>, found: StoreRevision) -> bool {
--- a/crates/briarrail_gateway/src/control/target_watcher.rs
+++ b/crates/briarrail_gateway/src/control/target_watcher.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use briarrail_dispatch::{RemovalPolicy, ViewTimeBounds};
+use briarrail_dispatch::{RemovalPolicy, ViewTime, ViewTimeBounds};
 use briarrail_model::MilliTime;
 use briarrail_platform::StoreError;
 
 use super::SharedControlState;
 use super::control_state::ControlState;
 use super::release_records::list_new_releases;
-use super::store_watcher::{StoreWatcher, WATCH_TIMEOUT};
+use super::store_watcher::{StoreWatcher, WATCH_TIMEOUT, await_watch};
 use crate::{ReadConsistency, SiteStore, StoreRevision, TargetEvent, WatchOutcome};
 
 /// Delay after changes of targets, so that the next watch returns several changes together; a small
@@ -39,26 +39,29 @@
         let records = listing.records.iter().map(|listed| &listed.record);
         list_new_releases(&self.state, &self.store, records).await;
         let mut state = self.state.borrow_mut();
+        let is_current = consistency == ReadConsistency::Current;
+        if !is_current && state.has_target_list {
+            // Another router's view arrived meanwhile and is not replaced by one that may be stale.
+            tracing::info!(event = "stale_list_passed_over", call = CALL);
+            return Ok(None);
+        }
         state.unreadable_entries.replace_all(&listing.unreadable);
         let now = state.clock.now();
         state.observe_store_revision(listing.revision, CALL);
         observe_recovery(&mut state, now);
         let policy = RemovalPolicy::AfterGracePeriod(now);
         let changes = state.roster.replace_all(listing.records, policy);
-        let is_current = consistency == ReadConsistency::Current;
-        let bounds = if is_current {
-            ViewTimeBounds {
+        let time = if is_current {
+            ViewTime::Within(ViewTimeBounds {
                 earliest: requested_at,
                 latest: now,
-            }
+            })
         } else {
-            // A possibly stale result counts as older than any other view that this router
-            // receives.
-            ViewTimeBounds::default()
+            ViewTime::Unknown
         };
         state
             .view_tracker
-            .record_store_read(bounds, !changes.is_empty());
+            .record_store_read(time, !changes.is_empty());
         state.apply_roster_changes(changes, "store");
         let unconfirmed: Vec<&str> = state.roster.unconfirmed().collect();
         if !unconfirmed.is_empty() {
@@ -72,8 +75,10 @@
     }
 
     async fn watch(&self, revision: StoreRevision) -> Result<Option<StoreRevision>, StoreError> {
-        let outcome = self.store.watch_targets(revision, WATCH_TIMEOUT).await?;
-        let WatchOutcome::Changes { changes, revision } = outcome else {
+        let clock = self.state.borrow().clock;
+        let call = self.store.watch_targets(revision, WATCH_TIMEOUT);
+        let (outcome, bounds) = await_watch(clock, call).await;
+        let WatchOutcome::Changes { changes, revision } = outcome? else {
             tracing::info!(event = "watch_history_gone", call = CALL);
             return Ok(None);
         };
@@ -85,7 +90,7 @@
         let is_changed = {
             let mut state = self.state.borrow_mut();
             state.observe_store_revision(revision, CALL);
-            apply_target_events(&mut state, changes)
+            apply_target_events(&mut state, changes, bounds)
         };
         if is_changed {
             tokio::time::sleep(BATCH_DELAY).await;
@@ -104,7 +109,11 @@
 }
 
 /// Applies changes reported by the store, and returns whether the roster changed.
-fn apply_target_events(state: &mut ControlState, events: Vec<TargetEvent>) -> bool {
+fn apply_target_events(
+    state: &mut ControlState,
+    events: Vec<TargetEvent>,
+    bounds: ViewTimeBounds,
+) -> bool {
     let now = state.clock.now();
     observe_recovery(state, now);
     let mut changes = Vec::new();
@@ -128,7 +137,6 @@
         changes.extend(state.roster.remove(&id, policy));
     }
     let is_changed = !changes.is_empty();
-    let bounds = ViewTimeBounds::exact(now);
     state.view_tracker.record_store_read(bounds, is_changed);
     state.apply_roster_changes(changes, "store");
     is_changed
