fix(outcome): end a stream at a block without an id among events with ids

What callers saw: text of another answer within their stream. A target that sends a stream without a length may write an answer that nobody asked for behind it; to the gateway it is a part of the body.

Cause: ids were compared only in events that have one, so a block of lines without an id was relayed. A continuation was guarded since, but only up to its first event.

Change: in a stream whose events have ids, a block that is not a comment must have one; otherwise the body counts as interrupted, and the stream is resumed elsewhere or cut.

--- a/crates/briarrail_outcome/src/stream_checker.rs
+++ b/crates/briarrail_outcome/src/stream_checker.rs
@@ -286,6 +286,10 @@
             self.check_continuation(event)?;
         }
         if self.ends_with_body {
+            // The text of another answer that a target writes into its stream has no ids.
+            if self.has_ids == Some(true) && event.id.is_none() && !event.is_comment {
+                return Err(StreamError::MixedIds);
+            }
             let is_new = event.id.is_none() || self.accept_id(event.id)?;
             self.duplicate_events += u64::from(!is_new);
             self.data_events += u64::from(is_new && event.has_data);
--- a/crates/briarrail_outcome/tests/suite/stream.rs
+++ b/crates/briarrail_outcome/tests/suite/stream.rs
@@ -223,6 +223,22 @@
     }
 }
 
+#[test]
+fn a_block_without_an_id_is_no_part_of_a_stream_with_ids() {
+    let texts = [
+        "HTTP/1.1 503 upstream\r\nContent-Length: 0\r\n\r\n",
+        "upstream error\n\n",
+        "data: x\n\n",
+    ];
+    for text in texts {
+        let mut checker = StreamChecker::without_terminal_event(None);
+        let chunk = format!("{}: ping\n\n{text}{}", event(0), event(1));
+        let (state, relayed) = push_text(&mut checker, &chunk);
+        let expected = format!("{}: ping\n\n", event(0));
+        assert_eq!((state, relayed), (Err(StreamError::MixedIds), expected));
+    }
+}
+
 #[test]
 fn a_continuation_discards_the_incomplete_event_before_it() {
     let mut checker = StreamChecker::without_terminal_event(None);
