fix(gateway): write a whole response to callers that closed their side

A caller that closed its sending side while it took a complete answer got 73,710 of 262,144 bytes: at the end of the caller's bytes the HTTP library drops what it still holds.

Change: that end is withheld from the library until a complete response was written. While a target still works, closing the sending side cancels the request as before: it can't be told from a caller that left.

Evidence: `a_caller_that_closes_its_sending_side_late_gets_its_whole_response` fails before and passes now.

--- a/crates/briarrail_dispatch/src/connection_timer.rs
+++ b/crates/briarrail_dispatch/src/connection_timer.rs
@@ -95,6 +95,12 @@
         self.is_unflushed
     }
 
+    /// Returns whether a complete response is still being written.
+    #[must_use]
+    pub const fn is_writing_response(&self) -> bool {
+        self.is_unflushed && !self.request_in_progress
+    }
+
     /// Returns which timeout of the connection has expired, if any.
     ///
     /// While a request is in progress or its response is being written, only a caller that takes no
--- a/crates/briarrail_gateway/src/traffic/connection_activity.rs
+++ b/crates/briarrail_gateway/src/traffic/connection_activity.rs
@@ -51,6 +51,10 @@
         self.timer.borrow().expired_timeout(limits, now)
     }
 
+    fn is_writing_response(&self) -> bool {
+        self.timer.borrow().is_writing_response()
+    }
+
     fn record_write(&self, written: &Poll<std::io::Result<usize>>) {
         match written {
             Poll::Ready(Ok(count)) if *count > 0 => self.update(|timer, _| timer.record_write()),
@@ -89,15 +93,25 @@
 pub(crate) struct TrackedStream {
     inner: TcpStream,
     activity: Rc<ConnectionActivity>,
+    /// Whether the end of the caller's bytes was reached, but not reported yet.
+    has_withheld_end: bool,
 }
 
 impl TrackedStream {
     pub(crate) const fn new(inner: TcpStream, activity: Rc<ConnectionActivity>) -> Self {
-        Self { inner, activity }
+        Self {
+            inner,
+            activity,
+            has_withheld_end: false,
+        }
     }
 }
 
 impl AsyncRead for TrackedStream {
+    /// Reads bytes of the caller.
+    ///
+    /// The HTTP library drops the rest of a response at the end of the caller's bytes, so that end is
+    /// withheld until a complete response was written. The work of its target has ended by then.
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -107,6 +121,9 @@
         let result = Pin::new(&mut self.inner).poll_read(context, buffer);
         if buffer.filled().len() > before {
             self.activity.update(ConnectionTimer::record_read);
+        } else if matches!(result, Poll::Ready(Ok(()))) && self.activity.is_writing_response() {
+            self.has_withheld_end = true;
+            return Poll::Pending;
         }
         result
     }
@@ -131,6 +148,10 @@
         let flushed = Pin::new(&mut self.inner).poll_flush(context);
         if matches!(flushed, Poll::Ready(Ok(()))) {
             self.activity.update(ConnectionTimer::record_flush);
+            if self.has_withheld_end && !self.activity.is_writing_response() {
+                self.has_withheld_end = false;
+                context.waker().wake_by_ref();
+            }
         }
         flushed
     }
