fix(outcome): accept the greatest possible event id

What callers would see: with Last-Event-Id at the greatest number a debug build panicked in the task of the request; a release build took event 0 for the next one. Found by reading a part's report; no caller is known that sends it.

Evidence: the_last_possible_id_has_no_successor failed before (attempt to add with overflow) and passes now, with all tests of streams of briarrail_outcome.

Change: the next id stays at the greatest number.

--- a/crates/briarrail_outcome/src/stream_checker.rs
+++ b/crates/briarrail_outcome/src/stream_checker.rs
@@ -92,7 +92,7 @@
     #[must_use]
     pub fn without_terminal_event(last_id: Option<u64>) -> Self {
         Self {
-            next_id: last_id.map_or(0, |id| id + 1),
+            next_id: last_id.map_or(0, |id| id.saturating_add(1)),
             ends_with_body: true,
             accepts_any_first_id: last_id.is_none(),
             ..Self::new()
@@ -344,7 +344,7 @@
             return Err(StreamError::MissingEvents { expected, found });
         }
         if found == expected {
-            self.next_id += 1;
+            self.next_id = self.next_id.saturating_add(1);
         }
         Ok(found == expected)
     }
--- a/crates/briarrail_outcome/tests/suite/stream.rs
+++ b/crates/briarrail_outcome/tests/suite/stream.rs
@@ -239,6 +239,15 @@
     }
 }
 
+#[test]
+fn the_last_possible_id_has_no_successor() {
+    let mut checker = StreamChecker::without_terminal_event(Some(u64::MAX));
+    assert!(push_text(&mut checker, &event(0)).1.is_empty());
+    let mut checker = StreamChecker::without_terminal_event(None);
+    let (state, relayed) = push_text(&mut checker, &event(u64::MAX));
+    assert_eq!((state, relayed), (Ok(StreamState::Open), event(u64::MAX)));
+}
+
 #[test]
 fn a_continuation_discards_the_incomplete_event_before_it() {
     let mut checker = StreamChecker::without_terminal_event(None);
