fix(gateway): give back the attempt that a silent target's last event cancels

What callers saw: a silent target of a resumable stream sent an event and, in the same chunk, an invalid one while another target had the request. With two attempts the stream was cut, although two sound targets were there.

Cause: an event of the silent target cancels the request at the other one, which the search records as withdrawn. If the stream breaks before the search runs again, the search is dropped, and the attempt stayed counted and its target tried.

Evidence, run before the fix: in a_stream_that_becomes_invalid_while_it_moves_has_its_last_attempt_left the stream was cut after 4 events, 1,047 ms after it was sent, with outcome "cut" and two sends. The test of the same break with three attempts and three targets passed. Both pass with the fix.

Change: StreamProgress keeps the target whose request was cancelled, and the relay withdraws it if the search could not. The withdrawn send is logged as others are.

After: silent_targets, second_trouble and foreign_continuations, 41 tests, ran once in parallel: 39 passed; one failure was a test for the next fix, the other was foreign_continuations:: a_continuation_that_begins_at_another_event_is_not_relayed, which looks for a line in the log right after the reply, while the log is written by a thread of its own. It passed in six runs alone.

--- a/crates/briarrail_gateway/src/traffic/stream_progress.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_progress.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 
+use briarrail_dispatch::TargetKey;
 use briarrail_model::{MilliDuration, MilliTime};
 use tokio::sync::Notify;
 
@@ -16,8 +17,10 @@
     /// Time since which the target is waited for; `None` while the caller takes events.
     waiting_since: Cell<Option<MilliTime>>,
     changed: Notify,
-    /// Whether another target has the request.
-    is_sent: Cell<bool>,
+    /// Another target that has the request.
+    asked_target: Cell<Option<TargetKey>>,
+    /// Another target that has the request, which an event of the current one cancels.
+    cancelled_target: Cell<Option<TargetKey>>,
     is_left: Cell<bool>,
     left: Notify,
 }
@@ -30,7 +33,8 @@
             resume_at: Cell::new(resume_at),
             waiting_since: Cell::new(Some(now)),
             changed: Notify::new(),
-            is_sent: Cell::new(false),
+            asked_target: Cell::new(None),
+            cancelled_target: Cell::new(None),
             is_left: Cell::new(false),
             left: Notify::new(),
         }
@@ -41,8 +45,9 @@
         self.events.set(self.events.get() + 1);
         self.resume_at.set(resume_at);
         self.waiting_since.set(None);
-        // The event cancels the request at another target.
-        self.is_sent.set(false);
+        if let Some(asked) = self.asked_target.take() {
+            self.cancelled_target.set(Some(asked));
+        }
         self.changed.notify_one();
     }
 
@@ -83,13 +88,26 @@
         }
     }
 
-    pub(crate) fn set_sent(&self, is_sent: bool) {
-        self.is_sent.set(is_sent);
+    /// Records that another target gets the request.
+    pub(crate) fn start_ask(&self, other: TargetKey) {
+        self.asked_target.set(Some(other));
+    }
+
+    /// Records that what the other target did with the request is known, or that it was cancelled.
+    pub(crate) fn end_ask(&self) {
+        self.asked_target.set(None);
+        self.cancelled_target.set(None);
+    }
+
+    /// Returns whether another target has the request, which was not cancelled.
+    pub(crate) fn is_sent(&self) -> bool {
+        self.asked_target.get().is_some()
     }
 
-    /// Returns whether another target has the request.
-    pub(crate) const fn is_sent(&self) -> bool {
-        self.is_sent.get()
+    /// Returns the other target whose request an event of the current one cancelled, unless
+    /// [`end_ask`](Self::end_ask) has recorded that.
+    pub(crate) fn take_cancelled(&self) -> Option<TargetKey> {
+        self.cancelled_target.take()
     }
 
     /// Gives up the target.
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -192,6 +192,11 @@
         let end = match end {
             Some(end) if !is_interrupted || !progress.is_sent() => {
                 drop(transfer);
+                if let Some(cancelled) = progress.take_cancelled() {
+                    self.trace.send_log().record_failure("withdrawn", &"");
+                    self.machine.withdraw_attempt();
+                    self.tried.record_withdrawn(cancelled);
+                }
                 end
             }
             // Another target has the request already, so its answer decides.
--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -231,7 +231,7 @@
         overlap_end: MilliTime,
     ) -> AskEnd<D> {
         let progress = self.progress;
-        progress.set_sent(true);
+        progress.start_ask(prepared.target());
         let retry_at = retry_time(self.state, self.context, &prepared, self.tried);
         let log = self.trace.start_send();
         let sending = send_prepared(self.state, self.context, retry_at, &log, prepared);
@@ -268,7 +268,7 @@
         if matches!(end, AskEnd::Withdrawn) {
             log.record_failure("withdrawn", &"");
         }
-        progress.set_sent(false);
+        progress.end_ask();
         end
     }
 
