fix(gateway): end a body at an invalid event that arrives beside its first event

What callers saw: the first chunk of a stream held its first event and a gap, and the target sent nothing more. The stream went on at another target only after its gap, and one that can't be resumed was cut at the deadline.

Cause: the parts that read up to the first event of a stream or of a continuation return once that event is there. The checker keeps the error, but reports it only with the next chunk or the end of the body.

Change: the relay of a target's events looks for an error of the checker before it reads on.

--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -375,6 +375,10 @@
 
 impl<D> EventRelay<'_, D> {
     async fn run(self) -> RelayEnd<D> {
+        // An invalid event may have arrived beside the first one.
+        if let Some(error) = self.checker.error() {
+            return RelayEnd::Interrupted("bad_stream", error.to_string());
+        }
         loop {
             let read = read_body_chunk(self.state, &mut self.response.body, self.deadline);
             match read.await {
--- a/crates/briarrail_outcome/src/stream_checker.rs
+++ b/crates/briarrail_outcome/src/stream_checker.rs
@@ -188,6 +188,12 @@
         }
     }
 
+    /// Returns the error of an invalid event of the current body.
+    #[must_use]
+    pub const fn error(&self) -> Option<StreamError> {
+        self.error
+    }
+
     /// Discards an incomplete event and the error of the body, before the response to a resumption is parsed.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
