--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -192,6 +192,11 @@
         let end = match end {
             Some(end) if !is_interrupted || !progress.is_sent() => {
                 drop(transfer);
+                if let Some(cancelled) = progress.take_cancelled() {
+                    self.trace.send_log().record_failure("withdrawn", &"");
+                    self.machine.withdraw_attempt();
+                    self.tried.record_withdrawn(cancelled);
+                }
                 end
             }
             // Another target has the request already, so its answer decides.
@@ -370,6 +375,10 @@
 
 impl<D> EventRelay<'_, D> {
     async fn run(self) -> RelayEnd<D> {
+        // An invalid event may have arrived beside the first one.
+        if let Some(error) = self.checker.error() {
+            return RelayEnd::Interrupted("bad_stream", error.to_string());
+        }
         loop {
             let read = read_body_chunk(self.state, &mut self.response.body, self.deadline);
             match read.await {
