fix(gateway): return to a silent target that was given up while a stream is resumed

What callers saw: a stream broke off, and the target that it was resumed at paused for 1.4 s before its head. With attempts left the stream was cut, if no other target was there or the others refused or failed.

Cause: a resumption gives a target up for its silence if another one of the release is available. A target that broke the stream off counted as such, although it is not asked again, and the one that was given up was not recorded as one that may be asked again.

Evidence, run before the fix: a_resumed_stream_is_not_cut_by_a_pause_before_the_head was cut in all three cases (two targets; a third one that refuses; a third one that fails). All pass with the fix.

Change: only a target that may still take the request is a reason to give another one up, and one that was given up may be asked again. A repeat is not given up for a target that was left, so that two silent ones don't get the request in turn (that is reasoned; no test shows it).

A stream whose only remaining target stays silent now waits for it until the deadline or until its caller leaves; before it was cut after the response timeout.

After: silent_targets, second_trouble, foreign_continuations and streams, 50 tests, pass.

--- a/crates/briarrail_gateway/src/traffic/first_answer.rs
+++ b/crates/briarrail_gateway/src/traffic/first_answer.rs
@@ -140,7 +140,7 @@
         let mut response = match sent.await {
             SendResult::Response(response) => response,
             SendResult::Failed(event) => return FirstAnswer::Failed(event),
-            SendResult::TimedOut => return FirstAnswer::Failed(AttemptEvent::SendFailed),
+            SendResult::TimedOut(_) => return FirstAnswer::Failed(AttemptEvent::SendFailed),
         };
         self.waiting_since.set(self.state.clock.now());
         let is_stream = self.context.semantics.is_stream()
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -285,7 +285,12 @@
                     }
                 }
                 SendResult::Failed(event) => (event, false),
-                SendResult::TimedOut => (AttemptEvent::SendFailed, true),
+                SendResult::TimedOut(silent) => {
+                    // No other target has the request yet.
+                    self.machine.allow_return();
+                    self.tried.record_left(silent);
+                    (AttemptEvent::SendFailed, true)
+                }
             };
             step = self.next_step(event, retry_taken);
         }
--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -180,7 +180,7 @@
                             let now = self.state.clock.now();
                             silence.log(self.trace, now, "left", "another target goes on");
                             if !self.progress.is_left() {
-                                self.record_left();
+                                self.record_left(self.silent_target);
                             }
                             return SearchEnd::Ended(TransferEnd::Moved(continuation));
                         }
@@ -247,7 +247,10 @@
                         self.check_response(response, silence, overlap_end, &log).await
                     }
                     SendResult::Failed(event) => AskEnd::Failed(event, false),
-                    SendResult::TimedOut => AskEnd::Failed(AttemptEvent::SendFailed, true),
+                    SendResult::TimedOut(other) => {
+                        self.record_left(other);
+                        AskEnd::Failed(AttemptEvent::SendFailed, true)
+                    }
                 },
                 () = tokio::time::sleep_until(self.state.clock.instant(overlap_end)),
                     if !progress.is_left() => {
@@ -259,7 +262,7 @@
                             OverlapEnd::WithdrawOther => break AskEnd::Withdrawn,
                             OverlapEnd::LeaveSilent => {
                                 progress.leave();
-                                self.record_left();
+                                self.record_left(self.silent_target);
                             }
                         }
                     }
@@ -272,10 +275,10 @@
         end
     }
 
-    /// Records that the silent target was left, which may be asked again if the other one fails.
-    fn record_left(&mut self) {
+    /// Records that a silent target was left, which may be asked again if the other one fails.
+    fn record_left(&mut self, silent: TargetKey) {
         self.machine.allow_return();
-        self.tried.record_left(self.silent_target);
+        self.tried.record_left(silent);
     }
 
     /// Waits for the first event of a response, unless the silent target is given up before.
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -66,7 +66,7 @@
     /// The attempt failed; the event determines the next step.
     Failed(AttemptEvent),
     /// No response head arrived in time; a retry was already taken from the budget.
-    TimedOut,
+    TimedOut(TargetKey),
 }
 
 /// Returns the time after which a cancellation by the caller counts as a failure of the target.
@@ -205,7 +205,7 @@
             guard.record_outcome(SendOutcome::Slow);
             log.log_failure("no_answer_in_time", "");
             log.count("silent");
-            return SendResult::TimedOut;
+            return SendResult::TimedOut(key);
         }
         HeadResult::DeadlinePassed => {
             guard.record_outcome(SendOutcome::Broken);
@@ -427,7 +427,7 @@
     let mut targets = registry.service_targets(&context.service);
     let has_other = targets.any(|(other, target)| {
         let is_of_release = release.is_none_or(|release| target.release == release);
-        other != key && target.is_available() && is_of_release
+        tried.may_replace_latest(other) && other != key && target.is_available() && is_of_release
     });
     let retry_at = state.clock.now() + state.response_timeout(context);
     (may_retry && has_other && retry_at < context.deadline).then_some(retry_at)
--- a/crates/briarrail_gateway/src/traffic/tried_targets.rs
+++ b/crates/briarrail_gateway/src/traffic/tried_targets.rs
@@ -10,6 +10,8 @@
     withdrawn: Vec<TargetKey>,
     /// Targets that were left because they were silent.
     left: Vec<TargetKey>,
+    /// Whether the latest attempt went to a target that had the request before.
+    is_repeat: bool,
     scope: TargetScope,
 }
 
@@ -33,7 +35,8 @@
     pub(crate) fn record(&mut self, key: TargetKey) {
         self.withdrawn.retain(|other| *other != key);
         self.left.retain(|other| *other != key);
-        if !self.keys.contains(&key) {
+        self.is_repeat = self.keys.contains(&key);
+        if !self.is_repeat {
             self.keys.push(key);
         }
     }
@@ -63,4 +66,14 @@
         let left = self.left.iter().filter(|_| self.scope.includes_left);
         self.withdrawn.iter().chain(left).copied()
     }
+
+    /// Returns whether the target of the latest attempt may be given up for this one if it is silent.
+    ///
+    /// A target that has the request again is not given up for one that was left, since both would get
+    /// it in turn.
+    pub(crate) fn may_replace_latest(&self, key: TargetKey) -> bool {
+        !self.keys.contains(&key)
+            || self.withdrawn.contains(&key)
+            || (!self.is_repeat && self.left.contains(&key))
+    }
 }
