fix(gateway): give back an attempt that was not sent when its silent target goes on

What callers could see: a silent target went on, or broke, while another target was being connected to after an earlier one had failed. The attempt stayed counted although nothing was sent, so that a later break cut the stream with an attempt left. Shown on the state machine only; connecting takes no time on the loopback interface.

Cause: an attempt is counted when its step is decided, and given back only if connecting to it fails.

Evidence: an_attempt_that_was_not_sent_is_left_after_its_silent_target_went_on ended as Unknown(ConnectionLost) before the fix and passes now.

Change: keep_silent_target releases the attempt; it is also called where the search ends because the silent target answered or broke.

--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -283,7 +283,10 @@
             );
             let prepared = tokio::select! {
                 biased;
-                answer = silent.answer() => return SearchEnd::Resumed(answer),
+                answer = silent.answer() => {
+                    self.machine.keep_silent_target();
+                    return SearchEnd::Resumed(answer);
+                }
                 prepared = preparing => prepared,
             };
             let event = match prepared {
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -196,6 +196,8 @@
                     self.trace.send_log().record_failure("withdrawn", &"");
                     self.machine.withdraw_attempt();
                     self.tried.record_withdrawn(cancelled);
+                } else if is_interrupted {
+                    self.machine.keep_silent_target();
                 }
                 end
             }
--- a/crates/briarrail_outcome/src/retry_machine.rs
+++ b/crates/briarrail_outcome/src/retry_machine.rs
@@ -115,8 +115,9 @@
         self.has_silent_target = false;
     }
 
-    /// Records that the silent target went on, and that the attempt beside it was cancelled.
+    /// Records that the silent target went on before the attempt beside it was sent, if there was one.
     pub const fn keep_silent_target(&mut self) {
+        self.release_unused_attempt();
         self.has_silent_target = false;
         self.in_flight = true;
     }
@@ -125,7 +126,8 @@
     /// asked again. Such an attempt is not bounded by the number of attempts, because no further target
     /// runs the request.
     pub const fn withdraw_attempt(&mut self) {
-        self.keep_silent_target();
+        self.has_silent_target = false;
+        self.in_flight = true;
         self.has_withdrawn = true;
     }
 
--- a/crates/briarrail_outcome/tests/suite/retry.rs
+++ b/crates/briarrail_outcome/tests/suite/retry.rs
@@ -209,6 +209,27 @@
     assert!(matches!(step, RetryStep::Resume { attempt: 2, .. }) && machine.is_return());
 }
 
+/// Guards against a stream that is cut although not all attempts were used: its silent target went on while
+/// another one was being connected to.
+#[test]
+fn an_attempt_that_was_not_sent_is_left_after_its_silent_target_went_on() {
+    let now = MilliTime::default();
+    let silent = AttemptEvent::TargetSilent { resume_at: Some(3) };
+    let mut machine = machine(CallSemantics::Idempotent, 3);
+    machine.start(now);
+    machine.handle(AttemptEvent::HeadReceived, now, &mut NoRetryLimit);
+    machine.handle(silent, now, &mut NoRetryLimit);
+    let step = machine.handle(AttemptEvent::SendFailed, now, &mut NoRetryLimit);
+    assert!(matches!(step, RetryStep::Resume { attempt: 3, .. }));
+    machine.keep_silent_target();
+    let broken = AttemptEvent::BodyBroken { resume_at: Some(5) };
+    let step = machine.handle(broken, now, &mut NoRetryLimit);
+    assert!(
+        matches!(step, RetryStep::Resume { attempt: 3, .. }),
+        "{step:?}"
+    );
+}
+
 /// Guards against a request that moves back and forth between two silent targets.
 #[test]
 fn a_target_that_was_left_is_asked_again_only_after_a_failure() {
