--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -196,6 +196,8 @@
                     self.trace.send_log().record_failure("withdrawn", &"");
                     self.machine.withdraw_attempt();
                     self.tried.record_withdrawn(cancelled);
+                } else if is_interrupted {
+                    self.machine.keep_silent_target();
                 }
                 end
             }
@@ -285,7 +287,12 @@
                     }
                 }
                 SendResult::Failed(event) => (event, false),
-                SendResult::TimedOut => (AttemptEvent::SendFailed, true),
+                SendResult::TimedOut(silent) => {
+                    // No other target has the request yet.
+                    self.machine.allow_return();
+                    self.tried.record_left(silent);
+                    (AttemptEvent::SendFailed, true)
+                }
             };
             step = self.next_step(event, retry_taken);
         }
