fix(gateway): withdraw the attempt beside a silent target that answers

What callers saw: a target paused before its head while another one had the request, answered, and broke the stream off after four events. With two attempts the stream was cut, although the other target was sound.

Cause: the attempt that the answer cancels stayed counted, and its target tried. A move within a stream already gave it back, the wait for the first answer did not.

Evidence: a_stream_that_breaks_after_a_pause_before_its_head_is_resumed, run before the fix, was cut with a pause of 300 ms (two requests had reached targets); its pauses of 400 ms to 1,150 ms don't show the fault. All pass with the fix.

Change: the answer of the silent target withdraws the other attempt, as within a stream.

After: silent_targets, second_trouble and foreign_continuations, 43 tests, pass.

--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -335,7 +335,11 @@
         tokio::select! {
             biased;
             answer = silent.answer() => match self.check_answer(answer) {
-                Ok(answer) => Ok(SearchEnd::Resumed(answer)),
+                Ok(answer) => {
+                    self.machine.withdraw_attempt();
+                    self.tried.record_withdrawn(other.target());
+                    Ok(SearchEnd::Resumed(answer))
+                }
                 // The other target may still answer.
                 Err(_) => Ok(SearchEnd::Replaced {
                     other,
