fix(outcome): accept reconnection times and empty data at the start of a continuation

What callers saw: a stream was cut if each target that could continue it began with `retry: 1000`, or with an event whose data field has no colon.

Cause: only comments may precede the first event of a continuation, and a field without a colon was not read as a field with an empty value.

Evidence: a_continuation_may_be_written_in_another_form, run before the fix, was cut in these two of its six cases; parameters and case of the media type, CRLF, event names and ids after the data were accepted. All pass with the fix.

Change: blocks of comments and reconnection times precede the first event; `data` counts as data. Blocks with any other field and without the next id are refused as before, so an unnumbered event such as `event: ping` with data is still refused as the first one.

After: foreign_continuations and streams, 19 tests, and 46 of briarrail_outcome (2 more are run by hand only) pass.

--- a/crates/briarrail_outcome/src/stream_checker.rs
+++ b/crates/briarrail_outcome/src/stream_checker.rs
@@ -202,7 +202,7 @@
 
     /// Expects the response to a resumption, which must begin with the next event.
     ///
-    /// Only comments may precede that event. An incomplete event of the response before is
+    /// Only comments and reconnection times may precede that event. An incomplete event of the response before is
     /// discarded.
     pub fn begin_continuation(&mut self) {
         self.discard_partial();
@@ -288,7 +288,7 @@
             return Err(self.too_large());
         }
         let event = StreamEvent::parse(text)?;
-        if self.awaits_continuation && !event.is_comment {
+        if self.awaits_continuation && !event.is_preamble {
             self.check_continuation(event)?;
         }
         if self.ends_with_body {
--- a/crates/briarrail_outcome/src/stream_event.rs
+++ b/crates/briarrail_outcome/src/stream_event.rs
@@ -12,23 +12,29 @@
     pub(crate) has_data: bool,
     pub(crate) is_terminal: bool,
     pub(crate) is_error: bool,
-    /// Whether there are only comments and empty lines.
-    pub(crate) is_comment: bool,
+    /// Whether there are only comments, reconnection times and empty lines, which may precede the
+    /// events of any stream.
+    pub(crate) is_preamble: bool,
 }
 
 impl StreamEvent {
     /// Parses the lines of one event.
     pub(crate) fn parse(text: &[u8]) -> Result<Self, StreamError> {
         let mut event = Self {
-            is_comment: true,
+            is_preamble: true,
             ..Self::default()
         };
         let mut data_lines = 0_u32;
         let mut is_done = false;
         for line in text.split(|&byte| byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
-            event.is_comment &= line.is_empty() || line.starts_with(b":");
-            if let Some(value) = field_value(line, b"data") {
+            event.is_preamble &=
+                line.is_empty() || line.starts_with(b":") || field_value(line, b"retry").is_some();
+            if line == b"data" {
+                // A field without a colon has an empty value.
+                data_lines += 1;
+                is_done = false;
+            } else if let Some(value) = field_value(line, b"data") {
                 data_lines += 1;
                 is_done = value == DONE_DATA;
             } else if let Some(value) = field_value(line, b"id") {
