--- a/crates/briarrail_outcome/src/stream_checker.rs
+++ b/crates/briarrail_outcome/src/stream_checker.rs
@@ -194,7 +194,8 @@
         self.error
     }
 
-    /// Discards an incomplete event and the error of the body, before the response to a resumption is parsed.
+    /// Discards an incomplete event and the error of the body, before the response to a resumption is
+    /// parsed.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
         self.error = None;
@@ -202,8 +203,8 @@
 
     /// Expects the response to a resumption, which must begin with the next event.
     ///
-    /// Only comments and reconnection times may precede that event. An incomplete event of the response before is
-    /// discarded.
+    /// Only comments and reconnection times may precede that event. An incomplete event of the
+    /// response before is discarded.
     pub fn begin_continuation(&mut self) {
         self.discard_partial();
         self.has_ids = Some(true);
@@ -293,7 +294,7 @@
         }
         if self.ends_with_body {
             // The text of another answer that a target writes into its stream has no ids.
-            if self.has_ids == Some(true) && event.id.is_none() && !event.is_comment {
+            if self.has_ids == Some(true) && event.id.is_none() && !event.is_preamble {
                 return Err(StreamError::MixedIds);
             }
             let is_new = event.id.is_none() || self.accept_id(event.id)?;
