--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -5,9 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briarrail_dispatch::{
-    RemovalPolicy, RosterChange, RosterRecord, TargetRecord, ViewPosition, ViewTimeBounds,
-};
+use briarrail_dispatch::{RemovalPolicy, RosterChange, RosterRecord, ViewPosition, ViewTime};
 use briarrail_model::{HostName, MilliDuration, MilliTime};
 use briarrail_peer::{
     Envelope, FrameError, MessageKind, RosterUpdate, SyncReply, SyncRequest, SyncRouter,
@@ -18,6 +16,7 @@
 use super::SharedControlState;
 use super::control_state::{ControlState, HubCounts, MAX_VIEW_AGE};
 use super::hub_server::{MIN_SYNC_INTERVAL_MS, SYNC_PATH};
+use super::roster_codec::decode_records;
 use super::suspect_exchange::EncodedReports;
 use crate::fleet_counts::FleetCounts;
 use crate::traffic::{ControlUpdate, StopPhase};
@@ -312,11 +311,8 @@
     };
     let previous_age = state.view_age(now);
     state.roster.observe_view_age(now, previous_age);
-    let bounds = ViewTimeBounds {
-        earliest: requested_at - age,
-        latest: now - age,
-    };
-    state.record_config_observed(bounds.earliest);
+    let time = ViewTime::reported(age, requested_at, now);
+    state.config_time.advance(time);
     let current = state.view_tracker.position();
     let position = reply
         .roster
@@ -325,7 +321,7 @@
             epoch: update.epoch,
             sequence: update.sequence,
         });
-    if !state.view_tracker.accepts(position.epoch, bounds) {
+    if !state.view_tracker.accepts(position.epoch, time) {
         state.metrics.count_sync("older");
         return;
     }
@@ -334,13 +330,13 @@
     {
         return;
     }
-    state.view_tracker.record_adopted_view(position, bounds);
+    state.view_tracker.record_adopted_view(position, time);
     state.metrics.count_sync("good");
 }
 
 /// Applies another router's roster update, and returns whether it could be decoded.
 fn apply_roster_update(state: &mut ControlState, update: &RosterUpdate) -> bool {
-    let records = match rmp_serde::from_slice::<Vec<TargetRecord>>(&update.rows) {
+    let records = match decode_records(update) {
         Ok(records) => records,
         Err(error) => {
             tracing::error!(event = "hub_roster_unreadable", %error);
--- a/crates/briarrail_outcome/src/stream_checker.rs
+++ b/crates/briarrail_outcome/src/stream_checker.rs
@@ -92,7 +92,7 @@
     #[must_use]
     pub fn without_terminal_event(last_id: Option<u64>) -> Self {
         Self {
-            next_id: last_id.map_or(0, |id| id + 1),
+            next_id: last_id.map_or(0, |id| id.saturating_add(1)),
             ends_with_body: true,
             accepts_any_first_id: last_id.is_none(),
             ..Self::new()
@@ -194,7 +194,8 @@
         self.error
     }
 
-    /// Discards an incomplete event and the error of the body, before the response to a resumption is parsed.
+    /// Discards an incomplete event and the error of the body, before the response to a resumption is
+    /// parsed.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
         self.error = None;
@@ -202,8 +203,8 @@
 
     /// Expects the response to a resumption, which must begin with the next event.
     ///
-    /// Only comments and reconnection times may precede that event. An incomplete event of the response before is
-    /// discarded.
+    /// Only comments and reconnection times may precede that event. An incomplete event of the
+    /// response before is discarded.
     pub fn begin_continuation(&mut self) {
         self.discard_partial();
         self.has_ids = Some(true);
@@ -292,6 +293,10 @@
             self.check_continuation(event)?;
         }
         if self.ends_with_body {
+            // The text of another answer that a target writes into its stream has no ids.
+            if self.has_ids == Some(true) && event.id.is_none() && !event.is_preamble {
+                return Err(StreamError::MixedIds);
+            }
             let is_new = event.id.is_none() || self.accept_id(event.id)?;
             self.duplicate_events += u64::from(!is_new);
             self.data_events += u64::from(is_new && event.has_data);
@@ -346,7 +351,7 @@
             return Err(StreamError::MissingEvents { expected, found });
         }
         if found == expected {
-            self.next_id += 1;
+            self.next_id = self.next_id.saturating_add(1);
         }
         Ok(found == expected)
     }
