--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -65,7 +65,7 @@
     Response(Box<TargetResponse<D>>),
     /// The attempt failed; the event determines the next step.
     Failed(AttemptEvent),
-    /// No response head arrived in time; a retry was already taken from the budget.
+    /// No response head arrived in time from this target; a retry was already taken from the budget.
     TimedOut(TargetKey),
 }
 
