fix(gateway): keep a silent stream until another target has taken it

What callers saw: a stream was cut after the events before a pause of its target, which went on.

Cause: from a silence of 2 s on, StreamTransfer left the silent target at the end of the overlap, whether or not the other one had answered. When that refused, the stream was at no target.

Change: OverlapPolicy keeps both from then on until one answers. The silent target is left with the head of the other one's response, as its work starts then; so two targets don't work on the stream for long.

--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -23,7 +23,7 @@
 use crate::WireDialect;
 
 /// Limits on the time for which two targets have a request. A sound target refuses within a few round
-/// trips unless it is busy, and two targets must not work on a request for long.
+/// trips unless it is busy, and one that answers starts its work with the head of its response.
 pub(super) const OVERLAP: OverlapPolicy = OverlapPolicy {
     max_overlap: MilliDuration::from_millis(250),
     max_pause: MilliDuration::from_millis(2_000),
@@ -223,7 +223,7 @@
     }
 
     /// Sends the request to another target, until the first event of its response arrives or the
-    /// silent target goes on; at `overlap_end` one of both is given up.
+    /// silent target goes on; `overlap_end` bounds the wait while the silent one may only pause.
     async fn ask(
         &mut self,
         prepared: PreparedSend<D>,
@@ -236,6 +236,7 @@
         let log = self.trace.start_send();
         let sending = send_prepared(self.state, self.context, retry_at, &log, prepared);
         let mut sending = std::pin::pin!(sending);
+        let mut is_bounded = true;
         let end = loop {
             tokio::select! {
                 biased;
@@ -253,17 +254,14 @@
                     }
                 },
                 () = tokio::time::sleep_until(self.state.clock.instant(overlap_end)),
-                    if !progress.is_left() => {
+                    if is_bounded && !progress.is_left() => {
                         // The silent target may have broken off since the wait began.
                         if progress.is_left() {
                             continue;
                         }
                         match OVERLAP.decide(silence.since, self.state.clock.now()) {
                             OverlapEnd::WithdrawOther => break AskEnd::Withdrawn,
-                            OverlapEnd::LeaveSilent => {
-                                progress.leave();
-                                self.record_left(self.silent_target);
-                            }
+                            OverlapEnd::KeepBoth => is_bounded = false,
                         }
                     }
             }
--- a/crates/briarrail_outcome/src/overlap_policy.rs
+++ b/crates/briarrail_outcome/src/overlap_policy.rs
@@ -2,24 +2,26 @@
 
 use briarrail_model::{MilliDuration, MilliTime};
 
-/// Which target keeps a request when the time for which two may have it is over.
+/// Which targets keep a request at the end of an overlap.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OverlapEnd {
     /// The silent target keeps it; the other one is asked again later.
     WithdrawOther,
-    /// The other target keeps it.
-    LeaveSilent,
+    /// Both keep it until one of them answers.
+    KeepBoth,
 }
 
 /// Limits on the time for which a silent target and another one have the same request.
 ///
-/// A target that pauses for a moment and goes on is sound, and the other one may still refuse. So the
-/// silent target keeps the request until it has been silent for longer than such a pause.
+/// A target that pauses and goes on is sound, and the other one may still refuse. So the silent target
+/// keeps the request until the other one has taken it. For as long as sound targets usually pause, the
+/// other one has to answer within the overlap; after that it keeps its place in its queue, and the first
+/// answer decides.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OverlapPolicy {
-    /// Maximum time for which two targets have the request.
+    /// Maximum time for which two targets have the request while the silent one may only pause.
     pub max_overlap: MilliDuration,
-    /// Maximum pause of a sound target.
+    /// Usual maximum of the pauses of sound targets.
     pub max_pause: MilliDuration,
 }
 
@@ -30,13 +32,13 @@
         asked_at + self.max_overlap
     }
 
-    /// Returns which target keeps the request at the end of an overlap.
+    /// Returns which targets keep the request at the end of an overlap.
     #[must_use]
     pub fn decide(&self, silent_since: MilliTime, now: MilliTime) -> OverlapEnd {
         if now.since(silent_since) < self.max_pause {
             OverlapEnd::WithdrawOther
         } else {
-            OverlapEnd::LeaveSilent
+            OverlapEnd::KeepBoth
         }
     }
 
