--- a/crates/briarrail_dispatch/src/site_config.rs
+++ b/crates/briarrail_dispatch/src/site_config.rs
@@ -72,7 +72,7 @@
 }
 
 /// Configuration of a service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceConfig {
     /// Name of the service.
     pub name: String,
@@ -80,6 +80,15 @@
     pub max_connections: u32,
     /// Whether its targets are model engines with a prompt cache.
     pub caches_prompts: bool,
+    /// Time for which a target is cold after it starts.
+    ///
+    /// Routers of earlier versions send neither this field nor the next one.
+    #[serde(default)]
+    pub cold_start: MilliDuration,
+    /// Requests per second that a cold target takes from all routers together; 0 if there is no
+    /// bound.
+    #[serde(default)]
+    pub cold_rate_per_s: f32,
 }
 
 /// A customer and its keys.
@@ -107,7 +116,7 @@
 }
 
 /// One version of the complete configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SiteConfig {
     /// Version number; increases, but not always by one.
     pub version: u64,
--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -247,10 +247,12 @@
 
     /// Returns the mean load of a service's available targets.
     ///
-    /// Targets that limit their rate hold less than the others, and are left out unless all do.
+    /// Targets that limit their rate or are cold hold less than the others, and are left out unless
+    /// all do.
     #[must_use]
     pub fn mean_load(&self, service: &str, now: MilliTime) -> f32 {
-        let is_limited = |state: &TargetState| state.rate_limit(now).is_some();
+        let is_limited =
+            |state: &TargetState| state.rate_limit(now).is_some() || self.is_cold(state, now);
         let targets = self.service_targets(service).map(|(_, state)| state);
         let available: Vec<_> = targets.filter(|state| state.is_available()).collect();
         let unlimited = available.iter().filter(|state| !is_limited(state));
--- a/crates/briarrail_dispatch/src/target_record.rs
+++ b/crates/briarrail_dispatch/src/target_record.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use briarrail_model::DataCentre;
+use briarrail_model::{DataCentre, MilliDuration};
 use serde::{Deserialize, Serialize};
 
 /// Lifecycle phase of a target.
@@ -36,4 +36,9 @@
     pub phase: TargetPhase,
     /// Unix time at which it started, in milliseconds; 0 if unknown.
     pub started_unix_ms: u64,
+    /// Time for which it stays cold after its entry was written; zero if the entry names none.
+    ///
+    /// Routers of earlier versions don't send this field.
+    #[serde(default)]
+    pub cold_left: MilliDuration,
 }
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -5,12 +5,14 @@
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes, hash_pair};
 use slotmap::{SlotMap, new_key_type};
 
+use crate::cold_limiter::ColdLimiter;
+use crate::cold_policy::ColdPolicy;
 use crate::service_index::ServiceIndex;
 use crate::service_time_meter::{ServiceTimeMeter, SlotUse};
 use crate::target_limiter::TargetLimiter;
 use crate::{
-    FleetSize, LimitReport, LimitedRequest, OutcomeTotals, OutcomeWindow, OutlierDetector,
-    ReleaseKey, SendOutcome, TargetPhase, TargetRecord,
+    ColdSource, FleetSize, LimitReport, LimitedRequest, OutcomeTotals, OutcomeWindow,
+    OutlierDetector, ReleaseKey, SendOutcome, TargetPhase, TargetRecord,
 };
 
 new_key_type! {
@@ -64,6 +66,8 @@
     listed_at: MilliTime,
     /// Time at which the target was removed from the list.
     removed_at: Option<MilliTime>,
+    /// Bound on the requests while the target is cold.
+    pub(crate) cold_limiter: ColdLimiter,
 }
 
 impl TargetState {
@@ -144,11 +148,14 @@
     targets: SlotMap<TargetKey, TargetState>,
     by_id: HashMap<String, TargetKey>,
     by_service: ServiceIndex,
+    /// Bounds on the requests to cold targets.
+    pub(crate) cold_policy: ColdPolicy,
 }
 
 impl TargetRegistry {
     /// Adds a target or updates its record; a restart, or a change of its service, resets its state.
     pub fn upsert(&mut self, record: TargetRecord, now: MilliTime) -> TargetKey {
+        let is_known_fleet = self.cold_policy.record_listing(now);
         if let Some(&key) = self.by_id.get(&record.id) {
             let state = &mut self.targets[key];
             let changes_service = state.record.service != record.service;
@@ -169,12 +176,20 @@
                 state.service_time = ServiceTimeMeter::default();
                 state.listed_at = now;
             }
+            if restarted || state.removed_at.is_some() {
+                state.cold_limiter.record_start(ColdSource::Start, now);
+            }
+            let cold_left = record.cold_left;
+            state
+                .cold_limiter
+                .record_cold(cold_left, ColdSource::Entry, now);
             state.release = ReleaseKey::new(&record.service, &record.version);
             state.record = record;
             state.removed_at = None;
             return key;
         }
         let (id, service) = (record.id.clone(), record.service.clone());
+        let cold_limiter = ColdLimiter::listed(record.cold_left, is_known_fleet, now);
         let key = self.targets.insert(TargetState {
             hash: hash_bytes(id.as_bytes()),
             release: ReleaseKey::new(&record.service, &record.version),
@@ -189,6 +204,7 @@
             service_time: ServiceTimeMeter::default(),
             listed_at: now,
             removed_at: None,
+            cold_limiter,
         });
         self.by_id.insert(id, key);
         self.by_service.add(&service, key);
@@ -364,14 +380,22 @@
         fleet: &FleetSize,
         now: MilliTime,
     ) -> bool {
-        let state = self.targets.get_mut(key);
-        state.is_none_or(|state| {
-            let request = LimitedRequest {
-                prompt: hash_pair(request.prompt, state.hash),
-                seed: hash_pair(request.seed, state.hash),
-            };
-            state.limiter.admit(&request, fleet, now)
-        })
+        let is_full = |state: &TargetState| self.cold_wait(state, now).is_some();
+        if self.targets.get(key).is_some_and(is_full) {
+            return false;
+        }
+        let Some(state) = self.targets.get_mut(key) else {
+            return true;
+        };
+        let request = LimitedRequest {
+            prompt: hash_pair(request.prompt, state.hash),
+            seed: hash_pair(request.seed, state.hash),
+        };
+        let is_admitted = state.limiter.admit(&request, fleet, now);
+        if is_admitted {
+            self.record_cold_send(key, now);
+        }
+        is_admitted
     }
 
     /// Records a load that a target reported with a response.
--- a/crates/briarrail_dispatch/tests/suite/fixtures.rs
+++ b/crates/briarrail_dispatch/tests/suite/fixtures.rs
@@ -24,6 +24,7 @@
         slots: 64,
         phase: TargetPhase::Ready,
         started_unix_ms: 1,
+        cold_left: MilliDuration::ZERO,
     }
 }
 
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -2,12 +2,14 @@
 
 mod adaptive_timeout;
 mod admission;
+mod cold_targets;
 mod connection_timer;
 mod context_source;
 mod crash_quarantine;
 mod crash_replay;
 mod ejection;
 mod fixtures;
+mod fleet_members;
 mod fleet_outcomes;
 mod greetings;
 mod hub_choice;
--- a/crates/briarrail_gateway/src/wire_dialect.rs
+++ b/crates/briarrail_gateway/src/wire_dialect.rs
@@ -83,6 +83,8 @@
     pub load: Option<(u32, u32)>,
     /// Requests per second that the target takes from all routers together, if it limits them.
     pub rate_limit: Option<f32>,
+    /// Time for which the target stays cold, if it says so.
+    pub cold_left: Option<MilliDuration>,
 }
 
 /// Values of the headers that the gateway adds to its own error responses.
--- a/crates/briarrail_settings/src/gateway_settings.rs
+++ b/crates/briarrail_settings/src/gateway_settings.rs
@@ -9,7 +9,7 @@
 use crate::daemon_settings::{read_file, read_text};
 use crate::error_collector::ErrorCollector;
 use crate::section_reader::SectionReader;
-use crate::{LogSettings, SecretText, SettingsErrors};
+use crate::{ColdTolerance, LogSettings, SecretText, SettingsErrors};
 
 /// Limits that the operators set for the whole fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -24,6 +24,8 @@
     pub retry_slack: f64,
     /// Maximum load of a target, as a multiple of the mean load of its service.
     pub load_ratio: f64,
+    /// Bound on the requests to cold targets; without one, they get as many as others.
+    pub cold_tolerance: Option<ColdTolerance>,
 }
 
 /// The validated settings of one gateway.
@@ -147,6 +149,7 @@
         retry_window: seconds("retry_window_s", 10.0),
         retry_slack: section.value_or("retry_slack", 20.0),
         load_ratio: section.value_or("load_ratio", 2.0),
+        cold_tolerance: ColdTolerance::read(&section),
     };
     section.finish();
     limits
--- a/crates/briarrail_settings/src/lib.rs
+++ b/crates/briarrail_settings/src/lib.rs
@@ -5,6 +5,7 @@
 //! value and a hint. Unknown keys are errors.
 
 mod claim_settings;
+mod cold_tolerance;
 mod daemon_settings;
 mod error_collector;
 mod exchange_settings;
@@ -24,6 +25,7 @@
 mod thread_settings;
 
 pub use claim_settings::ClaimSettings;
+pub use cold_tolerance::ColdTolerance;
 pub use daemon_settings::DaemonSettings;
 pub use exchange_settings::{ExchangeKey, ExchangeSettings};
 pub use gateway_settings::{FleetLimits, GatewaySettings};
