feat(dispatch): join what decides whether a target gets a request

The store's phase, the removal and the release were asked for apart at each place that sends. One standing holds what the store, the target and the operators say of a lifetime, and TargetState::denial answers for a request's need with the reason; the counted reasons come from TargetRegistry::admit. Placement, returns, retries, take-ups, admission, outliers and idle connections ask it. Evacuated, homes, leaving, paused and cold have their places; nothing sets them yet.

--- /dev/null
+++ b/crates/briarrail_dispatch/src/send_need.rs
@@ -0,0 +1,20 @@
+//! What a request needs of the target that it is sent to.
+
+use crate::{HomeSet, ReleaseKey};
+
+/// What a request needs of the target that it is sent to.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SendNeed<'a> {
+    /// Release of the only targets that can continue the request's stream; `None` if any can.
+    pub release: Option<ReleaseKey>,
+    /// Data centres in which the request may run; `None` if it may run in any.
+    pub homes: Option<&'a HomeSet>,
+}
+
+impl SendNeed<'_> {
+    /// Need of a request that any target of its service can execute.
+    pub const ANY: SendNeed<'static> = SendNeed {
+        release: None,
+        homes: None,
+    };
+}
--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -11,7 +11,7 @@
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_pair};
 
 use crate::service_time_meter::SlotUse;
-use crate::{ReleaseKey, ServiceCapacity, TargetKey, TargetRegistry, TargetState};
+use crate::{SendDenial, SendNeed, ServiceCapacity, TargetKey, TargetRegistry, TargetState};
 
 /// Load limits for placement.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -79,8 +79,8 @@
     pub seed: StableHash,
     /// Latency objective of the request.
     pub objective: MilliDuration,
-    /// Release of the only targets that can continue the request's stream; `None` if any can.
-    pub release: Option<ReleaseKey>,
+    /// What the request needs of its target.
+    pub need: SendNeed<'a>,
 }
 
 struct Candidate {
@@ -118,7 +118,7 @@
         now: MilliTime,
     ) -> Option<Placement> {
         let mean = self.mean_load(request.service, now);
-        let usable = self.usable_targets(request.service, request.tried, request.release, now);
+        let usable = self.usable_targets(request.service, request.tried, &request.need, now);
         let initial_ms = request.objective.as_millis() as f32 * INITIAL_SERVICE_TIME_RATIO;
         let measured_ms = mean_service_time_ms(&usable);
         let mean_time_ms = measured_ms.unwrap_or(initial_ms).max(1.0);
@@ -190,7 +190,7 @@
     /// Returns the slots, load and throughput of the targets that may receive a service's requests.
     #[must_use]
     pub fn service_capacity(&self, service: &str, now: MilliTime) -> ServiceCapacity {
-        let targets = self.usable_targets(service, &[], None, now);
+        let targets = self.usable_targets(service, &[], &SendNeed::ANY, now);
         let mut capacity = ServiceCapacity {
             service_time_ms: mean_service_time_ms(&targets),
             ..ServiceCapacity::default()
@@ -210,7 +210,7 @@
         capacity
     }
 
-    /// Returns the available targets that are not ejected.
+    /// Returns the targets that may get a request and are not ejected.
     ///
     /// If more than half are ejected, their failures have a common cause, and only unreachable ones
     /// are left out; if every one is, all are returned.
@@ -218,16 +218,12 @@
         &self,
         service: &str,
         excluded: &[TargetKey],
-        release: Option<ReleaseKey>,
+        need: &SendNeed<'_>,
         now: MilliTime,
     ) -> Vec<(TargetKey, &TargetState)> {
-        let listed = self.service_targets(service);
-        let is_of_release =
-            |state: &TargetState| release.is_none_or(|release| state.release == release);
-        let available: Vec<_> = listed
-            .filter(|(key, state)| {
-                state.is_available() && is_of_release(state) && !excluded.contains(key)
-            })
+        let available: Vec<_> = self
+            .service_targets(service)
+            .filter(|(key, state)| !excluded.contains(key) && state.denial(need, now).is_none())
             .collect();
         let mut usable = available.clone();
         usable.retain(|(_, state)| state.outlier_detector.allows_requests(now));
@@ -238,11 +234,25 @@
         if usable.is_empty() { available } else { usable }
     }
 
-    /// Returns whether a service has available targets.
+    /// Returns why no target of a service may get a request, or `None` if one may.
+    ///
+    /// Of several reasons it is the one that passes soonest, and [`SendDenial::Gone`] without any
+    /// target.
     #[must_use]
-    pub fn has_available_target(&self, service: &str) -> bool {
-        self.service_targets(service)
-            .any(|(_, state)| state.is_available())
+    pub fn service_denial(
+        &self,
+        service: &str,
+        need: &SendNeed<'_>,
+        now: MilliTime,
+    ) -> Option<SendDenial> {
+        let mut soonest = SendDenial::Gone;
+        for (_, state) in self.service_targets(service) {
+            let denial = state.denial(need, now)?;
+            if denial.passes_before(soonest) {
+                soonest = denial;
+            }
+        }
+        Some(soonest)
     }
 
     /// Returns the mean load of a service's available targets.
@@ -252,7 +262,7 @@
     pub fn mean_load(&self, service: &str, now: MilliTime) -> f32 {
         let is_limited = |state: &TargetState| state.rate_limit(now).is_some();
         let targets = self.service_targets(service).map(|(_, state)| state);
-        let available: Vec<_> = targets.filter(|state| state.is_available()).collect();
+        let available: Vec<_> = targets.filter(|state| state.is_available(now)).collect();
         let unlimited = available.iter().filter(|state| !is_limited(state));
         mean_of(unlimited.map(|state| state.expected_load(now)))
             .or_else(|| mean_of(available.iter().map(|state| state.expected_load(now))))
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -1,8 +1,8 @@
 //! State of each target as known to this router.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
-use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes, hash_pair};
+use briarrail_model::{DataCentre, MilliDuration, MilliTime, StableHash, hash_bytes, hash_pair};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::service_index::ServiceIndex;
@@ -10,7 +10,7 @@
 use crate::target_limiter::TargetLimiter;
 use crate::{
     FleetSize, LimitReport, LimitedRequest, OutcomeTotals, OutcomeWindow, OutlierDetector,
-    ReleaseKey, SendOutcome, TargetPhase, TargetRecord,
+    ReleaseKey, SendDenial, SendNeed, SendOutcome, TargetRecord, TargetStanding,
 };
 
 new_key_type! {
@@ -20,8 +20,6 @@
 
 /// Maximum age of peer counts; older ones do not reflect the current load.
 const MAX_PEER_COUNT_AGE: MilliDuration = MilliDuration::from_millis(1_500);
-/// Time for which a target that left without draining still serves; the shortest drain of a site.
-const REMOVED_RETENTION: MilliDuration = MilliDuration::from_millis(1_500);
 /// Time after which a listed target counts as warmed up; a popular prompt is requested once within
 /// it.
 const WARM_UP_TIME: MilliDuration = MilliDuration::from_millis(1_500);
@@ -62,8 +60,8 @@
     service_time: ServiceTimeMeter,
     /// Time at which the target, or a new run of it, was first listed.
     listed_at: MilliTime,
-    /// Time at which the target was removed from the list.
-    removed_at: Option<MilliTime>,
+    /// What the store, the target itself and the operators say of this lifetime.
+    standing: TargetStanding,
 }
 
 impl TargetState {
@@ -92,23 +90,43 @@
         counted.max(reported_total)
     }
 
-    /// Returns whether the target can receive new requests, apart from ejection.
+    /// Returns why the target may not get a request, apart from the reasons that depend on a count
+    /// of requests.
+    ///
+    /// [`TargetRegistry::admit`] decides on those.
+    #[must_use]
+    pub fn denial(&self, need: &SendNeed<'_>, now: MilliTime) -> Option<SendDenial> {
+        let is_outside = need
+            .homes
+            .is_some_and(|homes| !homes.contains(&self.record.data_centre));
+        let is_other = need.release.is_some_and(|release| release != self.release);
+        match self.standing.denial(now) {
+            Some(denial) if !denial.passes_soon() => Some(denial),
+            _ if is_outside => Some(SendDenial::OutsideHomes),
+            _ if is_other => Some(SendDenial::OtherRelease),
+            denial => denial,
+        }
+    }
+
+    /// Returns whether the target may get requests of some kind, apart from ejection.
+    #[must_use]
+    pub fn is_available(&self, now: MilliTime) -> bool {
+        self.denial(&SendNeed::ANY, now).is_none()
+    }
+
+    /// Returns what the store, the target itself and the operators say of this lifetime.
     #[must_use]
-    pub fn is_available(&self) -> bool {
-        self.removed_at.is_none() && self.record.phase == TargetPhase::Ready
+    pub const fn standing(&self) -> &TargetStanding {
+        &self.standing
     }
 
     /// Returns whether the target can serve its cached context to other targets.
     ///
-    /// A target that drained before it was removed is down, while one that was removed without
-    /// draining keeps serving for a while. Fetching from a target that is down delays the request
-    /// by the fetch timeout of the fetching target.
+    /// Fetching from a target that is down delays the request by the fetch timeout of the fetching
+    /// target.
     #[must_use]
     pub fn can_serve_context(&self, now: MilliTime) -> bool {
-        let is_up = self.removed_at.is_none_or(|at| {
-            self.record.phase == TargetPhase::Ready && now.since(at) <= REMOVED_RETENTION
-        });
-        is_up
+        self.standing.is_up(now)
             && (self.outlier_detector.ejected_until().is_none()
                 || self.outlier_detector.responded_recently(now))
     }
@@ -144,12 +162,15 @@
     targets: SlotMap<TargetKey, TargetState>,
     by_id: HashMap<String, TargetKey>,
     by_service: ServiceIndex,
+    /// Data centres that the operators have evacuated.
+    evacuated: BTreeSet<DataCentre>,
 }
 
 impl TargetRegistry {
     /// Adds a target or updates its record; a restart, or a change of its service, resets its state.
     pub fn upsert(&mut self, record: TargetRecord, now: MilliTime) -> TargetKey {
         if let Some(&key) = self.by_id.get(&record.id) {
+            let is_evacuated = self.evacuated.contains(&record.data_centre);
             let state = &mut self.targets[key];
             let changes_service = state.record.service != record.service;
             if changes_service {
@@ -168,13 +189,17 @@
                 state.peer_outcomes = OutcomeTotals::default();
                 state.service_time = ServiceTimeMeter::default();
                 state.listed_at = now;
+                state.standing = TargetStanding::new(record.phase);
             }
             state.release = ReleaseKey::new(&record.service, &record.version);
+            state.standing.record_listed(record.phase);
+            state.standing.set_evacuated(is_evacuated);
             state.record = record;
-            state.removed_at = None;
             return key;
         }
         let (id, service) = (record.id.clone(), record.service.clone());
+        let mut standing = TargetStanding::new(record.phase);
+        standing.set_evacuated(self.evacuated.contains(&record.data_centre));
         let key = self.targets.insert(TargetState {
             hash: hash_bytes(id.as_bytes()),
             release: ReleaseKey::new(&record.service, &record.version),
@@ -188,7 +213,7 @@
             peer_outcomes: OutcomeTotals::default(),
             service_time: ServiceTimeMeter::default(),
             listed_at: now,
-            removed_at: None,
+            standing,
         });
         self.by_id.insert(id, key);
         self.by_service.add(&service, key);
@@ -198,7 +223,7 @@
     /// Marks a target as removed; its state is kept until [`Self::purge_removed`] drops it.
     pub fn mark_removed(&mut self, id: &str, now: MilliTime) {
         if let Some(&key) = self.by_id.get(id) {
-            self.targets[key].removed_at = Some(now);
+            self.targets[key].standing.record_removed(now);
         }
     }
 
@@ -206,8 +231,7 @@
     /// flight.
     pub fn purge_removed(&mut self, now: MilliTime) {
         let is_purgeable = |state: &TargetState| {
-            let is_past_retention = |at: MilliTime| now.since(at) > REMOVED_RETENTION;
-            state.local_requests == 0 && state.removed_at.is_some_and(is_past_retention)
+            state.local_requests == 0 && state.standing.is_past_retention(now)
         };
         let purgeable = self.targets.iter().filter(|(_, state)| is_purgeable(state));
         let keys: Vec<TargetKey> = purgeable.map(|(key, _)| key).collect();
@@ -216,6 +240,29 @@
         }
     }
 
+    /// Sets the data centres that the operators have evacuated, for the targets that are listed and
+    /// for those that will be.
+    pub fn set_evacuated(&mut self, data_centres: &BTreeSet<DataCentre>) {
+        self.evacuated.clone_from(data_centres);
+        for state in self.targets.values_mut() {
+            let is_evacuated = data_centres.contains(&state.record.data_centre);
+            state.standing.set_evacuated(is_evacuated);
+        }
+    }
+
+    /// Returns why a target may not get a request, apart from the reasons that depend on a count of
+    /// requests.
+    #[must_use]
+    pub fn denial(
+        &self,
+        key: TargetKey,
+        need: &SendNeed<'_>,
+        now: MilliTime,
+    ) -> Option<SendDenial> {
+        let state = self.targets.get(key);
+        state.map_or(Some(SendDenial::Gone), |state| state.denial(need, now))
+    }
+
     /// Returns the key of the target with the identifier.
     #[must_use]
     pub fn key_by_id(&self, id: &str) -> Option<TargetKey> {
@@ -312,7 +359,7 @@
         for key in keys {
             let state = &mut self.targets[key];
             let totals = state.local_outcomes.sum(now).plus(state.peer_outcomes);
-            if state.is_available() {
+            if state.is_available(now) {
                 let sum = by_service.entry(state.record.service.clone()).or_default();
                 *sum = sum.plus(totals);
                 by_target.push((key, totals));
@@ -355,23 +402,31 @@
         state.limiter.report(now)
     }
 
-    /// Counts a request that was placed at a target, and returns whether the target's rate limit
-    /// allows to send it.
+    /// Counts a request that was placed at a target, and decides whether the target gets it by the
+    /// reasons that depend on such counts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for which the target may not get the request now.
     pub fn admit(
         &mut self,
         key: TargetKey,
         request: &LimitedRequest,
         fleet: &FleetSize,
         now: MilliTime,
-    ) -> bool {
-        let state = self.targets.get_mut(key);
-        state.is_none_or(|state| {
-            let request = LimitedRequest {
-                prompt: hash_pair(request.prompt, state.hash),
-                seed: hash_pair(request.seed, state.hash),
-            };
-            state.limiter.admit(&request, fleet, now)
-        })
+    ) -> Result<(), SendDenial> {
+        let Some(state) = self.targets.get_mut(key) else {
+            return Err(SendDenial::Gone);
+        };
+        let request = LimitedRequest {
+            prompt: hash_pair(request.prompt, state.hash),
+            seed: hash_pair(request.seed, state.hash),
+        };
+        if state.limiter.admit(&request, fleet, now) {
+            Ok(())
+        } else {
+            Err(SendDenial::RateLimited)
+        }
     }
 
     /// Records a load that a target reported with a response.
--- a/crates/briarrail_dispatch/tests/suite/admission.rs
+++ b/crates/briarrail_dispatch/tests/suite/admission.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use briarrail_dispatch::{
-    AdmissionController, OutcomeTotals, PlacementRequest, RefusalCause, SendOutcome, TargetKey,
-    TargetRegistry, TargetState, retry_after,
+    AdmissionController, OutcomeTotals, PlacementRequest, RefusalCause, SendNeed, SendOutcome,
+    TargetKey, TargetRegistry, TargetState, retry_after,
 };
 use briarrail_model::{MilliDuration, StableHash, hash_pair};
 use rand::rngs::SmallRng;
@@ -264,7 +264,7 @@
             tried: &[],
             seed,
             objective,
-            release: None,
+            need: SendNeed::ANY,
         };
         let Some(placement) = router.registry.place(&request, &LIMITS, at(now)) else {
             self.refuse(call, seed, now);
--- a/crates/briarrail_dispatch/tests/suite/fixtures.rs
+++ b/crates/briarrail_dispatch/tests/suite/fixtures.rs
@@ -1,7 +1,7 @@
 //! Shared test inputs.
 
 use briarrail_dispatch::{
-    PlacementLimits, PlacementRequest, PromptParts, TargetPhase, TargetRecord,
+    PlacementLimits, PlacementRequest, PromptParts, SendNeed, TargetPhase, TargetRecord,
 };
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes};
 
@@ -46,6 +46,6 @@
         tried: &[],
         seed: StableHash(1),
         objective: MilliDuration::from_millis(600),
-        release: None,
+        need: SendNeed::ANY,
     }
 }
--- a/crates/briarrail_dispatch/tests/suite/plain_calls.rs
+++ b/crates/briarrail_dispatch/tests/suite/plain_calls.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use briarrail_dispatch::{OutcomeTotals, PlacementRequest, TargetKey, TargetRegistry};
+use briarrail_dispatch::{OutcomeTotals, PlacementRequest, SendNeed, TargetKey, TargetRegistry};
 use briarrail_model::{MilliDuration, StableHash, hash_pair};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -102,7 +102,7 @@
             tried: &[],
             seed: hash_pair(StableHash(now), StableHash(seed)),
             objective: MilliDuration::from_millis(150),
-            release: None,
+            need: SendNeed::ANY,
         };
         let placement = registries[router].place(&request, &LIMITS, at(now));
         let Some(placement) = placement else {
--- a/crates/briarrail_dispatch/tests/suite/rate_limits.rs
+++ b/crates/briarrail_dispatch/tests/suite/rate_limits.rs
@@ -149,7 +149,8 @@
             let fleet_size = router.fleet_size;
             let is_admitted = router
                 .registry
-                .admit(router.key, &request, &fleet_size, at(now));
+                .admit(router.key, &request, &fleet_size, at(now))
+                .is_ok();
             if is_admitted {
                 let until_told = conditions.restart_at..conditions.restart_at.saturating_add(700);
                 if index != 0 || !until_told.contains(&now) {
--- a/crates/briarrail_dispatch/tests/suite/stream_releases.rs
+++ b/crates/briarrail_dispatch/tests/suite/stream_releases.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use briarrail_dispatch::{
-    LiveOrigins, PlacementRequest, ReleaseKey, ReleaseLedger, SendOutcome, ServiceRelease,
-    StreamKey, StreamOrigins, TargetPhase, TargetRecord, TargetRegistry, is_in_touch,
-    origin_holders, origin_sources, origin_witnesses, sole_release,
+    LiveOrigins, PlacementRequest, ReleaseKey, ReleaseLedger, SendNeed, SendOutcome,
+    ServiceRelease, StreamKey, StreamOrigins, TargetPhase, TargetRecord, TargetRegistry,
+    is_in_touch, origin_holders, origin_sources, origin_witnesses, sole_release,
 };
 use briarrail_model::HostName;
 
@@ -39,7 +39,10 @@
     let placed = (0..200).filter_map(|index| {
         let prompt = prompt(index, 10_000);
         let pinned = PlacementRequest {
-            release: Some(key),
+            need: SendNeed {
+                release: Some(key),
+                ..SendNeed::ANY
+            },
             ..request(&prompt)
         };
         let placement = registry.place(&pinned, &LIMITS, at(0))?;
--- a/crates/briarrail_gateway/src/traffic/request_context.rs
+++ b/crates/briarrail_gateway/src/traffic/request_context.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use briarrail_dispatch::{RouteConfig, RouteSemantics, RoutingTable, StreamKey};
+use briarrail_dispatch::{RouteConfig, RouteSemantics, RoutingTable, SendNeed, StreamKey};
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, Request, Uri, header};
@@ -78,6 +78,14 @@
         }
     }
 
+    /// Returns what the request needs of its target; a stream that goes on is bound to its release.
+    pub(crate) fn need(&self, resume_point: Option<ResumePoint>) -> SendNeed<'_> {
+        SendNeed {
+            release: resume_point.map(|point| point.release),
+            homes: None,
+        }
+    }
+
     /// Returns a seed that differs between requests and is the same on all routers.
     pub(crate) fn seed(&self) -> StableHash {
         hash_bytes(&self.caller.request_id)
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -513,8 +513,9 @@
     }
 
     fn has_available_target(&self) -> bool {
-        let registry = self.state.registry.borrow();
-        registry.has_available_target(&self.context.service)
+        let need = self.context.need(self.context.resume_point);
+        let denial = self.state.service_denial(&self.context.service, &need);
+        denial.is_none()
     }
 }
 
--- a/crates/briarrail_gateway/src/traffic/stream_origin.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_origin.rs
@@ -68,17 +68,19 @@
     }
     let origin = find_origin(state, context).await;
     let (outcome, release, refusal) = match origin {
-        StreamOrigin::Known(release, source) if state.has_release(&context.service, release) => {
-            context.resume_point = Some(ResumePoint {
+        StreamOrigin::Known(release, source) => {
+            let point = ResumePoint {
                 last_event,
                 release,
-            });
-            (source, Some(release), None)
-        }
-        StreamOrigin::Known(release, _) => {
-            let reason = "no target of the release that began the stream";
-            let refusal = (RefusalCause::NoTarget, reason);
-            ("gone", Some(release), Some(refusal))
+            };
+            context.resume_point = Some(point);
+            let need = context.need(Some(point));
+            let denial = state.service_denial(&context.service, &need);
+            denial.map_or((source, Some(release), None), |_| {
+                let reason = "no target of the release that began the stream";
+                let refusal = (RefusalCause::NoTarget, reason);
+                ("gone", Some(release), Some(refusal))
+            })
         }
         // Another router may know, and the caller learns soon if none does.
         StreamOrigin::Ambiguous => {
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -6,7 +6,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use briarrail_dispatch::{Placement, PlacementRequest, ReleaseKey, SendOutcome, TargetKey};
+use briarrail_dispatch::{
+    Placement, PlacementRequest, ReleaseKey, SendNeed, SendOutcome, TargetKey,
+};
 use briarrail_model::{CallSemantics, MilliDuration, MilliTime};
 use briarrail_outcome::AttemptEvent;
 use bytes::Bytes;
@@ -140,8 +142,8 @@
         trace.send_log().record_failure("blocked", &"");
         return Err(AttemptEvent::NoTarget);
     }
-    let release = resume_point.map(|point| point.release);
-    let Some(chosen) = choose_target(state, context, tried, release, trace) else {
+    let need = context.need(resume_point);
+    let Some(chosen) = choose_target(state, context, tried, &need, trace) else {
         return Err(AttemptEvent::NoTarget);
     };
     let key = chosen.key;
@@ -321,12 +323,12 @@
     context_source: Option<SocketAddr>,
 }
 
-/// Selects a target, of a certain release if only that can continue the stream.
+/// Selects a target that may get the request.
 fn choose_target<D>(
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
     tried: &TriedTargets,
-    release: Option<ReleaseKey>,
+    need: &SendNeed<'_>,
     trace: &mut RequestTrace<D>,
 ) -> Option<ChosenTarget> {
     let now = state.clock.now();
@@ -338,14 +340,14 @@
         tried: tried.keys(),
         seed: context.seed(),
         objective: context.objective,
-        release,
+        need: *need,
     };
     let placement = if tried.is_limited_to_returns() {
         None
     } else {
         place_within_limits(state, context, &request, now)
     };
-    let placement = placement.or_else(|| place_return(state, context, tried, release))?;
+    let placement = placement.or_else(|| place_return(state, context, tried, need))?;
     let key = placement.target;
     let registry = state.registry.borrow();
     trace.rank = placement.rank;
@@ -381,7 +383,7 @@
             ..*request
         };
         let placement = state.registry.borrow().place(&remaining, &limits, now)?;
-        if state.admits(placement.target, context) {
+        if state.admits(placement.target, context).is_ok() {
             return Some(placement);
         }
         excluded.push(placement.target);
@@ -393,17 +395,15 @@
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
     tried: &TriedTargets,
-    release: Option<ReleaseKey>,
+    need: &SendNeed<'_>,
 ) -> Option<Placement> {
+    let now = state.clock.now();
     let is_usable = |key: &TargetKey| {
         let registry = state.registry.borrow();
-        let target = registry.get(*key);
-        target.is_some_and(|target| {
-            target.is_available() && release.is_none_or(|release| target.release == release)
-        })
+        registry.denial(*key, need, now).is_none()
     };
     let mut returns = tried.returns().filter(is_usable);
-    let target = returns.find(|key| state.admits(*key, context))?;
+    let target = returns.find(|key| state.admits(*key, context).is_ok())?;
     Some(Placement {
         target,
         rank: None,
@@ -420,16 +420,16 @@
     tried: &TriedTargets,
 ) -> Option<MilliTime> {
     let key = prepared.target();
-    let release = prepared.resume_point.map(|point| point.release);
+    let need = context.need(prepared.resume_point);
     let may_retry = context.semantics.call_semantics() == CallSemantics::Idempotent
         && (tried.keys().len() as u32) < context.max_attempts;
+    let now = state.clock.now();
     let registry = state.registry.borrow();
     let mut targets = registry.service_targets(&context.service);
     let has_other = targets.any(|(other, target)| {
-        let is_of_release = release.is_none_or(|release| target.release == release);
-        tried.may_replace_latest(other) && other != key && target.is_available() && is_of_release
+        tried.may_replace_latest(other) && other != key && target.denial(&need, now).is_none()
     });
-    let retry_at = state.clock.now() + state.response_timeout(context);
+    let retry_at = now + state.response_timeout(context);
     (may_retry && has_other && retry_at < context.deadline).then_some(retry_at)
 }
 
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -8,8 +8,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use briarrail_dispatch::{
     AdaptiveTimeout, AdmissionController, AdmissionRatio, CrashQuarantine, FleetSize, LimitReport,
-    LimitStatement, LimitedRequest, OutcomeTotals, PlacementLimits, ReleaseKey, RetryBudget,
-    RetryBudgetLimits, RosterChange, RoutingTable, SendOutcome, SuspectChange, SuspectKind,
+    LimitStatement, LimitedRequest, OutcomeTotals, PlacementLimits, RetryBudget, RetryBudgetLimits,
+    RosterChange, RoutingTable, SendDenial, SendNeed, SendOutcome, SuspectChange, SuspectKind,
     SuspectReports, TargetKey, TargetRegistry, TargetState,
 };
 use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
@@ -228,9 +228,13 @@
         admission.admission_ratio(&capacity, context.objective, now)
     }
 
-    /// Counts a request that was placed at a target, and returns whether the target's rate limit
-    /// allows to send it.
-    pub(crate) fn admits(&self, key: TargetKey, context: &RequestContext) -> bool {
+    /// Counts a request that was placed at a target, and decides whether the target gets it by the
+    /// reasons that depend on such counts.
+    pub(crate) fn admits(
+        &self,
+        key: TargetKey,
+        context: &RequestContext,
+    ) -> Result<(), SendDenial> {
         let seed = context.seed();
         let affinity_key = context.caller.prompt.affinity_key();
         let request = LimitedRequest {
@@ -260,11 +264,10 @@
         budget.try_take_retry(self.clock.now(), &limits, routers)
     }
 
-    /// Returns whether a service has an available target of a release.
-    pub(crate) fn has_release(&self, service: &str, release: ReleaseKey) -> bool {
+    /// Returns why no target of a service may get a request, or `None` if one may.
+    pub(crate) fn service_denial(&self, service: &str, need: &SendNeed<'_>) -> Option<SendDenial> {
         let registry = self.registry.borrow();
-        let mut targets = registry.service_targets(service);
-        targets.any(|(_, target)| target.is_available() && target.release == release)
+        registry.service_denial(service, need, self.clock.now())
     }
 
     /// Sends a message about a stream to the control thread.
@@ -418,15 +421,9 @@
     fn apply_roster_change(&self, change: RosterChange) {
         match change {
             RosterChange::Upserted(record) => {
-                let key = self.registry.borrow_mut().upsert(record, self.clock.now());
-                // A draining target gets no new requests, so its idle connections are not needed.
-                let registry = self.registry.borrow();
-                if registry
-                    .get(key)
-                    .is_none_or(|target| !target.is_available())
-                {
-                    self.idle_connections.borrow_mut().remove_target(key);
-                }
+                let now = self.clock.now();
+                let key = self.registry.borrow_mut().upsert(record, now);
+                self.close_unused(key, now);
             }
             RosterChange::Removed(id) => {
                 let key = self.registry.borrow().key_by_id(&id);
@@ -441,6 +438,14 @@
         }
     }
 
+    /// Closes the idle connections to a target that will get no more requests.
+    fn close_unused(&self, key: TargetKey, now: MilliTime) {
+        let denial = self.registry.borrow().denial(key, &SendNeed::ANY, now);
+        if denial.is_some_and(|denial| !denial.passes_soon()) {
+            self.idle_connections.borrow_mut().remove_target(key);
+        }
+    }
+
     fn apply_peer_counts(&self, counts: &FleetCounts, now: MilliTime) {
         let counts_by_target = counts.targets.iter().map(|count| (count.target, count));
         let by_target: HashMap<u32, &TargetCount> = counts_by_target.collect();
