--- a/crates/briarrail_dispatch/tests/suite/cold_targets.rs
+++ b/crates/briarrail_dispatch/tests/suite/cold_targets.rs
@@ -117,7 +117,7 @@
         let fleet_size = FleetSize::default();
         let key = self.keys[target];
         (0..40)
-            .take_while(|_| self.registry.admit(key, &request(), &fleet_size, at(now)))
+            .take_while(|_| self.registry.admit(key, &request(), &fleet_size, at(now)).is_ok())
             .count()
     }
 }
