feat(dispatch): divide the load of a cold target among the routers

What callers saw: targets that join a busy service are empty, so that every router sends them what the others can't take.

Change: services name the rate that a cold target takes, the settings how much more is tolerated. The routers divide it without a message: they order the fleet by rendezvous hash for each target, and a share follows from the rank. A router that has just started has no share for 8 s, one that hears nothing takes a third, one that vanished counts on for two minutes. A tenth of the bound stays unassigned for lists that differ. Each router keeps a log of its sends of the last 1.05 s, moved to the moment at which a request leaves. The bound doubles every 500 ms for 2 s after the cold time.

A target is cold by its entry, by an answer, after it was listed or came back during traffic, and after an evacuation. Without ColdPerS and cold_overrun nothing changes.

--- a/crates/briarrail_dispatch/src/cold_limiter.rs
+++ b/crates/briarrail_dispatch/src/cold_limiter.rs
@@ -91,6 +91,13 @@
         known.max_by_key(|&(until, _)| until)
     }
 
+    /// Returns whether the target gets a bounded number of requests because it is cold or has just
+    /// been.
+    pub(crate) fn is_bounded(&self, terms: &ColdTerms, now: MilliTime) -> bool {
+        let until = self.cold_until(terms);
+        until.is_some_and(|(until, _)| terms.divided_per_s(until, now).is_some())
+    }
+
     /// Returns how many requests this router may send in a window; `None` if the target is warm.
     pub(crate) fn share(
         &self,
--- a/crates/briarrail_dispatch/src/cold_targets.rs
+++ b/crates/briarrail_dispatch/src/cold_targets.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use briarrail_model::{DataCentre, MilliDuration, MilliTime};
+use briarrail_model::{MilliDuration, MilliTime};
 
 use crate::cold_limiter::ColdLimiter;
 use crate::{ColdSource, ColdTerms, RouterList, TargetKey, TargetRegistry, TargetState};
@@ -23,15 +23,6 @@
     Warm,
 }
 
-/// Room for requests at the cold targets of a service.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ColdRoom {
-    /// Targets that this router may send nothing now.
-    pub full: Vec<TargetKey>,
-    /// Time after which it may send to one of them.
-    pub next_at: Option<MilliTime>,
-}
-
 impl TargetRegistry {
     /// Sets the bounds of the services; services without one are left out.
     pub fn set_cold_terms(&mut self, terms: HashMap<String, ColdTerms>) {
@@ -50,38 +41,35 @@
         }
     }
 
-    /// Records that the targets of a data centre are taken back into use, which may be cold before
-    /// their entries say so.
-    pub fn record_return(&mut self, data_centre: &DataCentre, now: MilliTime) {
-        let is_returned = |state: &TargetState| state.record.data_centre == *data_centre;
-        let returned = self.iter().filter(|(_, state)| is_returned(state));
-        let keys: Vec<TargetKey> = returned.map(|(key, _)| key).collect();
-        for key in keys {
-            if let Some(limiter) = self.cold_limiter_mut(key) {
-                limiter.record_start(ColdSource::Return, now);
-            }
-        }
+    /// Returns the bound on the requests to the cold targets of a service, if it has one.
+    #[must_use]
+    pub fn cold_terms(&self, service: &str) -> Option<&ColdTerms> {
+        self.cold_policy.terms.get(service)
     }
 
     /// Returns the cold targets of a service that this router may send nothing now, so that
     /// placement passes over them.
     #[must_use]
-    pub fn cold_room(&self, service: &str, now: MilliTime) -> ColdRoom {
+    pub fn full_cold_targets(&self, service: &str, now: MilliTime) -> Vec<TargetKey> {
+        let Some(terms) = self.cold_terms(service) else {
+            return Vec::new();
+        };
         let targets = self.service_targets(service);
-        let waits = targets.filter_map(|(key, state)| Some((key, self.cold_wait(state, now)?)));
-        let (full, times): (Vec<_>, Vec<_>) = waits.unzip();
-        ColdRoom {
-            full,
-            next_at: times.into_iter().min(),
-        }
+        let full = targets.filter(|(_, state)| self.cold_wait(state, terms, now).is_some());
+        full.map(|(key, _)| key).collect()
     }
 
-    /// Returns whether a target gets a bounded number of requests because it is cold or has just
-    /// been.
+    /// Returns the time after which this router may send a request to some target of a service, if
+    /// only cold targets that it may send nothing now are available.
     #[must_use]
-    pub fn is_cold(&self, state: &TargetState, now: MilliTime) -> bool {
-        let terms = self.cold_policy.terms.get(&state.record.service);
-        terms.is_some_and(|terms| is_bounded(&state.cold_limiter, terms, now))
+    pub fn cold_room_at(&self, service: &str, now: MilliTime) -> Option<MilliTime> {
+        let terms = self.cold_terms(service)?;
+        let targets = self.service_targets(service).map(|(_, state)| state);
+        let available = targets.filter(|state| state.is_available(now));
+        let waits: Option<Vec<_>> = available
+            .map(|state| self.cold_wait(state, terms, now))
+            .collect();
+        waits?.into_iter().min()
     }
 
     /// Returns the targets that turned cold or warm since the last call.
@@ -94,7 +82,9 @@
     }
 
     fn take_cold_change(&mut self, key: TargetKey, now: MilliTime) -> Option<ColdChange> {
-        let is_cold = self.is_cold(self.get(key)?, now);
+        let state = self.get(key)?;
+        let terms = self.cold_terms(&state.record.service);
+        let is_cold = terms.is_some_and(|terms| state.cold_limiter.is_bounded(terms, now));
         let is_change = self.cold_limiter_mut(key)?.take_change(is_cold);
         if !is_change {
             return None;
@@ -103,7 +93,7 @@
             return Some(ColdChange::Warm);
         }
         let state = self.get(key)?;
-        let terms = self.cold_policy.terms.get(&state.record.service)?;
+        let terms = self.cold_terms(&state.record.service)?;
         let (until, source) = state.cold_limiter.cold_until(terms)?;
         let members = &self.cold_policy.members;
         let share = state.cold_limiter.share(terms, members, state.hash, now);
@@ -116,8 +106,12 @@
 
     /// Returns the time after which this router may send a request to a target, or `None` if it may
     /// send one now.
-    pub(crate) fn cold_wait(&self, state: &TargetState, now: MilliTime) -> Option<MilliTime> {
-        let terms = self.cold_policy.terms.get(&state.record.service)?;
+    pub(crate) fn cold_wait(
+        &self,
+        state: &TargetState,
+        terms: &ColdTerms,
+        now: MilliTime,
+    ) -> Option<MilliTime> {
         let members = &self.cold_policy.members;
         state.cold_limiter.room_at(terms, members, state.hash, now)
     }
@@ -149,8 +143,3 @@
         Some(&mut self.get_mut(key)?.cold_limiter)
     }
 }
-
-fn is_bounded(limiter: &ColdLimiter, terms: &ColdTerms, now: MilliTime) -> bool {
-    let until = limiter.cold_until(terms);
-    until.is_some_and(|(until, _)| terms.divided_per_s(until, now).is_some())
-}
--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -71,7 +71,7 @@
 pub use admission_controller::{AdmissionController, AdmissionRatio};
 pub use blocked_suspect::BlockedSuspect;
 pub use cold_limiter::ColdSource;
-pub use cold_targets::{ColdChange, ColdRoom};
+pub use cold_targets::ColdChange;
 pub use cold_terms::ColdTerms;
 pub use connection_timer::{ConnectionTimeout, ConnectionTimer};
 pub use crash_quarantine::CrashQuarantine;
--- a/crates/briarrail_dispatch/src/retry_after.rs
+++ b/crates/briarrail_dispatch/src/retry_after.rs
@@ -15,6 +15,9 @@
     RouterUnavailable,
     /// The request or a part of its prompt is blocked for the given time, because it crashes targets.
     SuspectBlocked(MilliDuration),
+    /// All targets are cold, and this router may send to none of them for the given time; another
+    /// router may have room before.
+    ColdTargets(MilliDuration),
 }
 
 /// Delay while a service is at capacity and its jitter, as fractions of the objective. A caller that
@@ -26,6 +29,9 @@
 const NO_TARGET_DELAY: MilliDuration = MilliDuration::from_millis(500);
 /// Short, because a new connection reaches another router.
 const ROUTER_UNAVAILABLE_DELAY: MilliDuration = MilliDuration::from_millis(20);
+/// Range of the delay while all targets are cold. The room of each router is renewed every second.
+const MIN_COLD_DELAY: MilliDuration = MilliDuration::from_millis(100);
+const MAX_COLD_DELAY: MilliDuration = MilliDuration::from_millis(1_000);
 /// Maximum jitter as a fraction of the delay, if it does not depend on an objective.
 const MAX_JITTER_RATIO: f64 = 0.5;
 
@@ -39,6 +45,9 @@
         RefusalCause::NoTarget => with_usual_jitter(NO_TARGET_DELAY),
         RefusalCause::RouterUnavailable => with_usual_jitter(ROUTER_UNAVAILABLE_DELAY),
         RefusalCause::SuspectBlocked(remaining) => with_usual_jitter(remaining),
+        RefusalCause::ColdTargets(remaining) => {
+            with_usual_jitter(remaining.clamp(MIN_COLD_DELAY, MAX_COLD_DELAY))
+        }
     };
     let fraction = (seed.0 >> 40) as f64 / (1_u64 << 24) as f64;
     MilliDuration::from_millis(jitter.mul_add(fraction, base) as u64)
--- a/crates/briarrail_dispatch/src/routing_table.rs
+++ b/crates/briarrail_dispatch/src/routing_table.rs
@@ -99,6 +99,11 @@
         &self.config.routes[key.0]
     }
 
+    /// Returns the configurations of all services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceConfig> {
+        self.config.services.iter()
+    }
+
     /// Returns the configuration of a service.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServiceConfig> {
--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -261,8 +261,11 @@
     /// all do.
     #[must_use]
     pub fn mean_load(&self, service: &str, now: MilliTime) -> f32 {
-        let is_limited =
-            |state: &TargetState| state.rate_limit(now).is_some() || self.is_cold(state, now);
+        let cold_terms = self.cold_terms(service);
+        let is_limited = |state: &TargetState| {
+            let is_bounded = |terms| state.cold_limiter.is_bounded(terms, now);
+            state.rate_limit(now).is_some() || cold_terms.is_some_and(is_bounded)
+        };
         let targets = self.service_targets(service).map(|(_, state)| state);
         let available: Vec<_> = targets.filter(|state| state.is_available(now)).collect();
         let unlimited = available.iter().filter(|state| !is_limited(state));
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -258,11 +258,17 @@
 
     /// Sets the data centres that the operators have evacuated, for the targets that are listed and
     /// for those that will be.
-    pub fn set_evacuated(&mut self, data_centres: &BTreeSet<DataCentre>) {
-        self.evacuated.clone_from(data_centres);
+    ///
+    /// Targets of a data centre that is taken back may be cold before their entries say so.
+    pub fn set_evacuated(&mut self, data_centres: &BTreeSet<DataCentre>, now: MilliTime) {
+        let before = std::mem::replace(&mut self.evacuated, data_centres.clone());
         for state in self.targets.values_mut() {
-            let is_evacuated = data_centres.contains(&state.record.data_centre);
+            let data_centre = &state.record.data_centre;
+            let is_evacuated = data_centres.contains(data_centre);
             state.standing.set_evacuated(is_evacuated);
+            if before.contains(data_centre) && !is_evacuated {
+                state.cold_limiter.record_start(ColdSource::Return, now);
+            }
         }
     }
 
@@ -434,7 +440,8 @@
         let Some(state) = self.targets.get(key) else {
             return Err(SendDenial::Gone);
         };
-        if self.cold_wait(state, now).is_some() {
+        let terms = self.cold_terms(&state.record.service);
+        if terms.is_some_and(|terms| self.cold_wait(state, terms, now).is_some()) {
             return Err(SendDenial::Cold);
         }
         let Some(state) = self.targets.get_mut(key) else {
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod adaptive_timeout;
 mod admission;
+mod cold_newcomers;
 mod cold_targets;
 mod connection_timer;
 mod context_source;
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -68,6 +68,7 @@
         greet_silent_routers(&state);
         {
             let state = state.borrow();
+            state.send_router_list(state.clock.now());
             let counts = state.peer_counts(now);
             state.send_update(ControlUpdate::PeerCounts(counts));
         }
--- a/crates/briarrail_gateway/src/control/mod.rs
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod deflate_codec;
 mod hub_server;
 mod hub_sync;
+mod member_list;
 mod monitoring_server;
 mod origin_exchange;
 mod origin_store;
--- a/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
@@ -24,6 +24,7 @@
     requests: Counter<u64>,
     sends: Counter<u64>,
     ejections: Counter<u64>,
+    cold_denials: Counter<u64>,
     target_checks: Counter<u64>,
     take_ups: Counter<u64>,
     suspect_changes: Counter<u64>,
@@ -65,6 +66,10 @@
             requests: counter("briarrail_requests", "Requests by service and outcome"),
             sends: counter("briarrail_sends", "Sends to targets by service and outcome"),
             ejections: counter("briarrail_ejections", "Ejections of targets by service"),
+            cold_denials: counter(
+                "briarrail_cold_denials",
+                "Placements that passed over cold targets because of their bound, by service",
+            ),
             take_ups: counter(
                 "briarrail_stream_take_ups",
                 "Streams that callers continued, by where the release that began them was found",
@@ -112,6 +117,11 @@
         self.sends.add(1, &labels);
     }
 
+    /// Counts that a request was placed without cold targets that this router may send nothing.
+    pub(crate) fn count_cold_denial(&self, service: &str) {
+        self.cold_denials.add(1, &[service_label(service)]);
+    }
+
     /// Counts the ejection of a target.
     pub(crate) fn count_ejection(&self, service: &str) {
         self.ejections.add(1, &[service_label(service)]);
--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! The traffic thread, which proxies requests from callers to targets.
 
 mod caller_server;
+mod cold_bounds;
 mod connection_activity;
 mod connection_pool;
 mod crash_check;
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -474,11 +474,13 @@
         let (status, reason) = match outcome {
             RequestOutcome::NotRun(reason) => {
                 let is_busy = reason == NotRunReason::TargetRefused || self.has_available_target();
-                let cause = if is_busy {
+                let usual_cause = if is_busy {
                     RefusalCause::AtCapacity(self.context.objective)
                 } else {
                     RefusalCause::NoTarget
                 };
+                let cold_cause = self.state.cold_refusal(&self.context.service);
+                let cause = cold_cause.unwrap_or(usual_cause);
                 return self.refuse(cause, not_run_reason_text(reason));
             }
             RequestOutcome::Unknown(UnknownReason::DeadlinePassed) => (
--- a/crates/briarrail_gateway/src/traffic/send_guard.rs
+++ b/crates/briarrail_gateway/src/traffic/send_guard.rs
@@ -64,6 +64,13 @@
         Rc::clone(&self.is_silent)
     }
 
+    /// Records that the request leaves now, after the wait for its connection.
+    pub(crate) fn record_departure(&self) {
+        let now = self.state.clock.now();
+        let mut registry = self.state.registry.borrow_mut();
+        registry.record_departure(self.key, self.started_at, now);
+    }
+
     /// Returns the time since the attempt started.
     pub(crate) fn elapsed(&self) -> MilliDuration {
         self.state.clock.now().since(self.started_at)
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -201,6 +201,7 @@
         context_source,
         state.clock,
     );
+    guard.record_departure();
     let response = match wait_for_head(state, context, &mut connection, request, retry_at).await {
         HeadResult::Received(response) => response,
         HeadResult::TimedOut => {
@@ -235,6 +236,7 @@
         ResponseClass::WrongTarget | ResponseClass::Invalid(_)
     ) {
         state.record_rate_limit(key, marks.rate_limit);
+        state.record_cold(key, marks.cold_left);
     }
     let refusal = AttemptEvent::Refused { not_run: true };
     match class {
@@ -368,7 +370,7 @@
     })
 }
 
-/// Places a request, passing over the targets whose rate limit is used up.
+/// Places a request, passing over the targets that may get no more requests now.
 fn place_within_limits<D>(
     state: &Rc<TrafficState<D>>,
     context: &RequestContext,
@@ -376,7 +378,8 @@
     now: MilliTime,
 ) -> Option<Placement> {
     let limits = state.placement_limits();
-    let mut excluded = request.tried.to_vec();
+    let mut excluded = state.full_cold_targets(&context.service, now);
+    excluded.extend_from_slice(request.tried);
     loop {
         let remaining = PlacementRequest {
             tried: &excluded,
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -9,8 +9,8 @@
 use briarrail_dispatch::{
     AdaptiveTimeout, AdmissionController, AdmissionRatio, CrashQuarantine, FleetSize, LimitReport,
     LimitStatement, LimitedRequest, OutcomeTotals, PlacementLimits, RetryBudget, RetryBudgetLimits,
-    RosterChange, RoutingTable, SendDenial, SendNeed, SendOutcome, SuspectChange, SuspectKind,
-    SuspectReports, TargetKey, TargetRegistry, TargetState,
+    RosterChange, RouterList, RoutingTable, SendDenial, SendNeed, SendOutcome, SuspectChange,
+    SuspectKind, SuspectReports, TargetKey, TargetRegistry, TargetState,
 };
 use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
 use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit};
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
+use super::cold_bounds::ColdSources;
 use super::connection_pool::ConnectionPool;
 use super::crash_check::{CrashChecks, LostRequest};
 use super::request_context::RequestContext;
@@ -104,6 +105,8 @@
     Roster(Vec<RosterChange>),
     /// Current requests, recent outcomes and demand of the other routers.
     PeerCounts(FleetCounts),
+    /// The routers among which the bounds of cold targets are divided.
+    Routers(RouterList),
     /// Evidence of other routers on prompt parts that crash targets.
     SuspectReports(SuspectReports, &'static str),
     /// Asks for the counts and the evidence of this router.
@@ -136,6 +139,8 @@
     /// Timeouts for the first response bytes, by route.
     timeouts: RefCell<HashMap<String, AdaptiveTimeout>>,
     fleet_size: Cell<FleetSize>,
+    /// Configuration and limits to which the registry's bounds for cold targets belong.
+    pub(super) cold_sources: RefCell<ColdSources>,
     /// Prompt parts that are not sent to targets.
     quarantine: RefCell<CrashQuarantine>,
     /// Checks of targets that are in progress.
@@ -164,6 +169,7 @@
             admissions: RefCell::default(),
             timeouts: RefCell::default(),
             fleet_size: Cell::default(),
+            cold_sources: RefCell::default(),
             quarantine: RefCell::default(),
             crash_checks: RefCell::default(),
             origin_calls,
@@ -401,6 +407,7 @@
                     .for_each(|change| self.apply_roster_change(change));
             }
             ControlUpdate::PeerCounts(counts) => self.apply_peer_counts(&counts, self.clock.now()),
+            ControlUpdate::Routers(list) => self.apply_router_list(&list),
             ControlUpdate::SuspectReports(reports, source) => {
                 let now = self.clock.now();
                 let changes = self.quarantine.borrow_mut().merge(&reports, now);
--- a/crates/briarrail_settings/tests/suite/gateway.rs
+++ b/crates/briarrail_settings/tests/suite/gateway.rs
@@ -23,3 +23,16 @@
 fn missing_keys_are_reported() {
     insta::assert_snapshot!(GatewaySettings::from_text("{}").unwrap_err());
 }
+
+/// Without the keys there is no bound; one key alone is an error where it turns nothing on.
+#[test]
+fn the_bound_of_cold_targets_is_checked() {
+    let bounds = "\"cold_overrun\": 1.5,\n        \"cold_slack\": 5";
+    assert!(EXAMPLE.contains(bounds));
+    let without = EXAMPLE.replace(bounds, "");
+    let settings = GatewaySettings::from_text(&without).unwrap();
+    assert_eq!(settings.fleet.cold_tolerance, None);
+    let errors = ["\"cold_slack\": 5", "\"cold_overrun\": 0.5"]
+        .map(|keys| GatewaySettings::from_text(&EXAMPLE.replace(bounds, keys)).unwrap_err());
+    insta::assert_snapshot!(format!("{}\n{}", errors[0], errors[1]));
+}
