feat(gateway): keep away from targets that leave or ask for a pause

Callers saw nothing of it, but targets that said Server-Leaving got requests until the store called them draining, and targets that refused with a Retry-After got the next request at once. What a target says in the answer to a request counts at once on this router, until its lifetime ends or the pause is over, whatever the store says later; routers tell each other which lifetimes leave. If all targets are paused, callers are refused at once with the time that is left, spread, and after a pause the requests come back evenly.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 mod limited_request;
 mod live_origins;
 mod lost_suspect;
+mod notice_memory;
 mod outcome_window;
 mod outlier_detector;
 mod past_time;
@@ -44,6 +45,7 @@
 mod service_time_meter;
 mod site_config;
 mod sliding_window;
+mod standing_change;
 mod store_read_policy;
 mod stream_key;
 mod stream_origins;
@@ -51,7 +53,10 @@
 mod suspect_record;
 mod suspect_report;
 mod suspect_reports;
+mod target_lifetime;
 mod target_limiter;
+mod target_notice;
+mod target_pause;
 mod target_placement;
 mod target_record;
 mod target_registry;
@@ -92,6 +97,7 @@
     CallerLimits, CustomerConfig, RouteConfig, RouteSemantics, ServiceConfig, ServiceShare,
     SiteConfig,
 };
+pub use standing_change::StandingChange;
 pub use store_read_policy::{ReadConditions, ReadReason, retry_delay};
 pub use stream_key::StreamKey;
 pub use stream_origins::{
@@ -100,6 +106,9 @@
 pub use suspect_change::SuspectChange;
 pub use suspect_report::{BlockReport, CrashReport, SuspectReport};
 pub use suspect_reports::SuspectReports;
+pub use target_lifetime::TargetLifetime;
+pub use target_notice::TargetNotice;
+pub use target_pause::TargetPause;
 pub use target_placement::{Placement, PlacementLimits, PlacementRequest};
 pub use target_record::{TargetPhase, TargetRecord};
 pub use target_registry::{TargetKey, TargetRegistry, TargetState};
--- a/crates/briarrail_dispatch/src/retry_after.rs
+++ b/crates/briarrail_dispatch/src/retry_after.rs
@@ -10,6 +10,9 @@
     AtCapacity(MilliDuration),
     /// No target can be reached.
     NoTarget,
+    /// All targets that could serve the request have asked for a pause; contains the time that is
+    /// left of it.
+    TargetsPaused(MilliDuration),
     /// The router has no configuration yet or is shutting down; another router can serve the
     /// request.
     RouterUnavailable,
@@ -26,6 +29,9 @@
 const NO_TARGET_DELAY: MilliDuration = MilliDuration::from_millis(500);
 /// Short, because a new connection reaches another router.
 const ROUTER_UNAVAILABLE_DELAY: MilliDuration = MilliDuration::from_millis(20);
+/// Minimum jitter after a pause of the targets; those that are refused at its end must not all come
+/// back in the same moment.
+const MIN_PAUSE_JITTER: MilliDuration = MilliDuration::from_millis(1_000);
 /// Maximum jitter as a fraction of the delay, if it does not depend on an objective.
 const MAX_JITTER_RATIO: f64 = 0.5;
 
@@ -37,6 +43,10 @@
     let (base, jitter) = match cause {
         RefusalCause::AtCapacity(objective) => at_capacity_delay(objective),
         RefusalCause::NoTarget => with_usual_jitter(NO_TARGET_DELAY),
+        RefusalCause::TargetsPaused(remaining) => {
+            let (base, jitter) = with_usual_jitter(remaining);
+            (base, jitter.max(MIN_PAUSE_JITTER.as_millis() as f64))
+        }
         RefusalCause::RouterUnavailable => with_usual_jitter(ROUTER_UNAVAILABLE_DELAY),
         RefusalCause::SuspectBlocked(remaining) => with_usual_jitter(remaining),
     };
--- a/crates/briarrail_dispatch/src/send_need.rs
+++ b/crates/briarrail_dispatch/src/send_need.rs
@@ -1,5 +1,7 @@
 //! What a request needs of the target that it is sent to.
 
+use briarrail_model::StableHash;
+
 use crate::{HomeSet, ReleaseKey};
 
 /// What a request needs of the target that it is sent to.
@@ -9,6 +11,9 @@
     pub release: Option<ReleaseKey>,
     /// Data centres in which the request may run; `None` if it may run in any.
     pub homes: Option<&'a HomeSet>,
+    /// Seed that differs between requests and spreads their return to a target after a pause; `None`
+    /// for what is asked of a target as a whole.
+    pub seed: Option<StableHash>,
 }
 
 impl SendNeed<'_> {
@@ -16,5 +21,6 @@
     pub const ANY: SendNeed<'static> = SendNeed {
         release: None,
         homes: None,
+        seed: None,
     };
 }
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -5,12 +5,14 @@
 use briarrail_model::{DataCentre, MilliDuration, MilliTime, StableHash, hash_bytes, hash_pair};
 use slotmap::{SlotMap, new_key_type};
 
+use crate::notice_memory::NoticeMemory;
 use crate::service_index::ServiceIndex;
 use crate::service_time_meter::{ServiceTimeMeter, SlotUse};
 use crate::target_limiter::TargetLimiter;
 use crate::{
     FleetSize, LimitReport, LimitedRequest, OutcomeTotals, OutcomeWindow, OutlierDetector,
-    ReleaseKey, SendDenial, SendNeed, SendOutcome, TargetRecord, TargetStanding,
+    ReleaseKey, SendDenial, SendNeed, SendOutcome, StandingChange, TargetLifetime, TargetNotice,
+    TargetRecord, TargetStanding,
 };
 
 new_key_type! {
@@ -42,6 +44,8 @@
     pub record: TargetRecord,
     /// Hash of the target identifier, for the rendezvous order.
     pub hash: StableHash,
+    /// Lifetime of the target.
+    pub lifetime: TargetLifetime,
     /// Software release of the target.
     pub release: ReleaseKey,
     /// Ejection state.
@@ -100,7 +104,8 @@
             .homes
             .is_some_and(|homes| !homes.contains(&self.record.data_centre));
         let is_other = need.release.is_some_and(|release| release != self.release);
-        match self.standing.denial(now) {
+        let seed = need.seed.map(|seed| hash_pair(seed, self.hash));
+        match self.standing.denial(seed, now) {
             Some(denial) if !denial.passes_soon() => Some(denial),
             _ if is_outside => Some(SendDenial::OutsideHomes),
             _ if is_other => Some(SendDenial::OtherRelease),
@@ -164,23 +169,21 @@
     by_service: ServiceIndex,
     /// Data centres that the operators have evacuated.
     evacuated: BTreeSet<DataCentre>,
+    notice_memory: NoticeMemory,
 }
 
 impl TargetRegistry {
     /// Adds a target or updates its record; a restart, or a change of its service, resets its state.
     pub fn upsert(&mut self, record: TargetRecord, now: MilliTime) -> TargetKey {
+        let lifetime = TargetLifetime::from(&record);
         if let Some(&key) = self.by_id.get(&record.id) {
             let is_evacuated = self.evacuated.contains(&record.data_centre);
             let state = &mut self.targets[key];
-            let changes_service = state.record.service != record.service;
-            if changes_service {
+            if state.record.service != record.service {
                 self.by_service.remove(&state.record.service, key);
                 self.by_service.add(&record.service, key);
             }
-            let restarted = changes_service
-                || state.record.started_unix_ms != record.started_unix_ms
-                || state.record.address != record.address;
-            if restarted {
+            if state.lifetime != lifetime {
                 state.outlier_detector = OutlierDetector::default();
                 state.reported_load = None;
                 state.limiter = TargetLimiter::new(now);
@@ -189,7 +192,8 @@
                 state.peer_outcomes = OutcomeTotals::default();
                 state.service_time = ServiceTimeMeter::default();
                 state.listed_at = now;
-                state.standing = TargetStanding::new(record.phase);
+                state.standing.begin_lifetime(record.phase);
+                state.lifetime = lifetime;
             }
             state.release = ReleaseKey::new(&record.service, &record.version);
             state.standing.record_listed(record.phase);
@@ -198,10 +202,13 @@
             return key;
         }
         let (id, service) = (record.id.clone(), record.service.clone());
-        let mut standing = TargetStanding::new(record.phase);
+        let known = self.notice_memory.take(lifetime);
+        let mut standing = known.unwrap_or_else(|| TargetStanding::new(record.phase));
+        standing.record_listed(record.phase);
         standing.set_evacuated(self.evacuated.contains(&record.data_centre));
         let key = self.targets.insert(TargetState {
             hash: hash_bytes(id.as_bytes()),
+            lifetime,
             release: ReleaseKey::new(&record.service, &record.version),
             record,
             outlier_detector: OutlierDetector::default(),
@@ -236,7 +243,7 @@
         let purgeable = self.targets.iter().filter(|(_, state)| is_purgeable(state));
         let keys: Vec<TargetKey> = purgeable.map(|(key, _)| key).collect();
         for key in keys {
-            self.purge(key);
+            self.purge(key, now);
         }
     }
 
@@ -250,6 +257,53 @@
         }
     }
 
+    /// Records what a target said about itself in an answer of a lifetime.
+    ///
+    /// An answer of an earlier lifetime says nothing about the present one.
+    pub fn record_notice(
+        &mut self,
+        key: TargetKey,
+        lifetime: TargetLifetime,
+        notice: TargetNotice,
+    ) {
+        let state = self.targets.get_mut(key);
+        if let Some(state) = state.filter(|state| state.lifetime == lifetime) {
+            state.standing.record_notice(notice);
+        }
+    }
+
+    /// Returns the short hashes of the lifetimes of the targets that said that they leave.
+    #[must_use]
+    pub fn leaving_lifetimes(&self) -> BTreeSet<u32> {
+        let states = self.targets.values();
+        states
+            .filter(|state| state.standing.is_leaving())
+            .map(|state| state.lifetime.short_hash())
+            .collect()
+    }
+
+    /// Records that other routers heard from the targets with some short hashes of lifetimes that they
+    /// leave.
+    pub fn record_leaving(&mut self, lifetimes: &BTreeSet<u32>) {
+        if lifetimes.is_empty() {
+            return;
+        }
+        for state in self.targets.values_mut() {
+            if lifetimes.contains(&state.lifetime.short_hash()) {
+                state.standing.record_notice(TargetNotice::Leaving);
+            }
+        }
+    }
+
+    /// Returns the change of a target's standing since this was last called for it, if there is one.
+    pub fn take_standing_change(
+        &mut self,
+        key: TargetKey,
+        now: MilliTime,
+    ) -> Option<StandingChange> {
+        self.targets.get_mut(key)?.standing.take_change(now)
+    }
+
     /// Returns why a target may not get a request, apart from the reasons that depend on a count of
     /// requests.
     #[must_use]
@@ -447,10 +501,11 @@
         }
     }
 
-    fn purge(&mut self, key: TargetKey) {
+    fn purge(&mut self, key: TargetKey, now: MilliTime) {
         let Some(state) = self.targets.remove(key) else {
             return;
         };
+        self.notice_memory.keep(state.lifetime, state.standing, now);
         self.by_id.remove(&state.record.id);
         self.by_service.remove(&state.record.service, key);
     }
--- a/crates/briarrail_dispatch/src/target_standing.rs
+++ b/crates/briarrail_dispatch/src/target_standing.rs
@@ -1,8 +1,8 @@
 //! What the store, the target itself and the operators say of one lifetime of a target.
 
-use briarrail_model::{MilliDuration, MilliTime};
+use briarrail_model::{MilliDuration, MilliTime, StableHash};
 
-use crate::{SendDenial, TargetPhase};
+use crate::{SendDenial, StandingChange, TargetNotice, TargetPause, TargetPhase};
 
 /// Time for which a target that left without draining still serves; the shortest drain of a site.
 pub(crate) const REMOVED_RETENTION: MilliDuration = MilliDuration::from_millis(1_500);
@@ -19,10 +19,12 @@
     removed_at: Option<MilliTime>,
     /// Whether the target said that it leaves.
     is_leaving: bool,
-    /// End of the pause for which the target asked.
-    paused_until: Option<MilliTime>,
+    /// The pause for which the target asked.
+    pause: Option<TargetPause>,
     /// Whether the operators have evacuated the target's data centre.
     is_evacuated: bool,
+    /// Reason for which the target got no requests when that was last reported.
+    reported: Option<SendDenial>,
 }
 
 impl TargetStanding {
@@ -33,11 +35,20 @@
             phase,
             removed_at: None,
             is_leaving: false,
-            paused_until: None,
+            pause: None,
             is_evacuated: false,
+            reported: None,
         }
     }
 
+    /// Forgets what was said of an earlier lifetime, since a new one was listed in a phase.
+    pub const fn begin_lifetime(&mut self, phase: TargetPhase) {
+        *self = Self {
+            reported: self.reported,
+            ..Self::new(phase)
+        };
+    }
+
     /// Records that the store lists the target.
     pub const fn record_listed(&mut self, phase: TargetPhase) {
         self.phase = phase;
@@ -49,14 +60,26 @@
         self.removed_at = Some(now);
     }
 
-    /// Records that the target said that it leaves; this ends only with its lifetime.
-    pub const fn record_leaving(&mut self) {
-        self.is_leaving = true;
+    /// Records what the target said about itself.
+    ///
+    /// A target that leaves does so until its lifetime ends, and of two pauses the longer one counts.
+    pub fn record_notice(&mut self, notice: TargetNotice) {
+        match notice {
+            TargetNotice::Leaving => self.is_leaving = true,
+            TargetNotice::Paused(pause) => self.pause = Some(pause.latest(self.pause)),
+        }
+    }
+
+    /// Returns whether the target said something about itself that still holds.
+    #[must_use]
+    pub fn has_notice(&self, now: MilliTime) -> bool {
+        self.is_leaving || self.pause.is_some_and(|pause| !pause.is_over(now))
     }
 
-    /// Records that the target asked for no requests until a time; a longer pause stays.
-    pub fn record_pause(&mut self, until: MilliTime) {
-        self.paused_until = self.paused_until.max(Some(until));
+    /// Returns whether the target said that it leaves.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.is_leaving
     }
 
     /// Sets whether the operators have evacuated the target's data centre.
@@ -66,10 +89,11 @@
 
     /// Returns why the target may not get a request, whatever the request needs.
     ///
-    /// A reason that passes by itself comes last, so that a paused target is one that may get
-    /// requests after the pause.
+    /// `seed` differs between requests and targets; without one the answer is that for the first
+    /// request after a pause. A reason that passes by itself comes last, so that a paused target is
+    /// one that may get requests after the pause.
     #[must_use]
-    pub fn denial(&self, now: MilliTime) -> Option<SendDenial> {
+    pub fn denial(&self, seed: Option<StableHash>, now: MilliTime) -> Option<SendDenial> {
         if self.removed_at.is_some() {
             return Some(SendDenial::Gone);
         }
@@ -82,8 +106,19 @@
         if self.is_evacuated {
             return Some(SendDenial::Evacuated);
         }
-        let until = self.paused_until.filter(|&until| until > now)?;
-        Some(SendDenial::Paused { until })
+        let pause = self.pause?;
+        let until = seed.map_or(pause.until(), |seed| pause.until_for(seed));
+        (until > now).then_some(SendDenial::Paused { until })
+    }
+
+    /// Returns the change since this was last called, if there is one.
+    pub fn take_change(&mut self, now: MilliTime) -> Option<StandingChange> {
+        let change = StandingChange {
+            from: self.reported,
+            to: self.denial(None, now),
+        };
+        self.reported = change.to;
+        (StandingChange::name(change.from) != StandingChange::name(change.to)).then_some(change)
     }
 
     /// Returns whether the target is up, so that it can serve its cached context to other targets.
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -131,6 +131,7 @@
             targets: request.counts,
             demands: request.demands,
             limits: request.limits,
+            leaving: request.leaving.into_iter().collect(),
         };
         state.record_follower_counts(&envelope.from, counts, request.counted_routers, now);
     }
@@ -153,6 +154,7 @@
         routers: (!has_same_routers).then(|| state.known_routers()),
         live_routers: state.live_routers(now),
         next_round_ms: sync_interval_ms(state.follower_count(now)),
+        leaving: counts.leaving_list(),
         counts: counts.targets,
         demands: counts.demands,
         limits: counts.limits,
--- a/crates/briarrail_gateway/src/fleet_counts.rs
+++ b/crates/briarrail_gateway/src/fleet_counts.rs
@@ -1,18 +1,29 @@
 //! Counts that routers exchange.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit};
 
-/// Requests, outcomes and rate limits by target, and demand by service.
+/// Maximum number of leaving targets that routers tell each other; all that leave within seconds at
+/// the largest sites.
+const MAX_LEAVING: usize = 256;
+
+/// Requests, outcomes, rate limits and departures by target, and demand by service.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct FleetCounts {
     pub(crate) targets: Vec<TargetCount>,
     pub(crate) demands: Vec<ServiceDemand>,
     pub(crate) limits: Vec<TargetLimit>,
+    /// Short hashes of the lifetimes of targets that said that they leave.
+    pub(crate) leaving: BTreeSet<u32>,
 }
 
 impl FleetCounts {
+    /// Returns the departures in the form of a message.
+    pub(crate) fn leaving_list(&self) -> Vec<u32> {
+        self.leaving.iter().take(MAX_LEAVING).copied().collect()
+    }
+
     /// Returns the sums over several routers, sorted by target and by service.
     pub(crate) fn sum<'c, I>(parts: I) -> Self
     where
@@ -21,7 +32,9 @@
         let mut targets: BTreeMap<u32, TargetCount> = BTreeMap::new();
         let mut demands: BTreeMap<u32, ServiceDemand> = BTreeMap::new();
         let mut limits: BTreeMap<u32, TargetLimit> = BTreeMap::new();
+        let mut leaving = BTreeSet::new();
         for part in parts {
+            leaving.extend(&part.leaving);
             for limit in &part.limits {
                 let sum = limits.entry(limit.target).or_default();
                 sum.target = limit.target;
@@ -52,6 +65,7 @@
             targets: targets.into_values().collect(),
             demands: demands.into_values().collect(),
             limits: limits.into_values().collect(),
+            leaving,
         }
     }
 }
--- a/crates/briarrail_gateway/src/lib.rs
+++ b/crates/briarrail_gateway/src/lib.rs
@@ -27,5 +27,6 @@
 pub use store_revision::StoreRevision;
 pub use telemetry::{GatewayMetrics, init_json_logs};
 pub use wire_dialect::{
-    CallerHeaders, HeaderError, RefusalHeaders, ResponseHeaders, TargetHeaders, WireDialect,
+    CallerHeaders, HeaderError, PauseNotice, RefusalHeaders, ResponseHeaders, TargetHeaders,
+    WireDialect,
 };
--- a/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
@@ -24,6 +24,7 @@
     requests: Counter<u64>,
     sends: Counter<u64>,
     ejections: Counter<u64>,
+    standing_changes: Counter<u64>,
     target_checks: Counter<u64>,
     take_ups: Counter<u64>,
     suspect_changes: Counter<u64>,
@@ -65,6 +66,10 @@
             requests: counter("briarrail_requests", "Requests by service and outcome"),
             sends: counter("briarrail_sends", "Sends to targets by service and outcome"),
             ejections: counter("briarrail_ejections", "Ejections of targets by service"),
+            standing_changes: counter(
+                "briarrail_target_standing_changes",
+                "Changes of what targets may get by service and new standing",
+            ),
             take_ups: counter(
                 "briarrail_stream_take_ups",
                 "Streams that callers continued, by where the release that began them was found",
@@ -117,6 +122,12 @@
         self.ejections.add(1, &[service_label(service)]);
     }
 
+    /// Counts a change of what a target may get.
+    pub(crate) fn count_standing_change(&self, service: &str, standing: &'static str) {
+        let labels = [service_label(service), KeyValue::new("standing", standing)];
+        self.standing_changes.add(1, &labels);
+    }
+
     /// Counts a check of a target after a lost connection.
     pub(crate) fn count_target_check(&self, service: &str, outcome: &'static str) {
         let labels = [service_label(service), KeyValue::new("outcome", outcome)];
--- a/crates/briarrail_gateway/src/traffic/crash_check.rs
+++ b/crates/briarrail_gateway/src/traffic/crash_check.rs
@@ -83,9 +83,7 @@
     };
     let outcome = match result {
         Ok(connection) => {
-            let now = state.clock.now();
-            let mut pool = state.idle_connections.borrow_mut();
-            pool.put(key, connection, None, now);
+            state.keep_connection(key, connection, None);
             "alive"
         }
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
--- a/crates/briarrail_gateway/src/traffic/request_context.rs
+++ b/crates/briarrail_gateway/src/traffic/request_context.rs
@@ -83,6 +83,7 @@
         SendNeed {
             release: resume_point.map(|point| point.release),
             homes: None,
+            seed: Some(self.seed()),
         }
     }
 
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -118,6 +118,9 @@
             let cause = RefusalCause::SuspectBlocked(remaining);
             return self.refuse(cause, "request crashes targets");
         }
+        if let Some(cause) = self.state.pause_cause(&self.context) {
+            return self.refuse(cause, "targets paused");
+        }
         if !self.is_admitted() {
             let cause = RefusalCause::AtCapacity(self.context.objective);
             return self.refuse(cause, "over capacity");
@@ -457,9 +460,8 @@
             ..
         } = response;
         if let Some(keep_alive) = reuse_timeout(&head.headers) {
-            let now = self.state.clock.now();
-            let mut pool = self.state.idle_connections.borrow_mut();
-            pool.put(guard.key(), connection, keep_alive, now);
+            self.state
+                .keep_connection(guard.key(), connection, keep_alive);
         }
     }
 
@@ -473,12 +475,7 @@
         }
         let (status, reason) = match outcome {
             RequestOutcome::NotRun(reason) => {
-                let is_busy = reason == NotRunReason::TargetRefused || self.has_available_target();
-                let cause = if is_busy {
-                    RefusalCause::AtCapacity(self.context.objective)
-                } else {
-                    RefusalCause::NoTarget
-                };
+                let cause = self.not_run_cause(reason);
                 return self.refuse(cause, not_run_reason_text(reason));
             }
             RequestOutcome::Unknown(UnknownReason::DeadlinePassed) => (
@@ -512,10 +509,15 @@
         gateway_reply(&self.state.dialect, status, reason, request_id, delay)
     }
 
-    fn has_available_target(&self) -> bool {
+    fn not_run_cause(&self, reason: NotRunReason) -> RefusalCause {
         let need = self.context.need(self.context.resume_point);
-        let denial = self.state.service_denial(&self.context.service, &need);
-        denial.is_none()
+        match self.state.denial_cause(&self.context.service, &need) {
+            Some(RefusalCause::NoTarget) if reason != NotRunReason::TargetRefused => {
+                RefusalCause::NoTarget
+            }
+            Some(cause @ RefusalCause::TargetsPaused(_)) => cause,
+            _ => RefusalCause::AtCapacity(self.context.objective),
+        }
     }
 }
 
--- a/crates/briarrail_gateway/src/traffic/stream_origin.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_origin.rs
@@ -75,11 +75,10 @@
             };
             context.resume_point = Some(point);
             let need = context.need(Some(point));
-            let denial = state.service_denial(&context.service, &need);
-            denial.map_or((source, Some(release), None), |_| {
+            let cause = state.denial_cause(&context.service, &need);
+            cause.map_or((source, Some(release), None), |cause| {
                 let reason = "no target of the release that began the stream";
-                let refusal = (RefusalCause::NoTarget, reason);
-                ("gone", Some(release), Some(refusal))
+                ("gone", Some(release), Some((cause, reason)))
             })
         }
         // Another router may know, and the caller learns soon if none does.
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -347,11 +347,7 @@
         state.send_origin_call(OriginCall::Ended(context.stream_key()));
         state.metrics.count_send(&context.service, "good");
         if let Some(keep_alive) = reuse_timeout(&head.headers) {
-            let now = state.clock.now();
-            state
-                .idle_connections
-                .borrow_mut()
-                .put(guard.key(), connection, keep_alive, now);
+            state.keep_connection(guard.key(), connection, keep_alive);
         }
         trace.set_outcome("answered", "", head.status.as_u16());
     }
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use briarrail_dispatch::{
-    Placement, PlacementRequest, ReleaseKey, SendNeed, SendOutcome, TargetKey,
+    Placement, PlacementRequest, ReleaseKey, SendNeed, SendOutcome, TargetKey, TargetLifetime,
 };
 use briarrail_model::{CallSemantics, MilliDuration, MilliTime};
 use briarrail_outcome::AttemptEvent;
@@ -83,6 +83,7 @@
     guard: SendGuard<D>,
     connection: HttpConnection,
     context_source: Option<SocketAddr>,
+    lifetime: TargetLifetime,
     release: ReleaseKey,
     resume_point: Option<ResumePoint>,
 }
@@ -157,6 +158,7 @@
             guard,
             connection,
             context_source: chosen.context_source,
+            lifetime: chosen.lifetime,
             release: chosen.release,
             resume_point,
         }),
@@ -190,10 +192,15 @@
         mut guard,
         mut connection,
         context_source,
+        lifetime,
         release,
         resume_point,
     } = prepared;
     let key = guard.key();
+    if let Some(denial) = state.late_denial(key, lifetime, context, resume_point) {
+        guard.ignore_outcome();
+        return fail_attempt(log, denial.name(), &"", AttemptEvent::ConnectFailed);
+    }
     let request = context.build_target_request(
         &state.dialect,
         log.target_id(),
@@ -224,18 +231,9 @@
     };
     let (head, body) = response.into_parts();
     let marks = read_response_marks(&state.dialect, &head);
-    if let Some((running, waiting)) = marks.load {
-        let mut registry = state.registry.borrow_mut();
-        registry.record_reported_load(key, running, waiting, state.clock.now());
-    }
     let request_id = &context.caller.request_id;
     let class = classify_response(&head, &marks, request_id, connection.is_reused());
-    if !matches!(
-        class,
-        ResponseClass::WrongTarget | ResponseClass::Invalid(_)
-    ) {
-        state.record_rate_limit(key, marks.rate_limit);
-    }
+    state.record_marks(key, lifetime, request_id, &marks, class, head.status);
     let refusal = AttemptEvent::Refused { not_run: true };
     match class {
         ResponseClass::NotRun => {
@@ -318,6 +316,7 @@
 #[derive(Debug, Clone, Copy)]
 struct ChosenTarget {
     key: TargetKey,
+    lifetime: TargetLifetime,
     release: ReleaseKey,
     /// Address of another target with the shared context, if there is one.
     context_source: Option<SocketAddr>,
@@ -363,6 +362,7 @@
         .map(|source| source.record.address);
     Some(ChosenTarget {
         key,
+        lifetime: target.lifetime,
         release: target.release,
         context_source,
     })
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -9,7 +9,7 @@
 use briarrail_dispatch::{
     AdaptiveTimeout, AdmissionController, AdmissionRatio, CrashQuarantine, FleetSize, LimitReport,
     LimitStatement, LimitedRequest, OutcomeTotals, PlacementLimits, RetryBudget, RetryBudgetLimits,
-    RosterChange, RoutingTable, SendDenial, SendNeed, SendOutcome, SuspectChange, SuspectKind,
+    RosterChange, RoutingTable, SendDenial, SendOutcome, SuspectChange, SuspectKind,
     SuspectReports, TargetKey, TargetRegistry, TargetState,
 };
 use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
@@ -24,6 +24,7 @@
 use super::request_context::RequestContext;
 use super::request_traits::RequestTraits;
 use super::stream_origin::OriginCall;
+use super::target_standings::STORE_SOURCE;
 use crate::ProcessClock;
 use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
@@ -264,12 +265,6 @@
         budget.try_take_retry(self.clock.now(), &limits, routers)
     }
 
-    /// Returns why no target of a service may get a request, or `None` if one may.
-    pub(crate) fn service_denial(&self, service: &str, need: &SendNeed<'_>) -> Option<SendDenial> {
-        let registry = self.registry.borrow();
-        registry.service_denial(service, need, self.clock.now())
-    }
-
     /// Sends a message about a stream to the control thread.
     pub(crate) fn send_origin_call(&self, call: OriginCall) {
         if self.origin_calls.send(call).is_err() {
@@ -423,35 +418,27 @@
             RosterChange::Upserted(record) => {
                 let now = self.clock.now();
                 let key = self.registry.borrow_mut().upsert(record, now);
-                self.close_unused(key, now);
+                self.report_standing(key, STORE_SOURCE, now);
             }
             RosterChange::Removed(id) => {
+                let now = self.clock.now();
                 let key = self.registry.borrow().key_by_id(&id);
                 if let Some(key) = key {
-                    self.idle_connections.borrow_mut().remove_target(key);
-                    self.registry
-                        .borrow_mut()
-                        .mark_removed(&id, self.clock.now());
+                    self.registry.borrow_mut().mark_removed(&id, now);
+                    self.report_standing(key, STORE_SOURCE, now);
                 }
             }
             RosterChange::Retained(..) => {}
         }
     }
 
-    /// Closes the idle connections to a target that will get no more requests.
-    fn close_unused(&self, key: TargetKey, now: MilliTime) {
-        let denial = self.registry.borrow().denial(key, &SendNeed::ANY, now);
-        if denial.is_some_and(|denial| !denial.passes_soon()) {
-            self.idle_connections.borrow_mut().remove_target(key);
-        }
-    }
-
     fn apply_peer_counts(&self, counts: &FleetCounts, now: MilliTime) {
         let counts_by_target = counts.targets.iter().map(|count| (count.target, count));
         let by_target: HashMap<u32, &TargetCount> = counts_by_target.collect();
         let limits = counts.limits.iter().map(|limit| (limit.target, limit));
         let limits: HashMap<u32, &TargetLimit> = limits.collect();
         self.record_fleet_size(now);
+        self.review_standings(&counts.leaving, now);
         let mut registry = self.registry.borrow_mut();
         registry.purge_removed(now);
         let keys: Vec<(TargetKey, u32)> = registry
@@ -517,6 +504,7 @@
             targets: counts.filter(is_nonzero).collect(),
             demands: self.local_demands(now),
             limits,
+            leaving: registry.leaving_lifetimes(),
         }
     }
 
--- a/crates/briarrail_gateway/src/wire_dialect.rs
+++ b/crates/briarrail_gateway/src/wire_dialect.rs
@@ -70,6 +70,15 @@
     pub context_source: Option<SocketAddr>,
 }
 
+/// Pause for which a target asks as it refuses a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum PauseNotice {
+    /// A number of seconds, which may be any number.
+    Seconds(f64),
+    /// Something else than a number.
+    Unreadable,
+}
+
 /// Decoded headers of a target's response.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseHeaders {
@@ -83,6 +92,10 @@
     pub load: Option<(u32, u32)>,
     /// Requests per second that the target takes from all routers together, if it limits them.
     pub rate_limit: Option<f32>,
+    /// Whether the target says that it leaves.
+    pub is_leaving: bool,
+    /// Pause for which the target asks, if it refuses the request.
+    pub pause: Option<PauseNotice>,
 }
 
 /// Values of the headers that the gateway adds to its own error responses.
--- a/crates/briarrail_peer/src/sync_message.rs
+++ b/crates/briarrail_peer/src/sync_message.rs
@@ -96,6 +96,9 @@
     /// Rate limits that targets name; empty without any.
     #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<TargetLimit>,
+    /// Short hashes of the lifetimes of targets that said that they leave; empty without any.
+    #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<u32>,
     /// Encoded evidence on prompt parts that crash targets; empty without any.
     #[serde(rename = "b", default, skip_serializing_if = "Bytes::is_empty")]
     pub part_reports: Bytes,
@@ -202,6 +205,9 @@
     /// Rate limits that targets name; empty without any.
     #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<TargetLimit>,
+    /// Short hashes of the lifetimes of targets that said that they leave; empty without any.
+    #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<u32>,
     /// Encoded evidence on prompt parts that crash targets; empty without any.
     #[serde(rename = "b", default, skip_serializing_if = "Bytes::is_empty")]
     pub part_reports: Bytes,
