feat(dispatch): tell the fleet of pauses that mean all routers

At 300 routers a router asks each target less than once within a pause. Routers now tell each other of their pauses; one that a quarter of the routers were asked for, two at least, holds for all. A target that turns away single routers under load is not taken from the others.

--- a/crates/briarrail_dispatch/src/target_pause.rs
+++ b/crates/briarrail_dispatch/src/target_pause.rs
@@ -7,7 +7,7 @@
 /// Maximum length of a pause; a target that asks for more does not mean a pause.
 const MAX_PAUSE: MilliDuration = MilliDuration::from_secs(3_600);
 /// Time after a pause over which a target's requests come back, as a fraction of the pause.
-const RETURN_TIME_RATIO: u64 = 4;
+const RETURN_TIME_RATIO: u64 = 3;
 /// Minimum of that time; a few rounds of the exchange must show the load before all are back.
 const MIN_RETURN_TIME: MilliDuration = MilliDuration::from_millis(200);
 /// Maximum of that time, which is lost for a target that has recovered.
@@ -34,12 +34,18 @@
         // Rounded up, since the target still wants nothing in the last part of a millisecond.
         let length_ms = length.as_micros().div_ceil(1_000);
         let length = MilliDuration::from_millis(u64::try_from(length_ms).ok()?);
+        (length <= MAX_PAUSE).then(|| Self::new(length, now))
+    }
+
+    /// Creates a pause that begins now.
+    #[must_use]
+    pub fn new(length: MilliDuration, now: MilliTime) -> Self {
         let return_ms = length.as_millis() / RETURN_TIME_RATIO;
-        (length <= MAX_PAUSE).then(|| Self {
+        Self {
             until: now + length,
             return_time: MilliDuration::from_millis(return_ms)
                 .clamp(MIN_RETURN_TIME, MAX_RETURN_TIME),
-        })
+        }
     }
 
     /// Returns the end of the pause.
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -1,6 +1,6 @@
 //! State of each target as known to this router.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use briarrail_model::{DataCentre, MilliDuration, MilliTime, StableHash, hash_bytes, hash_pair};
 use slotmap::{SlotMap, new_key_type};
@@ -11,8 +11,8 @@
 use crate::target_limiter::TargetLimiter;
 use crate::{
     FleetSize, LimitReport, LimitedRequest, OutcomeTotals, OutcomeWindow, OutlierDetector,
-    ReleaseKey, SendDenial, SendNeed, SendOutcome, StandingChange, TargetLifetime, TargetNotice,
-    TargetRecord, TargetStanding,
+    PauseReport, ReleaseKey, SendDenial, SendNeed, SendOutcome, StandingChange, TargetLifetime,
+    TargetNotice, TargetRecord, TargetStanding,
 };
 
 new_key_type! {
@@ -295,6 +295,37 @@
         }
     }
 
+    /// Returns the pauses for which targets asked this router, by the short hash of the lifetime.
+    #[must_use]
+    pub fn pause_reports(&self, now: MilliTime) -> BTreeMap<u32, PauseReport> {
+        let states = self.targets.values();
+        let reports = states.filter_map(|state| {
+            let left = state.standing.pause_left(now)?;
+            Some((
+                state.lifetime.short_hash(),
+                PauseReport { routers: 1, left },
+            ))
+        });
+        reports.collect()
+    }
+
+    /// Records the pauses for which targets asked other routers, of the fleet's number of routers.
+    pub fn record_pauses(
+        &mut self,
+        reports: &BTreeMap<u32, PauseReport>,
+        routers: usize,
+        now: MilliTime,
+    ) {
+        if reports.is_empty() {
+            return;
+        }
+        for state in self.targets.values_mut() {
+            if let Some(report) = reports.get(&state.lifetime.short_hash()) {
+                state.standing.record_peer_pause(*report, routers, now);
+            }
+        }
+    }
+
     /// Returns the change of a target's standing since this was last called for it, if there is one.
     pub fn take_standing_change(
         &mut self,
--- a/crates/briarrail_dispatch/src/target_standing.rs
+++ b/crates/briarrail_dispatch/src/target_standing.rs
@@ -2,7 +2,7 @@
 
 use briarrail_model::{MilliDuration, MilliTime, StableHash};
 
-use crate::{SendDenial, StandingChange, TargetNotice, TargetPause, TargetPhase};
+use crate::{PauseReport, SendDenial, StandingChange, TargetNotice, TargetPause, TargetPhase};
 
 /// Time for which a target that left without draining still serves; the shortest drain of a site.
 pub(crate) const REMOVED_RETENTION: MilliDuration = MilliDuration::from_millis(1_500);
@@ -21,6 +21,8 @@
     is_leaving: bool,
     /// The pause for which the target asked.
     pause: Option<TargetPause>,
+    /// The pause for which it asked other routers, if it means all of them.
+    peer_pause: Option<TargetPause>,
     /// Whether the operators have evacuated the target's data centre.
     is_evacuated: bool,
     /// Reason for which the target got no requests when that was last reported.
@@ -36,6 +38,7 @@
             removed_at: None,
             is_leaving: false,
             pause: None,
+            peer_pause: None,
             is_evacuated: false,
             reported: None,
         }
@@ -70,10 +73,30 @@
         }
     }
 
+    /// Records a pause for which the target asked other routers, of the fleet's number of routers.
+    pub fn record_peer_pause(&mut self, report: PauseReport, routers: usize, now: MilliTime) {
+        if report.means_all(routers) {
+            let pause = TargetPause::new(report.left, now);
+            // The end is kept, since each report is about as old as the one before.
+            let known = self.peer_pause.filter(|known| known.until() > now);
+            self.peer_pause = Some(known.unwrap_or(pause));
+        }
+    }
+
+    /// Returns the time that is left of the pause for which the target asked this router.
+    #[must_use]
+    pub fn pause_left(&self, now: MilliTime) -> Option<MilliDuration> {
+        let pause = self.pause.filter(|pause| pause.until() > now)?;
+        Some(pause.until().since(now))
+    }
+
     /// Returns whether the target said something about itself that still holds.
     #[must_use]
     pub fn has_notice(&self, now: MilliTime) -> bool {
-        self.is_leaving || self.pause.is_some_and(|pause| !pause.is_over(now))
+        self.is_leaving
+            || self
+                .longest_pause()
+                .is_some_and(|pause| !pause.is_over(now))
     }
 
     /// Returns whether the target said that it leaves.
@@ -106,11 +129,18 @@
         if self.is_evacuated {
             return Some(SendDenial::Evacuated);
         }
-        let pause = self.pause?;
+        let pause = self.longest_pause()?;
         let until = seed.map_or(pause.until(), |seed| pause.until_for(seed));
         (until > now).then_some(SendDenial::Paused { until })
     }
 
+    fn longest_pause(&self) -> Option<TargetPause> {
+        match self.pause {
+            Some(pause) => Some(pause.latest(self.peer_pause)),
+            None => self.peer_pause,
+        }
+    }
+
     /// Returns the change since this was last called, if there is one.
     pub fn take_change(&mut self, now: MilliTime) -> Option<StandingChange> {
         let change = StandingChange {
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -20,6 +20,7 @@
 mod routing;
 mod store_read_policy;
 mod stream_releases;
+mod target_notices;
 mod target_registry;
 mod target_roster;
 mod thread_watch;
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -132,6 +132,7 @@
             demands: request.demands,
             limits: request.limits,
             leaving: request.leaving.into_iter().collect(),
+            pauses: FleetCounts::decode_pauses(&request.pauses),
         };
         state.record_follower_counts(&envelope.from, counts, request.counted_routers, now);
     }
@@ -155,6 +156,7 @@
         live_routers: state.live_routers(now),
         next_round_ms: sync_interval_ms(state.follower_count(now)),
         leaving: counts.leaving_list(),
+        pauses: counts.pause_list(),
         counts: counts.targets,
         demands: counts.demands,
         limits: counts.limits,
--- a/crates/briarrail_gateway/src/fleet_counts.rs
+++ b/crates/briarrail_gateway/src/fleet_counts.rs
@@ -2,11 +2,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit};
+use briarrail_dispatch::PauseReport;
+use briarrail_model::MilliDuration;
+use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit, TargetPauseItem};
 
 /// Maximum number of leaving targets that routers tell each other; all that leave within seconds at
 /// the largest sites.
 const MAX_LEAVING: usize = 256;
+/// Maximum number of paused targets that routers tell each other; bounds the bytes of a message while
+/// all targets of a large site are paused.
+const MAX_PAUSES: usize = 128;
 
 /// Requests, outcomes, rate limits and departures by target, and demand by service.
 #[derive(Debug, Clone, Default)]
@@ -16,6 +21,8 @@
     pub(crate) limits: Vec<TargetLimit>,
     /// Short hashes of the lifetimes of targets that said that they leave.
     pub(crate) leaving: BTreeSet<u32>,
+    /// Pauses for which targets asked routers, by the short hash of the lifetime.
+    pub(crate) pauses: BTreeMap<u32, PauseReport>,
 }
 
 impl FleetCounts {
@@ -24,6 +31,29 @@
         self.leaving.iter().take(MAX_LEAVING).copied().collect()
     }
 
+    /// Returns the pauses in the form of a message.
+    pub(crate) fn pause_list(&self) -> Vec<TargetPauseItem> {
+        let pauses = self.pauses.iter().take(MAX_PAUSES);
+        let items = pauses.map(|(target, report)| TargetPauseItem {
+            target: *target,
+            left_ms: report.left.as_millis() as u32,
+            routers: report.routers,
+        });
+        items.collect()
+    }
+
+    /// Returns the pauses of a message.
+    pub(crate) fn decode_pauses(items: &[TargetPauseItem]) -> BTreeMap<u32, PauseReport> {
+        let reports = items.iter().map(|item| {
+            let report = PauseReport {
+                routers: item.routers,
+                left: MilliDuration::from_millis(u64::from(item.left_ms)),
+            };
+            (item.target, report)
+        });
+        reports.collect()
+    }
+
     /// Returns the sums over several routers, sorted by target and by service.
     pub(crate) fn sum<'c, I>(parts: I) -> Self
     where
@@ -33,8 +63,14 @@
         let mut demands: BTreeMap<u32, ServiceDemand> = BTreeMap::new();
         let mut limits: BTreeMap<u32, TargetLimit> = BTreeMap::new();
         let mut leaving = BTreeSet::new();
+        let mut pauses = BTreeMap::new();
         for part in parts {
             leaving.extend(&part.leaving);
+            for (target, pause) in &part.pauses {
+                let sum = pauses.entry(*target);
+                sum.and_modify(|sum: &mut PauseReport| *sum = sum.plus(*pause))
+                    .or_insert(*pause);
+            }
             for limit in &part.limits {
                 let sum = limits.entry(limit.target).or_default();
                 sum.target = limit.target;
@@ -66,6 +102,7 @@
             demands: demands.into_values().collect(),
             limits: limits.into_values().collect(),
             leaving,
+            pauses,
         }
     }
 }
--- a/crates/briarrail_gateway/src/traffic/target_standings.rs
+++ b/crates/briarrail_gateway/src/traffic/target_standings.rs
@@ -1,7 +1,5 @@
 //! What targets may get, as the traffic thread learns it and tells it to the log.
 
-use std::collections::BTreeSet;
-
 use briarrail_dispatch::{
     RefusalCause, SendDenial, SendNeed, StandingChange, TargetKey, TargetLifetime, TargetNotice,
     TargetPause,
@@ -14,6 +12,7 @@
 use super::response_class::ResponseClass;
 use super::stream_origin::ResumePoint;
 use super::traffic_state::TrafficState;
+use crate::fleet_counts::FleetCounts;
 use crate::net::HttpConnection;
 use crate::{PauseNotice, ResponseHeaders};
 
@@ -141,9 +140,9 @@
         self.report_standing(key, ANSWER_SOURCE, now);
     }
 
-    /// Records the lifetimes of targets that other routers heard to leave, and reports what has
-    /// changed since the last exchange.
-    pub(super) fn review_standings(&self, leaving: &BTreeSet<u32>, now: MilliTime) {
+    /// Records what other routers heard from targets about themselves, and reports what has changed
+    /// since the last exchange.
+    pub(super) fn review_standings(&self, counts: &FleetCounts, now: MilliTime) {
         let keys = || -> Vec<TargetKey> {
             let registry = self.registry.borrow();
             registry.iter().map(|(key, _)| key).collect()
@@ -151,10 +150,15 @@
         for key in keys() {
             self.report_standing(key, TIME_SOURCE, now);
         }
-        if leaving.is_empty() {
+        if counts.leaving.is_empty() && counts.pauses.is_empty() {
             return;
         }
-        self.registry.borrow_mut().record_leaving(leaving);
+        let routers = self.fleet_size.get().routers();
+        {
+            let mut registry = self.registry.borrow_mut();
+            registry.record_leaving(&counts.leaving);
+            registry.record_pauses(&counts.pauses, routers, now);
+        }
         for key in keys() {
             self.report_standing(key, EXCHANGE_SOURCE, now);
         }
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -136,7 +136,7 @@
     admissions: RefCell<HashMap<String, AdmissionController>>,
     /// Timeouts for the first response bytes, by route.
     timeouts: RefCell<HashMap<String, AdaptiveTimeout>>,
-    fleet_size: Cell<FleetSize>,
+    pub(super) fleet_size: Cell<FleetSize>,
     /// Prompt parts that are not sent to targets.
     quarantine: RefCell<CrashQuarantine>,
     /// Checks of targets that are in progress.
@@ -438,7 +438,7 @@
         let limits = counts.limits.iter().map(|limit| (limit.target, limit));
         let limits: HashMap<u32, &TargetLimit> = limits.collect();
         self.record_fleet_size(now);
-        self.review_standings(&counts.leaving, now);
+        self.review_standings(counts, now);
         let mut registry = self.registry.borrow_mut();
         registry.purge_removed(now);
         let keys: Vec<(TargetKey, u32)> = registry
@@ -505,6 +505,7 @@
             demands: self.local_demands(now),
             limits,
             leaving: registry.leaving_lifetimes(),
+            pauses: registry.pause_reports(now),
         }
     }
 
--- a/crates/briarrail_peer/src/lib.rs
+++ b/crates/briarrail_peer/src/lib.rs
@@ -35,5 +35,5 @@
 pub use pull_request::PullRequest;
 pub use sync_message::{
     RosterUpdate, ServiceDemand, StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount,
-    TargetLimit,
+    TargetLimit, TargetPauseItem,
 };
--- a/crates/briarrail_peer/src/sync_message.rs
+++ b/crates/briarrail_peer/src/sync_message.rs
@@ -57,6 +57,35 @@
     pub sent: u32,
 }
 
+/// A pause for which a target asked some routers; encoded without names, since all targets of a site
+/// may be paused at once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u32, u32, u32)", into = "(u32, u32, u32)")]
+pub struct TargetPauseItem {
+    /// Short hash of the target's lifetime.
+    pub target: u32,
+    /// Shortest time that is left of the pauses, in milliseconds.
+    pub left_ms: u32,
+    /// Number of routers that the target asked.
+    pub routers: u32,
+}
+
+impl From<(u32, u32, u32)> for TargetPauseItem {
+    fn from((target, left_ms, routers): (u32, u32, u32)) -> Self {
+        Self {
+            target,
+            left_ms,
+            routers,
+        }
+    }
+}
+
+impl From<TargetPauseItem> for (u32, u32, u32) {
+    fn from(item: TargetPauseItem) -> Self {
+        (item.target, item.left_ms, item.routers)
+    }
+}
+
 const fn is_zero(number: &u32) -> bool {
     *number == 0
 }
@@ -99,6 +128,9 @@
     /// Short hashes of the lifetimes of targets that said that they leave; empty without any.
     #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<u32>,
+    /// Pauses for which targets asked routers; empty without any.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub pauses: Vec<TargetPauseItem>,
     /// Encoded evidence on prompt parts that crash targets; empty without any.
     #[serde(rename = "b", default, skip_serializing_if = "Bytes::is_empty")]
     pub part_reports: Bytes,
@@ -208,6 +240,9 @@
     /// Short hashes of the lifetimes of targets that said that they leave; empty without any.
     #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<u32>,
+    /// Pauses for which targets asked routers; empty without any.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub pauses: Vec<TargetPauseItem>,
     /// Encoded evidence on prompt parts that crash targets; empty without any.
     #[serde(rename = "b", default, skip_serializing_if = "Bytes::is_empty")]
     pub part_reports: Bytes,
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -4,7 +4,7 @@
 use briarrail_model::{MilliTime, hash_bytes};
 use briarrail_peer::{
     Envelope, FrameCodec, KeyRing, MessageKind, RosterUpdate, ServiceDemand, SharedKey,
-    StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount, TargetLimit,
+    StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount, TargetLimit, TargetPauseItem,
 };
 use bytes::Bytes;
 use serde::Serialize;
@@ -76,6 +76,11 @@
             sent: 16,
         }],
         leaving: vec![77, u32::MAX],
+        pauses: vec![TargetPauseItem {
+            target: u32::MAX,
+            left_ms: 3_600_000,
+            routers: 3,
+        }],
         part_reports: Bytes::from_static(b"reports"),
         request_reports: Bytes::from_static(b"requests"),
         counted_routers: 2,
@@ -105,6 +110,11 @@
             sent: 16,
         }],
         leaving: vec![77, u32::MAX],
+        pauses: vec![TargetPauseItem {
+            target: u32::MAX,
+            left_ms: 3_600_000,
+            routers: 3,
+        }],
         part_reports: Bytes::from_static(b"reports"),
         request_reports: Bytes::from_static(b"requests"),
         store_epoch: Some(2),
@@ -141,6 +151,7 @@
         demands: demands(2),
         limits: Vec::new(),
         leaving: Vec::new(),
+        pauses: Vec::new(),
         part_reports: Bytes::new(),
         request_reports: Bytes::new(),
         store_epoch: Some(2),
