--- a/crates/briarrail_gateway/src/fleet_counts.rs
+++ b/crates/briarrail_gateway/src/fleet_counts.rs
@@ -6,12 +6,12 @@
 use briarrail_model::MilliDuration;
 use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit, TargetPauseItem};
 
-/// Maximum number of leaving targets that routers tell each other; all that leave within seconds at
+/// Maximum number of leaving targets that routers tell each other; more than leave within seconds at
 /// the largest sites.
-const MAX_LEAVING: usize = 256;
+const MAX_LEAVING: usize = 128;
 /// Maximum number of paused targets that routers tell each other; bounds the bytes of a message while
 /// all targets of a large site are paused.
-const MAX_PAUSES: usize = 128;
+const MAX_PAUSES: usize = 64;
 
 /// Requests, outcomes, rate limits and departures by target, and demand by service.
 #[derive(Debug, Clone, Default)]
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -164,6 +164,43 @@
     assert!(per_second * 8 <= 10_000_000 / 5, "{bytes} bytes per reply");
 }
 
+/// Guards against words of targets about themselves that take more than the control budget while as
+/// many leave and pause as routers tell each other.
+#[test]
+fn words_of_targets_fit_the_control_budget() {
+    let reply = |leaving: Vec<u32>, pauses: Vec<TargetPauseItem>| {
+        let reply = SyncReply {
+            view_age_ms: Some(400),
+            store_read_failed: false,
+            routers: None,
+            live_routers: 300,
+            next_round_ms: 600,
+            counts: Vec::new(),
+            demands: Vec::new(),
+            limits: Vec::new(),
+            leaving,
+            pauses,
+            part_reports: Bytes::new(),
+            request_reports: Bytes::new(),
+            store_epoch: Some(2),
+            config: None,
+            wants_config: false,
+            roster: None,
+        };
+        round_trip(MessageKind::SyncReply, reply).1
+    };
+    let pause = |index: u32| TargetPauseItem {
+        target: u32::MAX - index,
+        left_ms: 30_000 + index,
+        routers: 100,
+    };
+    let leaving = (0..128).map(|index| u32::MAX - index).collect();
+    let bytes = reply(leaving, (0..64).map(pause).collect()) - reply(Vec::new(), Vec::new());
+    let per_second = 2 * bytes * 1_000 / 600;
+    println!("{bytes} bytes, {per_second} a second");
+    assert!(per_second <= 5_000, "{bytes} bytes, {per_second} a second");
+}
+
 /// Guards against evidence on requests and prompt parts that takes more than the control budget,
 /// 5,000 bytes a second sent and received, while many targets crash; rounds of a large fleet are
 /// 600 ms apart.
