--- a/crates/briarrail_dispatch/src/cold_targets.rs
+++ b/crates/briarrail_dispatch/src/cold_targets.rs
@@ -5,7 +5,7 @@
 use briarrail_model::{MilliDuration, MilliTime};
 
 use crate::cold_limiter::ColdLimiter;
-use crate::{ColdSource, ColdTerms, RouterList, TargetKey, TargetRegistry, TargetState};
+use crate::{ColdSource, ColdTerms, RouterList, SendNeed, TargetKey, TargetRegistry, TargetState};
 
 /// A target that turned cold or warm.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,12 +60,17 @@
     }
 
     /// Returns the time after which this router may send a request to some target of a service, if
-    /// only cold targets that it may send nothing now are available.
+    /// only cold targets that it may send nothing now can serve the request.
     #[must_use]
-    pub fn cold_room_at(&self, service: &str, now: MilliTime) -> Option<MilliTime> {
+    pub fn cold_room_at(
+        &self,
+        service: &str,
+        need: &SendNeed<'_>,
+        now: MilliTime,
+    ) -> Option<MilliTime> {
         let terms = self.cold_terms(service)?;
         let targets = self.service_targets(service).map(|(_, state)| state);
-        let available = targets.filter(|state| state.is_available(now));
+        let available = targets.filter(|state| state.denial(need, now).is_none());
         let waits: Option<Vec<_>> = available
             .map(|state| self.cold_wait(state, terms, now))
             .collect();
--- a/crates/briarrail_gateway/src/fleet_counts.rs
+++ b/crates/briarrail_gateway/src/fleet_counts.rs
@@ -1,18 +1,59 @@
 //! Counts that routers exchange.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit};
+use briarrail_dispatch::PauseReport;
+use briarrail_model::MilliDuration;
+use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit, TargetPauseItem};
 
-/// Requests, outcomes and rate limits by target, and demand by service.
+/// Maximum number of leaving targets that routers tell each other; more than leave within seconds at
+/// the largest sites.
+const MAX_LEAVING: usize = 128;
+/// Maximum number of paused targets that routers tell each other; bounds the bytes of a message while
+/// all targets of a large site are paused.
+const MAX_PAUSES: usize = 64;
+
+/// Requests, outcomes, rate limits and departures by target, and demand by service.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct FleetCounts {
     pub(crate) targets: Vec<TargetCount>,
     pub(crate) demands: Vec<ServiceDemand>,
     pub(crate) limits: Vec<TargetLimit>,
+    /// Short hashes of the lifetimes of targets that said that they leave.
+    pub(crate) leaving: BTreeSet<u32>,
+    /// Pauses for which targets asked routers, by the short hash of the lifetime.
+    pub(crate) pauses: BTreeMap<u32, PauseReport>,
 }
 
 impl FleetCounts {
+    /// Returns the departures in the form of a message.
+    pub(crate) fn leaving_list(&self) -> Vec<u32> {
+        self.leaving.iter().take(MAX_LEAVING).copied().collect()
+    }
+
+    /// Returns the pauses in the form of a message.
+    pub(crate) fn pause_list(&self) -> Vec<TargetPauseItem> {
+        let pauses = self.pauses.iter().take(MAX_PAUSES);
+        let items = pauses.map(|(target, report)| TargetPauseItem {
+            target: *target,
+            left_ms: report.left.as_millis() as u32,
+            routers: report.routers,
+        });
+        items.collect()
+    }
+
+    /// Returns the pauses of a message.
+    pub(crate) fn decode_pauses(items: &[TargetPauseItem]) -> BTreeMap<u32, PauseReport> {
+        let reports = items.iter().map(|item| {
+            let report = PauseReport {
+                routers: item.routers,
+                left: MilliDuration::from_millis(u64::from(item.left_ms)),
+            };
+            (item.target, report)
+        });
+        reports.collect()
+    }
+
     /// Returns the sums over several routers, sorted by target and by service.
     pub(crate) fn sum<'c, I>(parts: I) -> Self
     where
@@ -21,7 +62,15 @@
         let mut targets: BTreeMap<u32, TargetCount> = BTreeMap::new();
         let mut demands: BTreeMap<u32, ServiceDemand> = BTreeMap::new();
         let mut limits: BTreeMap<u32, TargetLimit> = BTreeMap::new();
+        let mut leaving = BTreeSet::new();
+        let mut pauses = BTreeMap::new();
         for part in parts {
+            leaving.extend(&part.leaving);
+            for (target, pause) in &part.pauses {
+                let sum = pauses.entry(*target);
+                sum.and_modify(|sum: &mut PauseReport| *sum = sum.plus(*pause))
+                    .or_insert(*pause);
+            }
             for limit in &part.limits {
                 let sum = limits.entry(limit.target).or_default();
                 sum.target = limit.target;
@@ -52,6 +101,8 @@
             targets: targets.into_values().collect(),
             demands: demands.into_values().collect(),
             limits: limits.into_values().collect(),
+            leaving,
+            pauses,
         }
     }
 }
--- a/crates/briarrail_gateway/src/traffic/cold_bounds.rs
+++ b/crates/briarrail_gateway/src/traffic/cold_bounds.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use briarrail_dispatch::{
-    ColdChange, ColdTerms, RefusalCause, RouterList, RoutingTable, TargetKey,
+    ColdChange, ColdTerms, RefusalCause, RouterList, RoutingTable, SendNeed, TargetKey,
 };
 use briarrail_model::{MilliDuration, MilliTime};
 use briarrail_settings::{ColdTolerance, FleetLimits};
@@ -87,9 +87,9 @@
 
     /// Returns the cause of a refusal if only cold targets are available, and this router may send
     /// nothing to them now.
-    pub(super) fn cold_refusal(&self, service: &str) -> Option<RefusalCause> {
+    pub(super) fn cold_refusal(&self, service: &str, need: &SendNeed<'_>) -> Option<RefusalCause> {
         let now = self.clock.now();
-        let room_at = self.registry.borrow().cold_room_at(service, now)?;
+        let room_at = self.registry.borrow().cold_room_at(service, need, now)?;
         Some(RefusalCause::ColdTargets(room_at.since(now)))
     }
 
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -9,8 +9,8 @@
 use briarrail_dispatch::{
     AdaptiveTimeout, AdmissionController, AdmissionRatio, CrashQuarantine, FleetSize, LimitReport,
     LimitStatement, LimitedRequest, OutcomeTotals, PlacementLimits, RetryBudget, RetryBudgetLimits,
-    RosterChange, RouterList, RoutingTable, SendDenial, SendNeed, SendOutcome, SuspectChange,
-    SuspectKind, SuspectReports, TargetKey, TargetRegistry, TargetState,
+    RosterChange, RouterList, RoutingTable, SendDenial, SendOutcome, SuspectChange, SuspectKind,
+    SuspectReports, TargetKey, TargetRegistry, TargetState,
 };
 use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
 use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit};
@@ -25,6 +25,7 @@
 use super::request_context::RequestContext;
 use super::request_traits::RequestTraits;
 use super::stream_origin::OriginCall;
+use super::target_standings::STORE_SOURCE;
 use crate::ProcessClock;
 use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
@@ -138,7 +139,7 @@
     admissions: RefCell<HashMap<String, AdmissionController>>,
     /// Timeouts for the first response bytes, by route.
     timeouts: RefCell<HashMap<String, AdaptiveTimeout>>,
-    fleet_size: Cell<FleetSize>,
+    pub(super) fleet_size: Cell<FleetSize>,
     /// Configuration and limits to which the registry's bounds for cold targets belong.
     pub(super) cold_sources: RefCell<ColdSources>,
     /// Prompt parts that are not sent to targets.
@@ -270,12 +271,6 @@
         budget.try_take_retry(self.clock.now(), &limits, routers)
     }
 
-    /// Returns why no target of a service may get a request, or `None` if one may.
-    pub(crate) fn service_denial(&self, service: &str, need: &SendNeed<'_>) -> Option<SendDenial> {
-        let registry = self.registry.borrow();
-        registry.service_denial(service, need, self.clock.now())
-    }
-
     /// Sends a message about a stream to the control thread.
     pub(crate) fn send_origin_call(&self, call: OriginCall) {
         if self.origin_calls.send(call).is_err() {
@@ -430,35 +425,27 @@
             RosterChange::Upserted(record) => {
                 let now = self.clock.now();
                 let key = self.registry.borrow_mut().upsert(record, now);
-                self.close_unused(key, now);
+                self.report_standing(key, STORE_SOURCE, now);
             }
             RosterChange::Removed(id) => {
+                let now = self.clock.now();
                 let key = self.registry.borrow().key_by_id(&id);
                 if let Some(key) = key {
-                    self.idle_connections.borrow_mut().remove_target(key);
-                    self.registry
-                        .borrow_mut()
-                        .mark_removed(&id, self.clock.now());
+                    self.registry.borrow_mut().mark_removed(&id, now);
+                    self.report_standing(key, STORE_SOURCE, now);
                 }
             }
             RosterChange::Retained(..) => {}
         }
     }
 
-    /// Closes the idle connections to a target that will get no more requests.
-    fn close_unused(&self, key: TargetKey, now: MilliTime) {
-        let denial = self.registry.borrow().denial(key, &SendNeed::ANY, now);
-        if denial.is_some_and(|denial| !denial.passes_soon()) {
-            self.idle_connections.borrow_mut().remove_target(key);
-        }
-    }
-
     fn apply_peer_counts(&self, counts: &FleetCounts, now: MilliTime) {
         let counts_by_target = counts.targets.iter().map(|count| (count.target, count));
         let by_target: HashMap<u32, &TargetCount> = counts_by_target.collect();
         let limits = counts.limits.iter().map(|limit| (limit.target, limit));
         let limits: HashMap<u32, &TargetLimit> = limits.collect();
         self.record_fleet_size(now);
+        self.review_standings(counts, now);
         let mut registry = self.registry.borrow_mut();
         registry.purge_removed(now);
         let keys: Vec<(TargetKey, u32)> = registry
@@ -524,6 +511,8 @@
             targets: counts.filter(is_nonzero).collect(),
             demands: self.local_demands(now),
             limits,
+            leaving: registry.leaving_lifetimes(),
+            pauses: registry.pause_reports(now),
         }
     }
 
