feat(dispatch): bound what a target gets after an outage

Cause: when a data centre goes dark, all routers eject its targets in the same round of the exchange, and the ejections end together. Each router then sends a trial, and more once it is answered, before the entries say that the targets are cold.

Change: a target of a service with a bound counts as cold from the end of an ejection that a failed connection or the outcomes of all routers caused, for the time that its service's targets are cold after a start.

--- a/crates/briarrail_dispatch/src/cold_limiter.rs
+++ b/crates/briarrail_dispatch/src/cold_limiter.rs
@@ -27,6 +27,8 @@
     Start,
     /// Its data centre was taken back into use.
     Return,
+    /// It was ejected after requests to it failed.
+    Outage,
 }
 
 impl ColdSource {
@@ -38,6 +40,7 @@
             Self::Answer => "answer",
             Self::Start => "start",
             Self::Return => "return",
+            Self::Outage => "outage",
         }
     }
 }
@@ -78,9 +81,11 @@
         }
     }
 
-    /// Records that the target starts or comes back.
-    pub(crate) const fn record_start(&mut self, source: ColdSource, now: MilliTime) {
-        self.started = Some((now, source));
+    /// Records that the target starts or comes back at a time, which may be yet to come.
+    pub(crate) fn record_start(&mut self, source: ColdSource, at: MilliTime) {
+        if self.started.is_none_or(|(known, _)| known < at) {
+            self.started = Some((at, source));
+        }
     }
 
     /// Returns the end of the cold time, which may be past, and where it is known from.
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -158,6 +158,16 @@
         self.limiter.limit(now)
     }
 
+    /// Counts the target as cold from the end of its ejection, since it may have restarted.
+    ///
+    /// The ejections of many routers end at about the same time, and their trials reach the target
+    /// before its entry says that it is cold.
+    fn expect_cold_return(&mut self) {
+        if let Some(until) = self.outlier_detector.ejected_until() {
+            self.cold_limiter.record_start(ColdSource::Outage, until);
+        }
+    }
+
     /// Returns the age of the peer counts, if known.
     #[must_use]
     pub fn peer_count_age(&self, now: MilliTime) -> Option<MilliDuration> {
@@ -443,6 +453,9 @@
         if was_ejected && state.outlier_detector.ejected_until().is_none() {
             state.local_outcomes.clear();
         }
+        if is_ejected && matches!(outcome, SendOutcome::Unreachable | SendOutcome::Broken) {
+            state.expect_cold_return();
+        }
         is_ejected
     }
 
@@ -478,7 +491,12 @@
                 good: all.good - totals.good,
                 failed: all.failed - totals.failed,
             };
-            totals.is_outlier(others) && state.outlier_detector.eject_as_outlier(now)
+            let is_ejected =
+                totals.is_outlier(others) && state.outlier_detector.eject_as_outlier(now);
+            if is_ejected {
+                state.expect_cold_return();
+            }
+            is_ejected
         });
         by_target
     }
--- a/crates/briarrail_dispatch/tests/suite/cold_targets.rs
+++ b/crates/briarrail_dispatch/tests/suite/cold_targets.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use briarrail_dispatch::{
-    ColdTerms, FleetSize, LimitedRequest, RouterList, TargetKey, TargetRegistry,
+    ColdTerms, FleetSize, LimitedRequest, RouterList, SendOutcome, TargetKey, TargetRegistry,
 };
 use briarrail_model::{MilliDuration, StableHash, hash_bytes};
 use rand::rngs::SmallRng;
@@ -317,3 +317,34 @@
         assert!(used >= 0.8, "{size}: {used}");
     }
 }
+
+/// Load pattern: targets go dark and come back cold while all routers know that they failed, so that
+/// the ejections end together.
+#[test]
+fn targets_that_come_back_from_an_outage_are_cold() {
+    for size in FLEETS {
+        let mut random = SmallRng::seed_from_u64(9);
+        let lives = steady(size);
+        let mut routers: Vec<Router> = (0..size).map(|index| Router::new(index, 0, 0)).collect();
+        let mut arrived = Vec::new();
+        for now in (0..COLD_AT + COLD_START_MS).step_by(SYNC_MS as usize / 4) {
+            for router in &mut routers {
+                if now.is_multiple_of(SYNC_MS) {
+                    router.sync(&lives, now);
+                }
+                let key = router.keys[0];
+                if now == COLD_AT - 1_000 {
+                    router
+                        .registry
+                        .record_outcome(key, SendOutcome::Unreachable, at(now));
+                }
+                if now >= COLD_AT {
+                    arrived.extend(vec![now; router.send(0, now, &mut random)]);
+                }
+            }
+        }
+        let max_per_s = max_in_a_second(&mut arrived);
+        assert!(max_per_s as f64 <= BOUND_PER_S, "{size}: {max_per_s}");
+        assert!(max_per_s as f64 >= 0.8 * BOUND_PER_S, "{size}: {max_per_s}");
+    }
+}
