--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -267,6 +267,8 @@
         retry_window_ms = settings.retry_window.as_millis(),
         retry_slack = settings.retry_slack,
         load_ratio = settings.load_ratio,
+        cold_overrun = settings.cold_tolerance.map(|tolerance| tolerance.overrun),
+        cold_slack = settings.cold_tolerance.map(|tolerance| tolerance.slack),
     );
 }
 
