fix(dispatch): keep what a target said over another lifetime in between

A restored store can list an earlier run of a target before the present one again. The first change of the lifetime dropped what the target had said. It now goes to the memory of lifetimes, as it does when a target is dropped (what_a_target_says_holds_for_its_lifetime_alone).

Crash checks no longer open connections to targets that get nothing, since one that leaves refuses them once it has ended, which counted as a crash by the requests that it had.

--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -192,7 +192,9 @@
                 state.peer_outcomes = OutcomeTotals::default();
                 state.service_time = ServiceTimeMeter::default();
                 state.listed_at = now;
-                state.standing.begin_lifetime(record.phase);
+                let known = self.notice_memory.take(lifetime);
+                let earlier = state.standing.begin_lifetime(known);
+                self.notice_memory.keep(state.lifetime, earlier, now);
                 state.lifetime = lifetime;
             }
             state.release = ReleaseKey::new(&record.service, &record.version);
@@ -203,7 +205,7 @@
         }
         let (id, service) = (record.id.clone(), record.service.clone());
         let known = self.notice_memory.take(lifetime);
-        let mut standing = known.unwrap_or_else(|| TargetStanding::new(record.phase));
+        let mut standing = known.unwrap_or_default();
         standing.record_listed(record.phase);
         standing.set_evacuated(self.evacuated.contains(&record.data_centre));
         let key = self.targets.insert(TargetState {
--- a/crates/briarrail_dispatch/tests/suite/target_notices.rs
+++ b/crates/briarrail_dispatch/tests/suite/target_notices.rs
@@ -474,3 +474,48 @@
         }
     }
 }
+
+/// What a target says holds for its lifetime, whatever the store lists in between, and for no other.
+#[test]
+fn what_a_target_says_holds_for_its_lifetime_alone() {
+    let run = |started_unix_ms| {
+        let mut record = target("t0");
+        record.started_unix_ms = started_unix_ms;
+        record
+    };
+    let mut registry = TargetRegistry::default();
+    let key = registry.upsert(run(1), at(0));
+    let first = registry.get(key).unwrap().lifetime;
+    registry.record_notice(key, first, TargetNotice::Leaving);
+    let denial = |registry: &TargetRegistry, now| {
+        let key = registry.key_by_id("t0").unwrap();
+        registry.denial(key, &SendNeed::ANY, at(now))
+    };
+    assert_eq!(denial(&registry, 1), Some(SendDenial::Leaving));
+    registry.upsert(run(2), at(2));
+    registry.record_notice(key, first, TargetNotice::Leaving);
+    assert_eq!(
+        denial(&registry, 3),
+        None,
+        "a late answer of the run before"
+    );
+    registry.upsert(run(1), at(4));
+    assert_eq!(denial(&registry, 5), Some(SendDenial::Leaving));
+    registry.mark_removed("t0", at(6));
+    registry.purge_removed(at(60_000));
+    assert_eq!(registry.key_by_id("t0"), None);
+    registry.upsert(run(1), at(60_001));
+    assert_eq!(denial(&registry, 60_002), Some(SendDenial::Leaving));
+}
+
+#[test]
+fn only_sensible_times_are_pauses() {
+    let seconds = [f64::NAN, f64::INFINITY, -0.1, 3_600.1, 1e300];
+    for seconds in seconds {
+        assert_eq!(TargetPause::from_secs(seconds, at(0)), None, "{seconds}");
+    }
+    let until = |seconds| TargetPause::from_secs(seconds, at(1_000)).unwrap().until();
+    assert_eq!(until(0.0), at(1_000));
+    assert_eq!(until(0.2501), at(1_251));
+    assert_eq!(until(3_600.0), at(3_601_000));
+}
--- a/crates/briarrail_gateway/src/traffic/crash_check.rs
+++ b/crates/briarrail_gateway/src/traffic/crash_check.rs
@@ -7,7 +7,7 @@
 use std::io::ErrorKind;
 use std::rc::Rc;
 
-use briarrail_dispatch::{LostSuspect, SendOutcome, TargetKey};
+use briarrail_dispatch::{LostSuspect, SendNeed, SendOutcome, TargetKey};
 use briarrail_model::MilliTime;
 
 use super::request_traits::RequestTraits;
@@ -76,22 +76,29 @@
         state.crash_checks.borrow_mut().0.remove(&key);
         return;
     };
-    let result = HttpConnection::open(target.address, CONNECT_TIMEOUT).await;
+    // A target that leaves may be gone because it has ended.
+    let now = state.clock.now();
+    let denial = state.registry.borrow().denial(key, &SendNeed::ANY, now);
+    let result = match denial {
+        Some(denial) => Err(denial),
+        None => Ok(HttpConnection::open(target.address, CONNECT_TIMEOUT).await),
+    };
     let check = state.crash_checks.borrow_mut().0.remove(&key);
     let Some(check) = check else {
         return;
     };
     let outcome = match result {
-        Ok(connection) => {
+        Err(denial) => denial.name(),
+        Ok(Ok(connection)) => {
             state.keep_connection(key, connection, None);
             "alive"
         }
-        Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             state.record_outcome(key, SendOutcome::Unreachable);
             state.record_crash(key, &check.lost_requests, check.lost_at);
             "crashed"
         }
-        Err(_) => "silent",
+        Ok(Err(_)) => "silent",
     };
     state.metrics.count_target_check(&target.service, outcome);
     let logged = || check.lost_requests.iter().take(MAX_LOGGED_REQUESTS);
