--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -475,7 +475,7 @@
         }
         let (status, reason) = match outcome {
             RequestOutcome::NotRun(reason) => {
-                let cause = self.not_run_cause(reason);
+                let cause = self.state.not_run_cause(&self.context, reason);
                 return self.refuse(cause, not_run_reason_text(reason));
             }
             RequestOutcome::Unknown(UnknownReason::DeadlinePassed) => (
@@ -508,17 +508,6 @@
         let request_id = Some(self.trace.request_id());
         gateway_reply(&self.state.dialect, status, reason, request_id, delay)
     }
-
-    fn not_run_cause(&self, reason: NotRunReason) -> RefusalCause {
-        let need = self.context.need(self.context.resume_point);
-        match self.state.denial_cause(&self.context.service, &need) {
-            Some(RefusalCause::NoTarget) if reason != NotRunReason::TargetRefused => {
-                RefusalCause::NoTarget
-            }
-            Some(cause @ RefusalCause::TargetsPaused(_)) => cause,
-            _ => RefusalCause::AtCapacity(self.context.objective),
-        }
-    }
 }
 
 /// Builds the response to the caller from the head of a target's response.
--- a/crates/briarrail_gateway/src/traffic/target_standings.rs
+++ b/crates/briarrail_gateway/src/traffic/target_standings.rs
@@ -5,6 +5,7 @@
     TargetPause,
 };
 use briarrail_model::{MilliDuration, MilliTime};
+use briarrail_outcome::NotRunReason;
 use bytes::Bytes;
 use http::StatusCode;
 
@@ -33,6 +34,20 @@
         matches!(cause, RefusalCause::TargetsPaused(_)).then_some(cause)
     }
 
+    /// Returns the cause of the refusal of a request that did not run.
+    pub(crate) fn not_run_cause(
+        &self,
+        context: &RequestContext,
+        reason: NotRunReason,
+    ) -> RefusalCause {
+        let need = context.need(context.resume_point);
+        match self.denial_cause(&context.service, &need) {
+            Some(cause @ RefusalCause::TargetsPaused(_)) => cause,
+            Some(cause) if reason != NotRunReason::TargetRefused => cause,
+            Some(_) | None => RefusalCause::AtCapacity(context.objective),
+        }
+    }
+
     /// Returns the cause of a refusal if no target of a service may get a request.
     pub(crate) fn denial_cause(&self, service: &str, need: &SendNeed<'_>) -> Option<RefusalCause> {
         let now = self.clock.now();
