--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -213,7 +213,9 @@
                 state.peer_outcomes = OutcomeTotals::default();
                 state.service_time = ServiceTimeMeter::default();
                 state.listed_at = now;
-                state.standing.begin_lifetime(record.phase);
+                let known = self.notice_memory.take(lifetime);
+                let earlier = state.standing.begin_lifetime(known);
+                self.notice_memory.keep(state.lifetime, earlier, now);
                 state.lifetime = lifetime;
             }
             let cold_limiter = &mut state.cold_limiter;
@@ -226,7 +228,7 @@
         }
         let (id, service) = (record.id.clone(), record.service.clone());
         let known = self.notice_memory.take(lifetime);
-        let mut standing = known.unwrap_or_else(|| TargetStanding::new(record.phase));
+        let mut standing = known.unwrap_or_default();
         standing.record_listed(record.phase);
         standing.set_evacuated(self.evacuated.contains(&record.data_centre));
         let cold_limiter = ColdLimiter::listed(record.cold_left, is_known_fleet, now);
