feat(gateway): evacuate data centres and keep requests in their home regions

The routers that read the store watch the evacuations, if the settings have a bound for them, and pass them on with each sync. Views are ordered by epoch and revision of the store, so a slower router brings nothing back. A router is ready, and its traffic thread gets targets, once it knows the evacuations. Homes become data centres through the settings' table of regions; where route and customer name some, both bind, and an unknown region holds nothing. TargetState::denial decides on both for all sends.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! store is unavailable or was restored from a copy. [`choose_hub`] selects the router that
 //! reads the store for the others, and [`ViewTracker`] decides whether another router's view of the
 //! targets is newer than the current one. [`ViewTime`] says how old a view can be.
+//! [`EvacuationLedger`] decides which data centres are evacuated.
 
 mod adaptive_timeout;
 mod admission_controller;
@@ -18,6 +19,8 @@
 mod crash_quarantine;
 mod crash_suspect;
 mod departed_targets;
+mod evacuation_ledger;
+mod evacuation_view;
 mod fleet_size;
 mod greeting_policy;
 mod home_set;
@@ -67,6 +70,8 @@
 pub use connection_timer::{ConnectionTimeout, ConnectionTimer};
 pub use crash_quarantine::CrashQuarantine;
 pub use crash_suspect::{CrashSuspect, SuspectKind};
+pub use evacuation_ledger::{EvacuationChange, EvacuationLedger};
+pub use evacuation_view::{EvacuationPosition, EvacuationView};
 pub use fleet_size::FleetSize;
 pub use greeting_policy::GreetingState;
 pub use home_set::HomeSet;
--- a/crates/briarrail_dispatch/src/routing_table.rs
+++ b/crates/briarrail_dispatch/src/routing_table.rs
@@ -1,10 +1,11 @@
 //! Lookup of the route and the customer of a request.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 
-use briarrail_model::{StableHash, hash_bytes, hash_pair};
+use briarrail_model::{DataCentre, RegionName, StableHash, hash_bytes, hash_pair};
 
-use crate::{CallerLimits, CustomerConfig, RouteConfig, ServiceConfig, SiteConfig};
+use crate::{CallerLimits, CustomerConfig, HomeSet, RouteConfig, ServiceConfig, SiteConfig};
 
 const SHARE_SELECTION_SALT: StableHash = StableHash(0x7368_6172_6573);
 
@@ -37,12 +38,23 @@
     routes_by_host: HashMap<String, Vec<usize>>,
     customers_by_key: HashMap<String, usize>,
     services_by_name: HashMap<String, usize>,
+    /// Region of each data centre of the site.
+    regions: Arc<BTreeMap<DataCentre, RegionName>>,
 }
 
 impl RoutingTable {
-    /// Builds the indexes of a configuration.
+    /// Builds the indexes of a configuration for a site without regions.
     #[must_use]
     pub fn new(config: SiteConfig) -> Self {
+        Self::with_regions(config, Arc::default())
+    }
+
+    /// Builds the indexes of a configuration for a site with a region for each data centre.
+    #[must_use]
+    pub fn with_regions(
+        config: SiteConfig,
+        regions: Arc<BTreeMap<DataCentre, RegionName>>,
+    ) -> Self {
         let mut routes_by_host: HashMap<String, Vec<usize>> = HashMap::new();
         for (index, route) in config.routes.iter().enumerate() {
             let host = route.host.to_ascii_lowercase();
@@ -61,6 +73,7 @@
             services_by_name: services.collect(),
             routes_by_host,
             customers_by_key,
+            regions,
             config,
         }
     }
@@ -131,6 +144,35 @@
         }
     }
 
+    /// Returns the data centres in which a customer's requests of a route may run, or `None` if they
+    /// may run in any.
+    ///
+    /// Where route and customer both name home regions, both bind. A region without data centres
+    /// adds none, so that requests with an unknown home run nowhere.
+    #[must_use]
+    pub fn homes(&self, route: RouteKey, customer: Option<&CustomerConfig>) -> Option<HomeSet> {
+        let of_route = &self.route(route).homes;
+        let of_customer = customer.map_or(&[][..], |customer| &customer.homes);
+        if of_route.is_empty() && of_customer.is_empty() {
+            return None;
+        }
+        let allows = |homes: &[RegionName], region| homes.is_empty() || homes.contains(region);
+        let is_home = |region| allows(of_route, region) && allows(of_customer, region);
+        let homes = self.regions.iter().filter(|(_, region)| is_home(region));
+        Some(homes.map(|(data_centre, _)| data_centre.clone()).collect())
+    }
+
+    /// Returns the home regions of the configuration that no data centre belongs to.
+    #[must_use]
+    pub fn unknown_homes(&self) -> BTreeSet<&RegionName> {
+        let of_routes = self.config.routes.iter().flat_map(|route| &route.homes);
+        let customers = self.config.customers.iter();
+        let of_customers = customers.flat_map(|customer| &customer.homes);
+        let known: BTreeSet<&RegionName> = self.regions.values().collect();
+        let homes = of_routes.chain(of_customers);
+        homes.filter(|region| !known.contains(region)).collect()
+    }
+
     /// Selects the service for a request of a route, in proportion to the weights.
     ///
     /// All routers select the same service for the same request identifier.
--- a/crates/briarrail_dispatch/src/site_config.rs
+++ b/crates/briarrail_dispatch/src/site_config.rs
@@ -1,6 +1,6 @@
 //! The operator's configuration, decoded into internal types.
 
-use briarrail_model::{CallSemantics, CustomerId, MilliDuration};
+use briarrail_model::{CallSemantics, CustomerId, MilliDuration, RegionName};
 use serde::{Deserialize, Serialize};
 
 /// Execution guarantee of a route, and whether it responds with an event stream.
@@ -69,6 +69,11 @@
     pub max_attempts: u32,
     /// Whether requests need no key.
     pub is_public: bool,
+    /// Regions in which its requests may run; empty if they may run in any.
+    ///
+    /// Routers of earlier versions don't send this field.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub homes: Vec<RegionName>,
 }
 
 /// Configuration of a service.
@@ -91,6 +96,11 @@
     pub keys: Vec<String>,
     /// Overrides the route's priority, if set.
     pub priority: Option<u8>,
+    /// Regions in which the customer's requests may run; empty if they may run in any.
+    ///
+    /// Routers of earlier versions don't send this field.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub homes: Vec<RegionName>,
 }
 
 /// Size and time limits on the requests and connections of callers.
--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -161,8 +161,8 @@
     /// Returns the target that most likely caches the shared context of a request placed at
     /// `chosen`, if another target may have it.
     ///
-    /// Draining targets and targets that respond with failures can still serve cached context. The
-    /// first target in rendezvous order other than `chosen` is either the usual target, which
+    /// Draining targets, those of an evacuated data centre and targets that respond with failures
+    /// can still serve cached context, but none outside the homes of the request. The first target in rendezvous order other than `chosen` is either the usual target, which
     /// `chosen` replaces, or the usual target from before `chosen` joined. Targets that were listed
     /// only recently have nothing cached yet and come last.
     #[must_use]
@@ -178,7 +178,11 @@
             .filter(|(key, state)| {
                 let may_be_down =
                     request.tried.contains(key) && !state.outlier_detector.responded_recently(now);
-                *key != chosen && state.can_serve_context(now) && !may_be_down
+                let is_home = request
+                    .need
+                    .homes
+                    .is_none_or(|homes| homes.contains(&state.record.data_centre));
+                *key != chosen && state.can_serve_context(now) && !may_be_down && is_home
             });
         let source = others.max_by_key(|(_, state)| {
             let rendezvous_hash = hash_pair(affinity, state.hash).0;
@@ -248,7 +252,7 @@
         let mut soonest = SendDenial::Gone;
         for (_, state) in self.service_targets(service) {
             let denial = state.denial(need, now)?;
-            if denial.passes_before(soonest) {
+            if soonest == SendDenial::Gone || denial.passes_before(soonest) {
                 soonest = denial;
             }
         }
--- a/crates/briarrail_dispatch/tests/suite/routing.rs
+++ b/crates/briarrail_dispatch/tests/suite/routing.rs
@@ -6,7 +6,7 @@
 };
 use briarrail_model::MilliDuration;
 
-fn route(name: &str, prefix: &str, is_public: bool) -> RouteConfig {
+pub(crate) fn route(name: &str, prefix: &str, is_public: bool) -> RouteConfig {
     RouteConfig {
         name: name.into(),
         host: "one.example".into(),
@@ -19,6 +19,7 @@
         shares: vec![share("old", 90), share("new", 10)],
         max_attempts: 2,
         is_public,
+        homes: Vec::new(),
     }
 }
 
@@ -30,7 +31,11 @@
 }
 
 fn table() -> RoutingTable {
-    RoutingTable::new(SiteConfig {
+    RoutingTable::new(site_config())
+}
+
+pub(crate) fn site_config() -> SiteConfig {
+    SiteConfig {
         version: 3,
         routes: vec![
             route("all", "/", false),
@@ -42,6 +47,7 @@
             name: "pans".into(),
             keys: vec!["k1".into(), "k2".into()],
             priority: None,
+            homes: Vec::new(),
         }],
         requires_keys: true,
         limits: CallerLimits {
@@ -50,7 +56,7 @@
             header_timeout: MilliDuration::ZERO,
             idle_timeout: MilliDuration::ZERO,
         },
-    })
+    }
 }
 
 fn lookup_result(host: &str, path: &str, key: Option<&str>) -> String {
--- a/crates/briarrail_gateway/src/control/config_exchange.rs
+++ b/crates/briarrail_gateway/src/control/config_exchange.rs
@@ -18,6 +18,9 @@
 /// between two of its syncs, so that only one of many followers sends it.
 const CONFIG_REQUEST_INTERVAL: MilliDuration = MilliDuration::from_millis(1_000);
 
+/// Maximum number of home regions in the log line of those that are unknown.
+const MAX_LOGGED_REGIONS: usize = 16;
+
 /// The configuration in effect, as it is passed on to other routers.
 #[derive(Debug, Clone)]
 pub(crate) struct HeldConfig {
@@ -38,6 +41,22 @@
     }
 }
 
+/// Logs the home regions of a configuration that no data centre belongs to; requests that are bound
+/// to these alone are refused.
+fn log_unknown_homes(table: &RoutingTable) {
+    let unknown = table.unknown_homes();
+    if !unknown.is_empty() {
+        let names = unknown.iter().take(MAX_LOGGED_REGIONS);
+        let names: Vec<&str> = names.map(|region| region.as_str()).collect();
+        tracing::warn!(
+            event = "home_regions_unknown",
+            version = table.version(),
+            count = unknown.len(),
+            regions = names.join(","),
+        );
+    }
+}
+
 impl ControlState {
     /// Returns the version of the configuration in effect; 0 if there is none.
     pub(crate) fn config_version(&self) -> u64 {
@@ -83,7 +102,8 @@
             requires_keys = stored.config.requires_keys,
             replaced_version = running_version,
         );
-        let table = RoutingTable::new(stored.config);
+        let table = RoutingTable::with_regions(stored.config, Arc::clone(&self.regions));
+        log_unknown_homes(&table);
         self.shared.routing_table.store(Some(Arc::new(table)));
         self.config = Some(HeldConfig {
             version,
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use briarrail_dispatch::{CrashQuarantine, TargetRoster, ViewTime, ViewTracker};
+use briarrail_dispatch::{CrashQuarantine, EvacuationLedger, TargetRoster, ViewTime, ViewTracker};
 use briarrail_model::MilliDuration;
 use briarrail_peer::{FrameCodec, KeyRing, SharedKey, SyncRouter};
 use briarrail_settings::{FleetLimits, GatewaySettings};
@@ -23,6 +23,7 @@
 use super::SharedControlState;
 use super::config_watcher::ConfigWatcher;
 use super::control_state::ControlState;
+use super::evacuation_watcher::EvacuationWatcher;
 use super::hub_server::serve_peers;
 use super::hub_sync::run_hub_sync;
 use super::monitoring_server::serve_monitoring;
@@ -170,6 +171,14 @@
         run_watcher(Rc::clone(&state), watcher)
     });
     let (state, store) = inputs();
+    spawn_restarting("evacuations", move || {
+        let watcher = EvacuationWatcher {
+            state: Rc::clone(&state),
+            store: store.clone(),
+        };
+        run_watcher(Rc::clone(&state), watcher)
+    });
+    let (state, store) = inputs();
     spawn_restarting("registration", move || {
         maintain_registration(Rc::clone(&state), store.clone())
     });
@@ -201,6 +210,7 @@
             capacity: host_capacity(settings),
         },
         incarnation: since_epoch.map_or(1, |time| time.as_micros() as u64),
+        regions: Arc::new(settings.regions.clone()),
         clock: inputs.clock,
         codec: FrameCodec::new(KeyRing::new(key)),
         shared: Arc::clone(&inputs.shared),
@@ -208,6 +218,7 @@
         updates: inputs.updates.clone(),
         roster: TargetRoster::default(),
         roster_log: RosterLog::default(),
+        evacuations: EvacuationLedger::default(),
         unreadable_entries: UnreadableEntries::default(),
         config: None,
         config_requested_at: None,
@@ -267,6 +278,7 @@
         retry_window_ms = settings.retry_window.as_millis(),
         retry_slack = settings.retry_slack,
         load_ratio = settings.load_ratio,
+        evacuate_within_ms = settings.evacuate_within.map(MilliDuration::as_millis),
     );
 }
 
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -6,10 +6,12 @@
 use std::sync::atomic::Ordering;
 
 use briarrail_dispatch::{
-    CrashQuarantine, GreetingState, HubCandidate, ReleaseLedger, RosterChange, TargetRoster,
-    ViewTime, ViewTracker, choose_hub, choose_view_sources,
+    CrashQuarantine, EvacuationLedger, GreetingState, HubCandidate, ReleaseLedger, RosterChange,
+    TargetRoster, ViewTime, ViewTracker, choose_hub, choose_view_sources,
+};
+use briarrail_model::{
+    DataCentre, HostName, MilliDuration, MilliTime, RegionName, StableHash, hash_pair,
 };
-use briarrail_model::{HostName, MilliDuration, MilliTime, StableHash, hash_pair};
 use briarrail_peer::{FrameCodec, SyncRouter};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
@@ -76,6 +78,8 @@
 pub(crate) struct ControlState {
     pub(crate) local: SyncRouter,
     pub(crate) incarnation: u64,
+    /// Region of each data centre of the site.
+    pub(crate) regions: Arc<BTreeMap<DataCentre, RegionName>>,
     pub(crate) clock: ProcessClock,
     pub(crate) codec: FrameCodec,
     pub(crate) shared: Arc<SharedState>,
@@ -83,6 +87,8 @@
     pub(crate) updates: UnboundedSender<ControlUpdate>,
     pub(crate) roster: TargetRoster,
     pub(crate) roster_log: RosterLog,
+    /// Data centres to which no requests may go.
+    pub(crate) evacuations: EvacuationLedger,
     /// Entries of the store that describe no target.
     pub(crate) unreadable_entries: UnreadableEntries,
     /// The configuration in effect, as it is passed on to other routers.
@@ -134,6 +140,12 @@
         Some(config_age.max(self.view_tracker.age(now)?))
     }
 
+    /// Returns the time for which this router has had no view of the store, which a hub that starts
+    /// has not yet either.
+    pub(crate) fn time_without_view(&self, now: MilliTime) -> MilliDuration {
+        now.since(self.hub_starting_at.unwrap_or_default())
+    }
+
     /// Records the revision that the store or another router named, and notices a restore of the
     /// store.
     pub(crate) fn observe_store_revision(&mut self, found: StoreRevision, source: &'static str) {
@@ -182,14 +194,14 @@
     }
 
     /// Returns whether the router can serve requests.
-    pub(crate) const fn is_ready(&self) -> bool {
-        self.config.is_some() && self.has_target_list
+    pub(crate) fn is_ready(&self) -> bool {
+        self.config.is_some() && self.has_target_list && self.knows_evacuations()
     }
 
     /// Logs roster changes and forwards them to the traffic thread.
     pub(crate) fn apply_roster_changes(
         &mut self,
-        changes: Vec<RosterChange>,
+        mut changes: Vec<RosterChange>,
         source: &'static str,
     ) {
         if changes.is_empty() {
@@ -199,6 +211,8 @@
             self.log_roster_change(change, source);
         }
         self.roster_log.record(&changes);
+        let knows_evacuations = self.knows_evacuations();
+        changes.retain(|change| knows_evacuations || !matches!(change, RosterChange::Upserted(_)));
         self.send_update(ControlUpdate::Roster(changes));
     }
 
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use briarrail_dispatch::ViewTime;
 use briarrail_model::MilliDuration;
 use briarrail_peer::{Envelope, FrameError, MAX_FRAME_BYTES, MessageKind, SyncReply, SyncRequest};
 use bytes::Bytes;
@@ -122,6 +123,9 @@
         requests: request.request_reports,
     };
     state.merge_encoded_suspect_reports(&reports, MilliDuration::ZERO, "router");
+    if let Some(list) = request.evacuations {
+        state.adopt_evacuation_list(list, ViewTime::Unknown, "router");
+    }
     if request.is_greeting {
         tracing::info!(event = "greeted", router = %envelope.from);
     } else if request.wants_view {
@@ -158,6 +162,7 @@
         limits: counts.limits,
         part_reports: reports.parts,
         request_reports: reports.requests,
+        evacuations: state.evacuation_list(now),
         store_epoch: state.store_revision.map(|revision| revision.epoch),
         config,
         wants_config,
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -41,6 +41,7 @@
             let now = state.clock.now();
             let expired = state.roster.expire(now);
             state.apply_roster_changes(expired, "expired");
+            state.expire_evacuations(now);
             state.publish_router_count(now);
             state.followed = state.choose_hub(now);
             (now, state.followed.clone())
@@ -146,6 +147,7 @@
             limits: counts.limits,
             part_reports: reports.parts,
             request_reports: reports.requests,
+            evacuations: state.reported_evacuations(now),
             counted_routers: state.counted_routers(now),
             routers_digest: state.routers_digest(),
             wants_view,
@@ -224,6 +226,7 @@
             limits: Vec::new(),
             part_reports: Bytes::new(),
             request_reports: Bytes::new(),
+            evacuations: None,
             counted_routers: 0,
             routers_digest: state.routers_digest(),
             wants_view: false,
@@ -296,6 +299,13 @@
     if reply.wants_config {
         state.config_requested_by = Some(hub.clone());
     }
+    if let Some(list) = reply.evacuations {
+        let age = list.age_ms.map(MilliDuration::from_millis);
+        let time = age.map_or(ViewTime::Unknown, |age| {
+            ViewTime::reported(age, requested_at, now)
+        });
+        state.adopt_evacuation_list(list, time, "hub");
+    }
     let age = reply.view_age_ms.map(MilliDuration::from_millis);
     if age.is_none() && !reply.store_read_failed && !wants_view {
         state.hub_starting_at = Some(now);
--- a/crates/briarrail_gateway/src/control/mod.rs
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -9,6 +9,8 @@
 mod control_loop;
 mod control_state;
 mod deflate_codec;
+mod evacuation_exchange;
+mod evacuation_watcher;
 mod hub_server;
 mod hub_sync;
 mod monitoring_server;
--- a/crates/briarrail_gateway/src/control/store_health.rs
+++ b/crates/briarrail_gateway/src/control/store_health.rs
@@ -16,14 +16,15 @@
 /// Returns the conditions that decide whether this router reads the store.
 pub(crate) fn read_conditions(state: &ControlState, has_read: bool) -> ReadConditions {
     let now = state.clock.now();
-    let without_view = || now.since(state.hub_starting_at.unwrap_or_default());
     ReadConditions {
         has_read,
         is_listed: state.is_listed,
         uptime: now.since(MilliTime::default()),
         has_hub: state.choose_hub(now).is_some(),
         is_view_requested: state.is_view_requested(now),
-        view_age: state.view_age(now).unwrap_or_else(without_view),
+        view_age: state
+            .view_age(now)
+            .unwrap_or_else(|| state.time_without_view(now)),
     }
 }
 
--- a/crates/briarrail_gateway/src/control/store_watcher.rs
+++ b/crates/briarrail_gateway/src/control/store_watcher.rs
@@ -9,6 +9,7 @@
 use briarrail_platform::{StoreError, StoreErrorKind};
 
 use super::SharedControlState;
+use super::control_state::ControlState;
 use super::store_health::{StoreHealth, read_conditions};
 use crate::{ProcessClock, ReadConsistency, StoreRevision};
 
@@ -26,6 +27,11 @@
     /// Name of the calls in logs and metrics.
     const CALL: &'static str;
 
+    /// Returns why this router reads the collection now, or `None` if it does not.
+    fn read_reason(state: &ControlState, has_read: bool) -> Option<ReadReason> {
+        read_conditions(state, has_read).read_reason()
+    }
+
     /// Lists the collection; returns the revision from which to watch, or `None` if the result may
     /// be stale.
     async fn list(&self, consistency: ReadConsistency)
@@ -49,7 +55,7 @@
     let mut revision = None;
     let mut has_read = false;
     loop {
-        let reason = read_conditions(&state.borrow(), has_read).read_reason();
+        let reason = W::read_reason(&state.borrow(), has_read);
         let Some(reason) = reason else {
             revision = None;
             let listed = Rc::clone(&state.borrow().listed);
--- a/crates/briarrail_gateway/src/lib.rs
+++ b/crates/briarrail_gateway/src/lib.rs
@@ -21,8 +21,9 @@
 pub use net::{CallClient, CallError, CallErrorKind, CallReply};
 pub use process_clock::ProcessClock;
 pub use site_store::{
-    BlockedSuspectRecord, ConfigListing, OriginPageRecord, ReadConsistency, RouterListing,
-    RouterRecord, SiteStore, TargetEvent, TargetListing, VersionedConfig, WatchOutcome,
+    BlockedSuspectRecord, ConfigListing, EvacuationEvent, EvacuationListing, OriginPageRecord,
+    ReadConsistency, RouterListing, RouterRecord, SiteStore, TargetEvent, TargetListing,
+    VersionedConfig, WatchOutcome,
 };
 pub use store_revision::StoreRevision;
 pub use telemetry::{GatewayMetrics, init_json_logs};
--- a/crates/briarrail_gateway/src/site_store.rs
+++ b/crates/briarrail_gateway/src/site_store.rs
@@ -1,5 +1,6 @@
 //! Abstraction over the platform's store.
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -53,6 +54,24 @@
     Unreadable(String),
 }
 
+/// The evacuated data centres at a revision of the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EvacuationListing {
+    /// Store revision from which to watch.
+    pub revision: StoreRevision,
+    /// The data centres.
+    pub data_centres: BTreeSet<DataCentre>,
+}
+
+/// A change of the evacuated data centres.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EvacuationEvent {
+    /// The operators evacuate the data centre.
+    Begun(DataCentre),
+    /// The operators take the evacuation back.
+    Ended(DataCentre),
+}
+
 /// Result of a watch.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WatchOutcome<T> {
@@ -165,6 +184,27 @@
         timeout: Duration,
     ) -> impl Future<Output = Result<WatchOutcome<TargetEvent>, StoreError>>;
 
+    /// Lists the evacuated data centres.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is unreachable or rejects the call.
+    fn list_evacuations(
+        &self,
+        age: ReadConsistency,
+    ) -> impl Future<Output = Result<EvacuationListing, StoreError>>;
+
+    /// Waits up to `timeout` for changes of the evacuated data centres after `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is unreachable or rejects the call.
+    fn watch_evacuations(
+        &self,
+        revision: StoreRevision,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<WatchOutcome<EvacuationEvent>, StoreError>>;
+
     /// Lists the routers; the result may be some seconds old.
     ///
     /// # Errors
--- a/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
@@ -5,7 +5,7 @@
 
 use briarrail_model::MilliDuration;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -29,6 +29,7 @@
     suspect_changes: Counter<u64>,
     store_calls: Counter<u64>,
     syncs: Counter<u64>,
+    evacuated_data_centres: Gauge<u64>,
     request_seconds: Histogram<f64>,
     first_event_seconds: Histogram<f64>,
     dropped_lines: Arc<AtomicU64>,
@@ -79,6 +80,10 @@
             ),
             store_calls: counter("briarrail_store_calls", "Calls to the store by outcome"),
             syncs: counter("briarrail_syncs", "Rounds with the hub by outcome"),
+            evacuated_data_centres: meter
+                .u64_gauge("briarrail_evacuated_data_centres")
+                .with_description("Data centres to which no requests go")
+                .build(),
             request_seconds: histogram("briarrail_request_seconds", "Time to the whole answer"),
             first_event_seconds: histogram("briarrail_first_event_seconds", "Time to first event"),
             registry,
@@ -149,6 +154,11 @@
         self.syncs.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records the number of evacuated data centres.
+    pub(crate) fn record_evacuated(&self, data_centres: usize) {
+        self.evacuated_data_centres.record(data_centres as u64, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode(&self) -> String {
         let families = self.registry.gather();
--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -24,6 +24,7 @@
 mod stream_transfer;
 mod target_send;
 mod target_silence;
+mod target_updates;
 mod traffic_state;
 mod tried_targets;
 
--- a/crates/briarrail_gateway/src/traffic/receive_request.rs
+++ b/crates/briarrail_gateway/src/traffic/receive_request.rs
@@ -131,6 +131,7 @@
     let mut context = new_context(state, head, caller, service);
     context.customer.clone_from(&trace.customer);
     context.priority = priority.unwrap_or(route.priority);
+    context.homes = table.homes(route_key, customer);
     context.apply_route(&table, route, arrived_at);
     let body = read_body(body, table.limits().body_bytes);
     let deadline = state.clock.instant(context.deadline);
@@ -172,6 +173,7 @@
         caches_prompts: false,
         max_connections: 0,
         deadline: MilliTime::default(),
+        homes: None,
         resume_point: None,
     }
 }
--- a/crates/briarrail_gateway/src/traffic/request_context.rs
+++ b/crates/briarrail_gateway/src/traffic/request_context.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use briarrail_dispatch::{RouteConfig, RouteSemantics, RoutingTable, SendNeed, StreamKey};
+use briarrail_dispatch::{HomeSet, RouteConfig, RouteSemantics, RoutingTable, SendNeed, StreamKey};
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, Request, Uri, header};
@@ -51,6 +51,8 @@
     pub(crate) max_connections: u32,
     /// Earlier of the caller's deadline and the route's time limit.
     pub(crate) deadline: MilliTime,
+    /// Data centres in which the request may run; `None` if it may run in any.
+    pub(crate) homes: Option<HomeSet>,
     /// Where the caller continues a stream; `None` if the stream begins with this attempt.
     pub(crate) resume_point: Option<ResumePoint>,
 }
@@ -82,7 +84,7 @@
     pub(crate) fn need(&self, resume_point: Option<ResumePoint>) -> SendNeed<'_> {
         SendNeed {
             release: resume_point.map(|point| point.release),
-            homes: None,
+            homes: self.homes.as_ref(),
         }
     }
 
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -1,7 +1,7 @@
 //! State of the traffic thread, and the state that it shares with the control thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 
@@ -12,7 +12,7 @@
     RosterChange, RoutingTable, SendDenial, SendNeed, SendOutcome, SuspectChange, SuspectKind,
     SuspectReports, TargetKey, TargetRegistry, TargetState,
 };
-use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
+use briarrail_model::{DataCentre, MilliDuration, MilliTime, hash_bytes};
 use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit};
 use briarrail_settings::FleetLimits;
 use bytes::Bytes;
@@ -102,6 +102,8 @@
 pub(crate) enum ControlUpdate {
     /// Changes to the roster of targets.
     Roster(Vec<RosterChange>),
+    /// The evacuated data centres.
+    Evacuations(BTreeSet<DataCentre>),
     /// Current requests, recent outcomes and demand of the other routers.
     PeerCounts(FleetCounts),
     /// Evidence of other routers on prompt parts that crash targets.
@@ -395,11 +397,8 @@
     /// Applies an update from the control thread.
     pub(crate) fn apply(&self, update: ControlUpdate) {
         match update {
-            ControlUpdate::Roster(changes) => {
-                changes
-                    .into_iter()
-                    .for_each(|change| self.apply_roster_change(change));
-            }
+            ControlUpdate::Roster(changes) => self.apply_roster_changes(changes),
+            ControlUpdate::Evacuations(data_centres) => self.apply_evacuations(&data_centres),
             ControlUpdate::PeerCounts(counts) => self.apply_peer_counts(&counts, self.clock.now()),
             ControlUpdate::SuspectReports(reports, source) => {
                 let now = self.clock.now();
@@ -418,34 +417,6 @@
         }
     }
 
-    fn apply_roster_change(&self, change: RosterChange) {
-        match change {
-            RosterChange::Upserted(record) => {
-                let now = self.clock.now();
-                let key = self.registry.borrow_mut().upsert(record, now);
-                self.close_unused(key, now);
-            }
-            RosterChange::Removed(id) => {
-                let key = self.registry.borrow().key_by_id(&id);
-                if let Some(key) = key {
-                    self.idle_connections.borrow_mut().remove_target(key);
-                    self.registry
-                        .borrow_mut()
-                        .mark_removed(&id, self.clock.now());
-                }
-            }
-            RosterChange::Retained(..) => {}
-        }
-    }
-
-    /// Closes the idle connections to a target that will get no more requests.
-    fn close_unused(&self, key: TargetKey, now: MilliTime) {
-        let denial = self.registry.borrow().denial(key, &SendNeed::ANY, now);
-        if denial.is_some_and(|denial| !denial.passes_soon()) {
-            self.idle_connections.borrow_mut().remove_target(key);
-        }
-    }
-
     fn apply_peer_counts(&self, counts: &FleetCounts, now: MilliTime) {
         let counts_by_target = counts.targets.iter().map(|count| (count.target, count));
         let by_target: HashMap<u32, &TargetCount> = counts_by_target.collect();
--- a/crates/briarrail_peer/src/lib.rs
+++ b/crates/briarrail_peer/src/lib.rs
@@ -34,6 +34,6 @@
 pub use origin_message::{OriginMessage, OriginNotice};
 pub use pull_request::PullRequest;
 pub use sync_message::{
-    RosterUpdate, ServiceDemand, StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount,
-    TargetLimit,
+    EvacuationList, RosterUpdate, ServiceDemand, StoredConfig, SyncReply, SyncRequest, SyncRouter,
+    TargetCount, TargetLimit,
 };
--- a/crates/briarrail_peer/src/sync_message.rs
+++ b/crates/briarrail_peer/src/sync_message.rs
@@ -102,6 +102,9 @@
     /// Encoded evidence on whole requests that crash targets; empty without any.
     #[serde(rename = "k", default, skip_serializing_if = "Bytes::is_empty")]
     pub request_reports: Bytes,
+    /// Evacuations that the sender knows; only sent while there are any.
+    #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<EvacuationList>,
     /// Number of live routers that the counts cover, including the sender.
     #[serde(rename = "w")]
     pub counted_routers: u32,
@@ -158,6 +161,27 @@
     pub expiring: Vec<(String, u64)>,
 }
 
+/// The evacuated data centres at a revision of the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationList {
+    /// Number of times the store was restored from a copy before that revision.
+    #[serde(rename = "e")]
+    pub epoch: u64,
+    /// The revision.
+    #[serde(rename = "r")]
+    pub revision: u64,
+    /// Age of the list in milliseconds; `None` if it is unknown.
+    #[serde(rename = "o")]
+    pub age_ms: Option<u64>,
+    /// Data centres with an entry in the store.
+    #[serde(rename = "z", default, skip_serializing_if = "Vec::is_empty")]
+    pub data_centres: Vec<DataCentre>,
+    /// Data centres whose entries a restore of the store lost, with the milliseconds for which they
+    /// stay evacuated without an entry.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    pub retained: Vec<(DataCentre, u64)>,
+}
+
 /// A router that other routers can follow.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncRouter {
@@ -208,6 +232,9 @@
     /// Encoded evidence on whole requests that crash targets; empty without any.
     #[serde(rename = "k", default, skip_serializing_if = "Bytes::is_empty")]
     pub request_reports: Bytes,
+    /// Evacuations that the sender knows; `None` if it does not follow them.
+    #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<EvacuationList>,
     /// Number of times the store was restored from a copy, as far as the sender knows.
     #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub store_epoch: Option<u64>,
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -3,8 +3,8 @@
 use briarrail_dispatch::{CrashQuarantine, CrashSuspect, LostSuspect};
 use briarrail_model::{MilliTime, hash_bytes};
 use briarrail_peer::{
-    Envelope, FrameCodec, KeyRing, MessageKind, RosterUpdate, ServiceDemand, SharedKey,
-    StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount, TargetLimit,
+    Envelope, EvacuationList, FrameCodec, KeyRing, MessageKind, RosterUpdate, ServiceDemand,
+    SharedKey, StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount, TargetLimit,
 };
 use bytes::Bytes;
 use serde::Serialize;
@@ -77,6 +77,13 @@
         }],
         part_reports: Bytes::from_static(b"reports"),
         request_reports: Bytes::from_static(b"requests"),
+        evacuations: Some(EvacuationList {
+            epoch: 2,
+            revision: 8_314,
+            age_ms: Some(900),
+            data_centres: vec!["gongoni".into()],
+            retained: vec![("marereni".into(), 2_400)],
+        }),
         counted_routers: 2,
         routers_digest: 11,
         wants_view: true,
@@ -105,6 +112,13 @@
         }],
         part_reports: Bytes::from_static(b"reports"),
         request_reports: Bytes::from_static(b"requests"),
+        evacuations: Some(EvacuationList {
+            epoch: 2,
+            revision: 8_314,
+            age_ms: Some(900),
+            data_centres: vec!["gongoni".into()],
+            retained: vec![("marereni".into(), 2_400)],
+        }),
         store_epoch: Some(2),
         config: Some(StoredConfig {
             revision: 8,
@@ -140,6 +154,13 @@
         limits: Vec::new(),
         part_reports: Bytes::new(),
         request_reports: Bytes::new(),
+        evacuations: Some(EvacuationList {
+            epoch: 2,
+            revision: 8_314,
+            age_ms: Some(900),
+            data_centres: vec!["gongoni".into()],
+            retained: vec![("marereni".into(), 2_400)],
+        }),
         store_epoch: Some(2),
         config: None,
         wants_config: false,
@@ -182,3 +203,12 @@
     println!("{bytes} bytes, {per_second} a second");
     assert!(per_second <= 5_000, "{bytes} bytes, {per_second} a second");
 }
+
+/// Routers of earlier versions neither send evacuations nor know the field.
+#[test]
+fn evacuations_are_left_out_unless_there_are_any() {
+    let encoded = rmp_serde::to_vec_named(&EvacuationList::default()).unwrap();
+    let decoded: EvacuationList = rmp_serde::from_slice(&encoded).unwrap();
+    assert_eq!(decoded, EvacuationList::default());
+    assert!(encoded.len() <= 16, "{} bytes", encoded.len());
+}
--- a/crates/briarrail_settings/src/gateway_settings.rs
+++ b/crates/briarrail_settings/src/gateway_settings.rs
@@ -1,15 +1,19 @@
 //! Settings of the gateway.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 
-use briarrail_model::{DataCentre, HostName, MilliDuration};
+use briarrail_model::{DataCentre, HostName, MilliDuration, RegionName};
 use jsonc_parser::ast::Value;
 
 use crate::daemon_settings::{read_file, read_text};
 use crate::error_collector::ErrorCollector;
 use crate::section_reader::SectionReader;
-use crate::{LogSettings, SecretText, SettingsErrors};
+use crate::{LogSettings, SecretText, SettingsErrorKind, SettingsErrors};
+
+/// Longest time that may be set for an evacuation to take effect, in milliseconds.
+const MAX_EVACUATE_MS: f64 = 3_600_000.0;
 
 /// Limits that the operators set for the whole fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -24,6 +28,9 @@
     pub retry_slack: f64,
     /// Maximum load of a target, as a multiple of the mean load of its service.
     pub load_ratio: f64,
+    /// Time within which an evacuation of a data centre must take effect; `None` if the operators
+    /// evacuate none.
+    pub evacuate_within: Option<MilliDuration>,
 }
 
 /// The validated settings of one gateway.
@@ -49,6 +56,8 @@
     pub name: HostName,
     /// Data centre of the router.
     pub data_centre: DataCentre,
+    /// Region of each data centre; empty if the operators name no regions.
+    pub regions: BTreeMap<DataCentre, RegionName>,
     /// Listening address for callers.
     pub callers: SocketAddr,
     /// Listening address for readiness checks of the load balancer.
@@ -98,6 +107,7 @@
         let name = host.required("name");
         let data_centre = host.required("data_centre");
         host.finish();
+        let regions = read_regions(&root, data_centre.as_ref());
         let read_listener = |key| {
             let section = root.section(key);
             let address = section.required("listen");
@@ -121,6 +131,7 @@
         Some(Self {
             name: name?,
             data_centre: data_centre?,
+            regions,
             callers: callers?,
             readiness: readiness?,
             peers: peers?,
@@ -147,7 +158,36 @@
         retry_window: seconds("retry_window_s", 10.0),
         retry_slack: section.value_or("retry_slack", 20.0),
         load_ratio: section.value_or("load_ratio", 2.0),
+        evacuate_within: read_evacuation_bound(&section),
     };
     section.finish();
     limits
 }
+
+fn read_evacuation_bound(section: &SectionReader<'_>) -> Option<MilliDuration> {
+    let key = "evacuate_ms";
+    let millis: f64 = section.optional(key)?;
+    if !(1.0..=MAX_EVACUATE_MS).contains(&millis) {
+        let hint = format!("expected 1 to {MAX_EVACUATE_MS}");
+        section.add_error(SettingsErrorKind::OutOfRange, key, &hint);
+    }
+    Some(MilliDuration::from_millis(millis as u64))
+}
+
+/// Reads the region of each data centre; that of the router itself has to be among them.
+fn read_regions(
+    root: &SectionReader<'_>,
+    local: Option<&DataCentre>,
+) -> BTreeMap<DataCentre, RegionName> {
+    let key = "data_centre_regions";
+    let table = root.table::<RegionName>(key);
+    let is_missing = |local: &DataCentre| !table.is_empty() && !table.contains_key(local.as_str());
+    if let Some(local) = local.filter(|local| is_missing(local)) {
+        let hint = format!("add the region of {local}, the data centre of this router");
+        root.add_error(SettingsErrorKind::Conflict, key, &hint);
+    }
+    let entries = table.into_iter();
+    entries
+        .map(|(name, region)| (name.as_str().into(), region))
+        .collect()
+}
--- a/crates/briarrail_settings/src/section_reader.rs
+++ b/crates/briarrail_settings/src/section_reader.rs
@@ -1,6 +1,7 @@
 //! Typed access to one section of the settings.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
 
 use briarrail_model::MilliDuration;
@@ -95,6 +96,33 @@
             .collect()
     }
 
+    /// Returns the entries of a subsection whose keys are free names; a missing one is empty.
+    pub(crate) fn table<T>(&self, key: &'static str) -> BTreeMap<String, T>
+    where
+        T: SettingValue,
+    {
+        let section = self.section(key);
+        let properties = section.object.map_or(&[][..], |object| &object.properties);
+        let mut table = BTreeMap::new();
+        for property in properties {
+            let name = property.name.as_str();
+            let report = |kind, hint| {
+                let excerpt = self.errors.excerpt(property.value.range());
+                let path = section.key_path(name);
+                self.errors
+                    .push(kind, property.range, &path, &excerpt, hint);
+            };
+            match T::from_node(&property.value) {
+                Some(value) if !table.contains_key(name) => {
+                    table.insert(name.to_owned(), value);
+                }
+                Some(_) => report(SettingsErrorKind::DuplicateKey, "remove all but one"),
+                None => report(SettingsErrorKind::InvalidValue, T::EXPECTED),
+            }
+        }
+        table
+    }
+
     /// Returns a required value, and reports an error if it is missing.
     pub(crate) fn required<T>(&self, key: &'static str) -> Option<T>
     where
--- a/crates/briarrail_settings/tests/suite/gateway.rs
+++ b/crates/briarrail_settings/tests/suite/gateway.rs
@@ -23,3 +23,22 @@
 fn missing_keys_are_reported() {
     insta::assert_snapshot!(GatewaySettings::from_text("{}").unwrap_err());
 }
+
+#[test]
+fn regions_and_evacuations_are_checked() {
+    let text = EXAMPLE
+        .replace("\"gongoni\": \"coast\"", "\"fundisa\": \"\"")
+        .replace("\"evacuate_ms\": 5000", "\"evacuate_ms\": 0");
+    insta::assert_snapshot!(GatewaySettings::from_text(&text).unwrap_err());
+}
+
+/// What the template leaves for a site without regions and evacuations.
+#[test]
+fn a_site_needs_no_regions_and_no_evacuations() {
+    let text = EXAMPLE
+        .replace("\"gongoni\": \"coast\", \"marereni\": \"coast\"", "")
+        .replace("\"evacuate_ms\": 5000", "");
+    let settings = GatewaySettings::from_text(&text).unwrap();
+    assert!(settings.regions.is_empty());
+    assert_eq!(settings.fleet.evacuate_within, None);
+}
