--- a/crates/briarrail_dispatch/tests/suite/evacuations.rs
+++ b/crates/briarrail_dispatch/tests/suite/evacuations.rs
@@ -170,7 +170,7 @@
         record.data_centre.as_str() == "b"
     };
     let usual: Vec<_> = (0..40).map(|id| placed(&registry, id).0).collect();
-    registry.set_evacuated(&names(&["b"]));
+    registry.set_evacuated(&names(&["b"]), at(0));
     let mut moved = 0;
     for (id, usual) in (0..40).zip(usual) {
         let (target, source) = placed(&registry, id);
@@ -187,9 +187,11 @@
     let joined = registry.upsert(record, at(0));
     let denial = registry.denial(joined, &SendNeed::ANY, at(0));
     assert_eq!(denial, Some(SendDenial::Evacuated));
-    registry.set_evacuated(&names(&["a", "b"]));
+    registry.set_evacuated(&names(&["a", "b"]), at(0));
     let denial = registry.service_denial("model", &SendNeed::ANY, at(0));
     assert_eq!(denial, Some(SendDenial::Evacuated));
-    registry.set_evacuated(&names(&[]));
-    assert!(registry.denial(joined, &SendNeed::ANY, at(0)).is_none());
+    registry.set_evacuated(&names(&[]), at(900));
+    assert!(registry.denial(joined, &SendNeed::ANY, at(900)).is_none());
+    let returned_at = registry.get(joined).unwrap().standing().returned_at();
+    assert_eq!(returned_at, Some(at(900)));
 }
--- a/crates/briarrail_gateway/src/traffic/request_context.rs
+++ b/crates/briarrail_gateway/src/traffic/request_context.rs
@@ -85,6 +85,7 @@
         SendNeed {
             release: resume_point.map(|point| point.release),
             homes: self.homes.as_ref(),
+            seed: Some(self.seed()),
         }
     }
 
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -9,7 +9,7 @@
 use briarrail_dispatch::{
     AdaptiveTimeout, AdmissionController, AdmissionRatio, CrashQuarantine, FleetSize, LimitReport,
     LimitStatement, LimitedRequest, OutcomeTotals, PlacementLimits, RetryBudget, RetryBudgetLimits,
-    RosterChange, RoutingTable, SendDenial, SendNeed, SendOutcome, SuspectChange, SuspectKind,
+    RosterChange, RoutingTable, SendDenial, SendOutcome, SuspectChange, SuspectKind,
     SuspectReports, TargetKey, TargetRegistry, TargetState,
 };
 use briarrail_model::{DataCentre, MilliDuration, MilliTime, hash_bytes};
@@ -137,7 +137,7 @@
     admissions: RefCell<HashMap<String, AdmissionController>>,
     /// Timeouts for the first response bytes, by route.
     timeouts: RefCell<HashMap<String, AdaptiveTimeout>>,
-    fleet_size: Cell<FleetSize>,
+    pub(super) fleet_size: Cell<FleetSize>,
     /// Prompt parts that are not sent to targets.
     quarantine: RefCell<CrashQuarantine>,
     /// Checks of targets that are in progress.
@@ -266,12 +266,6 @@
         budget.try_take_retry(self.clock.now(), &limits, routers)
     }
 
-    /// Returns why no target of a service may get a request, or `None` if one may.
-    pub(crate) fn service_denial(&self, service: &str, need: &SendNeed<'_>) -> Option<SendDenial> {
-        let registry = self.registry.borrow();
-        registry.service_denial(service, need, self.clock.now())
-    }
-
     /// Sends a message about a stream to the control thread.
     pub(crate) fn send_origin_call(&self, call: OriginCall) {
         if self.origin_calls.send(call).is_err() {
@@ -423,6 +417,7 @@
         let limits = counts.limits.iter().map(|limit| (limit.target, limit));
         let limits: HashMap<u32, &TargetLimit> = limits.collect();
         self.record_fleet_size(now);
+        self.review_standings(counts, now);
         let mut registry = self.registry.borrow_mut();
         registry.purge_removed(now);
         let keys: Vec<(TargetKey, u32)> = registry
@@ -488,6 +483,8 @@
             targets: counts.filter(is_nonzero).collect(),
             demands: self.local_demands(now),
             limits,
+            leaving: registry.leaving_lifetimes(),
+            pauses: registry.pause_reports(now),
         }
     }
 
