fix(gateway): don't take an older view for newer than one of uncertain age

A view from a watch counts as up to 200 ms old, but only that highest age was passed on. The receiver's latest possible time of the view was too early by as much, so an older view with a more exact age passed for newer. Replies now name the lowest possible age as well.

Found by reading against the log; not reproduced with the processes. The new test of view_tracker replays it: it fails if the lowest age is ignored, as before.

--- a/crates/briarrail_dispatch/src/view_time.rs
+++ b/crates/briarrail_dispatch/src/view_time.rs
@@ -67,16 +67,30 @@
         self.bounds().map(|bounds| now.since(bounds.earliest))
     }
 
-    /// Returns the time of a view whose age another router reported between the request and the
-    /// response; unknown if it may lie before the start of the clock.
+    /// Returns the lowest possible age, or `None` if it is unknown.
     #[must_use]
-    pub fn reported(age: MilliDuration, requested_at: MilliTime, received_at: MilliTime) -> Self {
+    pub fn min_age(self, now: MilliTime) -> Option<MilliDuration> {
+        self.bounds().map(|bounds| now.since(bounds.latest))
+    }
+
+    /// Returns the time of a view whose highest and lowest possible age another router reported
+    /// between the request and the response; unknown if it may lie before the start of the clock.
+    ///
+    /// Routers of earlier versions report no lowest age. Taking the highest one for it makes the view
+    /// seem older than it may be, so that an older view of a third router can seem newer.
+    #[must_use]
+    pub fn reported(
+        age: MilliDuration,
+        min_age: Option<MilliDuration>,
+        requested_at: MilliTime,
+        received_at: MilliTime,
+    ) -> Self {
         if age > requested_at.since(MilliTime::default()) {
             return Self::Unknown;
         }
         Self::Within(ViewTimeBounds {
             earliest: requested_at - age,
-            latest: received_at - age,
+            latest: received_at - min_age.unwrap_or(age).min(age),
         })
     }
 
--- a/crates/briarrail_dispatch/src/view_tracker.rs
+++ b/crates/briarrail_dispatch/src/view_tracker.rs
@@ -92,6 +92,12 @@
         self.time.bounds().map(|bounds| bounds.earliest)
     }
 
+    /// Returns the lowest possible age of the current view, or `None` if it is unknown.
+    #[must_use]
+    pub fn min_age(&self, now: MilliTime) -> Option<MilliDuration> {
+        self.time.min_age(now)
+    }
+
     /// Returns the highest possible age of the current view, or `None` if it is unknown.
     #[must_use]
     pub fn age(&self, now: MilliTime) -> Option<MilliDuration> {
--- a/crates/briarrail_dispatch/tests/suite/view_time.rs
+++ b/crates/briarrail_dispatch/tests/suite/view_time.rs
@@ -55,7 +55,7 @@
         let received_at = requested_at + millis(in_transit);
         // The age is told as late as possible, so that all of the round trip counts twice.
         let told = time.age(received_at).unwrap();
-        time = ViewTime::reported(told, requested_at, received_at);
+        time = ViewTime::reported(told, time.min_age(requested_at), requested_at, received_at);
         assert!(time.age(received_at).unwrap() >= received_at.since(read_at));
         assert!(time.age(received_at).unwrap() >= told);
         now = received_at;
@@ -65,7 +65,7 @@
 /// Clocks start at zero with the process, so an older view has no time on them.
 #[test]
 fn a_view_from_before_the_start_of_a_router_has_no_known_age_there() {
-    let time = ViewTime::reported(millis(1_300), at(100), at(105));
+    let time = ViewTime::reported(millis(1_300), None, at(100), at(105));
     assert_eq!(time, ViewTime::Unknown);
     assert_eq!(time.age(at(200)), None);
 }
--- a/crates/briarrail_dispatch/tests/suite/view_tracker.rs
+++ b/crates/briarrail_dispatch/tests/suite/view_tracker.rs
@@ -2,7 +2,7 @@
 
 use briarrail_dispatch::RemovalPolicy::{AfterGracePeriod, Immediate};
 use briarrail_dispatch::{
-    RosterChange, TargetRecord, TargetRoster, ViewPosition, ViewTimeBounds, ViewTracker,
+    RosterChange, TargetRecord, TargetRoster, ViewPosition, ViewTime, ViewTimeBounds, ViewTracker,
 };
 use briarrail_model::MilliTime;
 
@@ -145,3 +145,32 @@
     assert!(tracker.accepts(3, ViewTimeBounds::exact(at(1_005))));
     assert_eq!(tracker.observed_at(), Some(at(885)));
 }
+
+/// Two routers that read the store are asked for their views. The watch of one returns a removal at
+/// 1,000 and counts as up to 200 ms old; that of the other, which lacks it, returned at 940.
+#[test]
+fn a_view_of_uncertain_age_is_not_replaced_by_an_older_one() {
+    let reported = |bounds: ViewTimeBounds, requested_at, received_at| {
+        let time = ViewTime::from(bounds);
+        let answered_at = requested_at;
+        let age = time.age(answered_at).unwrap();
+        ViewTime::reported(age, time.min_age(answered_at), requested_at, received_at)
+    };
+    let with_removal = ViewTimeBounds {
+        earliest: at(800),
+        latest: at(1_000),
+    };
+    let without_removal = ViewTimeBounds {
+        earliest: at(930),
+        latest: at(940),
+    };
+    let mut tracker = ViewTracker::default();
+    let position = ViewPosition {
+        epoch: 2,
+        sequence: 8,
+    };
+    tracker.record_adopted_view(position, reported(with_removal, at(1_010), at(1_011)));
+    assert!(!tracker.accepts(3, reported(without_removal, at(1_010), at(1_011))));
+    let later = ViewTimeBounds::exact(at(1_150));
+    assert!(tracker.accepts(3, reported(later, at(1_200), at(1_201))));
+}
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -155,6 +155,10 @@
     let reports = state.encode_suspect_reports(MilliDuration::ZERO, now);
     let reply = SyncReply {
         view_age_ms: state.view_age(now).map(MilliDuration::as_millis),
+        view_min_age_ms: state
+            .view_tracker
+            .min_age(now)
+            .map(MilliDuration::as_millis),
         store_read_failed: state.has_failing_calls(),
         routers: (!has_same_routers).then(|| state.known_routers()),
         live_routers: state.live_routers(now),
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -308,7 +308,7 @@
     if let Some(list) = reply.evacuations {
         let age = list.age_ms.map(MilliDuration::from_millis);
         let time = age.map_or(ViewTime::Unknown, |age| {
-            ViewTime::reported(age, requested_at, now)
+            ViewTime::reported(age, None, requested_at, now)
         });
         state.adopt_evacuation_list(list, time, "hub");
     }
@@ -327,7 +327,8 @@
     };
     let previous_age = state.view_age(now);
     state.roster.observe_view_age(now, previous_age);
-    let time = ViewTime::reported(age, requested_at, now);
+    let min_age = reply.view_min_age_ms.map(MilliDuration::from_millis);
+    let time = ViewTime::reported(age, min_age, requested_at, now);
     state.config_time.advance(time);
     let current = state.view_tracker.position();
     let position = reply
--- a/crates/briarrail_peer/src/sync_message.rs
+++ b/crates/briarrail_peer/src/sync_message.rs
@@ -237,9 +237,14 @@
 /// The reply to a [`SyncRequest`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncReply {
-    /// Age of the sender's view of the store, in milliseconds; `None` if it never had one.
+    /// Highest possible age of the sender's view of the store, in milliseconds; `None` if it never
+    /// had one.
     #[serde(rename = "o")]
     pub view_age_ms: Option<u64>,
+    /// Lowest possible age of the targets in that view, in milliseconds. Routers of earlier versions
+    /// don't send it.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub view_min_age_ms: Option<u64>,
     /// Whether the sender's own last read of the store failed.
     #[serde(rename = "x", default)]
     pub store_read_failed: bool,
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -103,6 +103,7 @@
     );
     let reply = SyncReply {
         view_age_ms: Some(40),
+        view_min_age_ms: Some(20),
         store_read_failed: true,
         routers: Some(vec![router(1), router(2)]),
         live_routers: 2,
@@ -158,6 +159,7 @@
 fn a_typical_reply_fits_a_slow_link() {
     let reply = SyncReply {
         view_age_ms: Some(400),
+        view_min_age_ms: Some(200),
         store_read_failed: false,
         routers: None,
         live_routers: 89,
@@ -193,6 +195,7 @@
     let reply = |leaving: Vec<u32>, pauses: Vec<TargetPauseItem>| {
         let reply = SyncReply {
             view_age_ms: Some(400),
+            view_min_age_ms: Some(200),
             store_read_failed: false,
             routers: None,
             live_routers: 300,
