--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -222,7 +222,7 @@
             cold_limiter.record_cold(record.cold_left, ColdSource::Entry, now);
             state.release = ReleaseKey::new(&record.service, &record.version);
             state.standing.record_listed(record.phase);
-            state.standing.set_evacuated(is_evacuated);
+            state.standing.set_evacuated(is_evacuated, now);
             state.record = record;
             return key;
         }
@@ -230,7 +230,7 @@
         let known = self.notice_memory.take(lifetime);
         let mut standing = known.unwrap_or_default();
         standing.record_listed(record.phase);
-        standing.set_evacuated(self.evacuated.contains(&record.data_centre));
+        standing.set_evacuated(self.evacuated.contains(&record.data_centre), now);
         let cold_limiter = ColdLimiter::listed(record.cold_left, is_known_fleet, now);
         let key = self.targets.insert(TargetState {
             hash: hash_bytes(id.as_bytes()),
@@ -283,7 +283,7 @@
         for state in self.targets.values_mut() {
             let data_centre = &state.record.data_centre;
             let is_evacuated = data_centres.contains(data_centre);
-            state.standing.set_evacuated(is_evacuated);
+            state.standing.set_evacuated(is_evacuated, now);
             if before.contains(data_centre) && !is_evacuated {
                 state.cold_limiter.record_start(ColdSource::Return, now);
             }
--- a/crates/briarrail_dispatch/src/target_standing.rs
+++ b/crates/briarrail_dispatch/src/target_standing.rs
@@ -25,6 +25,8 @@
     peer_pause: Option<TargetPause>,
     /// Whether the operators have evacuated the target's data centre.
     is_evacuated: bool,
+    /// Time at which the last evacuation of its data centre ended.
+    returned_at: Option<MilliTime>,
     /// Reason for which the target got no requests when that was last reported.
     reported: Option<SendDenial>,
 }
@@ -94,10 +96,23 @@
     }
 
     /// Sets whether the operators have evacuated the target's data centre.
-    pub const fn set_evacuated(&mut self, is_evacuated: bool) {
+    pub const fn set_evacuated(&mut self, is_evacuated: bool, now: MilliTime) {
+        if self.is_evacuated && !is_evacuated {
+            self.returned_at = Some(now);
+        }
         self.is_evacuated = is_evacuated;
     }
 
+    /// Returns the time at which the last evacuation of the target's data centre ended; `None` if
+    /// this lifetime has seen none end.
+    ///
+    /// The target may have become cold shortly before, and its entry says so only with its next
+    /// write.
+    #[must_use]
+    pub const fn returned_at(&self) -> Option<MilliTime> {
+        self.returned_at
+    }
+
     /// Returns why the target may not get a request, whatever the request needs.
     ///
     /// `seed` differs between requests and targets; without one the answer is that for the first
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use briarrail_dispatch::ViewTime;
 use briarrail_model::MilliDuration;
 use briarrail_peer::{Envelope, FrameError, MAX_FRAME_BYTES, MessageKind, SyncReply, SyncRequest};
 use bytes::Bytes;
@@ -122,6 +123,9 @@
         requests: request.request_reports,
     };
     state.merge_encoded_suspect_reports(&reports, MilliDuration::ZERO, "router");
+    if let Some(list) = request.evacuations {
+        state.adopt_evacuation_list(list, ViewTime::Unknown, "router");
+    }
     if request.is_greeting {
         tracing::info!(event = "greeted", router = %envelope.from);
     } else if request.wants_view {
@@ -151,6 +155,10 @@
     let reports = state.encode_suspect_reports(MilliDuration::ZERO, now);
     let reply = SyncReply {
         view_age_ms: state.view_age(now).map(MilliDuration::as_millis),
+        view_min_age_ms: state
+            .view_tracker
+            .min_age(now)
+            .map(MilliDuration::as_millis),
         store_read_failed: state.has_failing_calls(),
         routers: (!has_same_routers).then(|| state.known_routers()),
         live_routers: state.live_routers(now),
@@ -162,6 +170,7 @@
         limits: counts.limits,
         part_reports: reports.parts,
         request_reports: reports.requests,
+        evacuations: state.evacuation_list(now),
         store_epoch: state.store_revision.map(|revision| revision.epoch),
         config,
         wants_config,
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -1,7 +1,7 @@
 //! State of the traffic thread, and the state that it shares with the control thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 
@@ -12,7 +12,7 @@
     RosterChange, RouterList, RoutingTable, SendDenial, SendOutcome, SuspectChange, SuspectKind,
     SuspectReports, TargetKey, TargetRegistry, TargetState,
 };
-use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
+use briarrail_model::{DataCentre, MilliDuration, MilliTime, hash_bytes};
 use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit};
 use briarrail_settings::FleetLimits;
 use bytes::Bytes;
@@ -25,7 +25,6 @@
 use super::request_context::RequestContext;
 use super::request_traits::RequestTraits;
 use super::stream_origin::OriginCall;
-use super::target_standings::STORE_SOURCE;
 use crate::ProcessClock;
 use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
@@ -104,6 +103,8 @@
 pub(crate) enum ControlUpdate {
     /// Changes to the roster of targets.
     Roster(Vec<RosterChange>),
+    /// The evacuated data centres.
+    Evacuations(BTreeSet<DataCentre>),
     /// Current requests, recent outcomes and demand of the other routers.
     PeerCounts(FleetCounts),
     /// The routers among which the bounds of cold targets are divided.
@@ -396,11 +397,8 @@
     /// Applies an update from the control thread.
     pub(crate) fn apply(&self, update: ControlUpdate) {
         match update {
-            ControlUpdate::Roster(changes) => {
-                changes
-                    .into_iter()
-                    .for_each(|change| self.apply_roster_change(change));
-            }
+            ControlUpdate::Roster(changes) => self.apply_roster_changes(changes),
+            ControlUpdate::Evacuations(data_centres) => self.apply_evacuations(&data_centres),
             ControlUpdate::PeerCounts(counts) => self.apply_peer_counts(&counts, self.clock.now()),
             ControlUpdate::Routers(list) => self.apply_router_list(&list),
             ControlUpdate::SuspectReports(reports, source) => {
@@ -420,25 +418,6 @@
         }
     }
 
-    fn apply_roster_change(&self, change: RosterChange) {
-        match change {
-            RosterChange::Upserted(record) => {
-                let now = self.clock.now();
-                let key = self.registry.borrow_mut().upsert(record, now);
-                self.report_standing(key, STORE_SOURCE, now);
-            }
-            RosterChange::Removed(id) => {
-                let now = self.clock.now();
-                let key = self.registry.borrow().key_by_id(&id);
-                if let Some(key) = key {
-                    self.registry.borrow_mut().mark_removed(&id, now);
-                    self.report_standing(key, STORE_SOURCE, now);
-                }
-            }
-            RosterChange::Retained(..) => {}
-        }
-    }
-
     fn apply_peer_counts(&self, counts: &FleetCounts, now: MilliTime) {
         let counts_by_target = counts.targets.iter().map(|count| (count.target, count));
         let by_target: HashMap<u32, &TargetCount> = counts_by_target.collect();
--- a/crates/briarrail_peer/tests/suite/sync.rs
+++ b/crates/briarrail_peer/tests/suite/sync.rs
@@ -3,8 +3,9 @@
 use briarrail_dispatch::{CrashQuarantine, CrashSuspect, LostSuspect};
 use briarrail_model::{MilliTime, hash_bytes};
 use briarrail_peer::{
-    Envelope, FrameCodec, KeyRing, MessageKind, RosterUpdate, ServiceDemand, SharedKey,
-    StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount, TargetLimit, TargetPauseItem,
+    Envelope, EvacuationList, FrameCodec, KeyRing, MessageKind, RosterUpdate, ServiceDemand,
+    SharedKey, StoredConfig, SyncReply, SyncRequest, SyncRouter, TargetCount, TargetLimit,
+    TargetPauseItem,
 };
 use bytes::Bytes;
 use serde::Serialize;
@@ -83,6 +84,13 @@
         }],
         part_reports: Bytes::from_static(b"reports"),
         request_reports: Bytes::from_static(b"requests"),
+        evacuations: Some(EvacuationList {
+            epoch: 2,
+            revision: 8_314,
+            age_ms: Some(900),
+            data_centres: vec!["gongoni".into()],
+            retained: vec![("marereni".into(), 2_400)],
+        }),
         counted_routers: 2,
         routers_digest: 11,
         wants_view: true,
@@ -95,6 +103,7 @@
     );
     let reply = SyncReply {
         view_age_ms: Some(40),
+        view_min_age_ms: Some(20),
         store_read_failed: true,
         routers: Some(vec![router(1), router(2)]),
         live_routers: 2,
@@ -117,6 +126,13 @@
         }],
         part_reports: Bytes::from_static(b"reports"),
         request_reports: Bytes::from_static(b"requests"),
+        evacuations: Some(EvacuationList {
+            epoch: 2,
+            revision: 8_314,
+            age_ms: Some(900),
+            data_centres: vec!["gongoni".into()],
+            retained: vec![("marereni".into(), 2_400)],
+        }),
         store_epoch: Some(2),
         config: Some(StoredConfig {
             revision: 8,
@@ -143,6 +159,7 @@
 fn a_typical_reply_fits_a_slow_link() {
     let reply = SyncReply {
         view_age_ms: Some(400),
+        view_min_age_ms: Some(200),
         store_read_failed: false,
         routers: None,
         live_routers: 89,
@@ -154,6 +171,13 @@
         pauses: Vec::new(),
         part_reports: Bytes::new(),
         request_reports: Bytes::new(),
+        evacuations: Some(EvacuationList {
+            epoch: 2,
+            revision: 8_314,
+            age_ms: Some(900),
+            data_centres: vec!["gongoni".into()],
+            retained: vec![("marereni".into(), 2_400)],
+        }),
         store_epoch: Some(2),
         config: None,
         wants_config: false,
@@ -171,6 +195,7 @@
     let reply = |leaving: Vec<u32>, pauses: Vec<TargetPauseItem>| {
         let reply = SyncReply {
             view_age_ms: Some(400),
+            view_min_age_ms: Some(200),
             store_read_failed: false,
             routers: None,
             live_routers: 300,
@@ -182,6 +207,7 @@
             pauses,
             part_reports: Bytes::new(),
             request_reports: Bytes::new(),
+            evacuations: None,
             store_epoch: Some(2),
             config: None,
             wants_config: false,
@@ -233,3 +259,12 @@
     println!("{bytes} bytes, {per_second} a second");
     assert!(per_second <= 5_000, "{bytes} bytes, {per_second} a second");
 }
+
+/// Routers of earlier versions neither send evacuations nor know the field.
+#[test]
+fn evacuations_are_left_out_unless_there_are_any() {
+    let encoded = rmp_serde::to_vec_named(&EvacuationList::default()).unwrap();
+    let decoded: EvacuationList = rmp_serde::from_slice(&encoded).unwrap();
+    assert_eq!(decoded, EvacuationList::default());
+    assert!(encoded.len() <= 16, "{} bytes", encoded.len());
+}
--- a/crates/briarrail_settings/tests/suite/gateway.rs
+++ b/crates/briarrail_settings/tests/suite/gateway.rs
@@ -36,3 +36,22 @@
         .map(|keys| GatewaySettings::from_text(&EXAMPLE.replace(bounds, keys)).unwrap_err());
     insta::assert_snapshot!(format!("{}\n{}", errors[0], errors[1]));
 }
+
+#[test]
+fn regions_and_evacuations_are_checked() {
+    let text = EXAMPLE
+        .replace("\"gongoni\": \"coast\"", "\"fundisa\": \"\"")
+        .replace("\"evacuate_ms\": 5000", "\"evacuate_ms\": 0");
+    insta::assert_snapshot!(GatewaySettings::from_text(&text).unwrap_err());
+}
+
+/// What the template leaves for a site without regions and evacuations.
+#[test]
+fn a_site_needs_no_regions_and_no_evacuations() {
+    let text = EXAMPLE
+        .replace("\"gongoni\": \"coast\", \"marereni\": \"coast\"", "")
+        .replace("\"evacuate_ms\": 5000", "");
+    let settings = GatewaySettings::from_text(&text).unwrap();
+    assert!(settings.regions.is_empty());
+    assert_eq!(settings.fleet.evacuate_within, None);
+}
