--- a/crates/briarrail_settings/src/gateway_settings.rs
+++ b/crates/briarrail_settings/src/gateway_settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the gateway.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 
 use briarrail_model::{DataCentre, HostName, MilliDuration};
@@ -9,7 +10,12 @@
 use crate::daemon_settings::{read_file, read_text};
 use crate::error_collector::ErrorCollector;
 use crate::section_reader::SectionReader;
-use crate::{LogSettings, SecretText, SettingsErrors};
+use crate::{LogSettings, SecretText, SettingsErrorKind, SettingsErrors};
+
+/// Memory of the process if the settings don't state it, in MB.
+const DEFAULT_MEMORY_MB: f64 = 1_024.0;
+/// Memory with which a router can run, in MB.
+const MEMORY_RANGE_MB: RangeInclusive<f64> = 32.0..=1_048_576.0;
 
 /// Limits that the operators set for the whole fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -67,6 +73,8 @@
     pub core_share: f64,
     /// Maximum number of open file descriptors.
     pub max_descriptors: u64,
+    /// Memory that the process may use, in MB (1,000,000 bytes).
+    pub memory_mb: f64,
     /// Limits that apply to the whole fleet.
     pub fleet: FleetLimits,
     /// Logging.
@@ -113,6 +121,7 @@
         store.finish();
         let exchange_key = root.required("exchange_key");
         let max_descriptors = root.integer("max_descriptors", 1_024, 64..=10_000_000);
+        let memory_mb = read_memory(&root);
         let link_mbps = root.value_or("link_mbps", 1_000.0);
         let core_share = root.value_or("core_share", 1.0);
         let fleet = read_fleet_limits(root.section("fleet"));
@@ -130,12 +139,26 @@
             link_mbps,
             core_share,
             max_descriptors,
+            memory_mb,
             fleet,
             logs,
         })
     }
 }
 
+fn read_memory(root: &SectionReader<'_>) -> f64 {
+    let memory_mb = root.value_or("memory_mb", DEFAULT_MEMORY_MB);
+    if !MEMORY_RANGE_MB.contains(&memory_mb) {
+        let hint = format!(
+            "expected {} to {}",
+            MEMORY_RANGE_MB.start(),
+            MEMORY_RANGE_MB.end()
+        );
+        root.add_error(SettingsErrorKind::OutOfRange, "memory_mb", &hint);
+    }
+    memory_mb
+}
+
 fn read_fleet_limits(section: SectionReader<'_>) -> FleetLimits {
     let seconds = |key, default: f64| {
         let value: f64 = section.value_or(key, default);
