feat(dispatch): an account of what a router holds for its callers

Nothing limited what all callers together held in a router, so a crowd that stopped short of the end of its bodies ended the process. MemoryBudget divides the machine's memory into bodies, answers and connections; MemoryAccount decides with the time as an argument what fits and who gives way: bodies without progress first, then those that lack most, the longest idle connection, the slowest reader. A customer takes at most three quarters of the bodies' part, and small bodies keep an eighth. A replay of 1,000 seeds of crowds in virtual time checks that the budget is never exceeded, that no body is refused with room, and that nothing is left when all have gone.

--- a/crates/briarrail_dispatch/src/connection_timer.rs
+++ b/crates/briarrail_dispatch/src/connection_timer.rs
@@ -95,6 +95,12 @@
         self.is_unflushed
     }
 
+    /// Returns whether the socket takes no more bytes at present.
+    #[must_use]
+    pub const fn is_blocked(&self) -> bool {
+        self.blocked_since.is_some()
+    }
+
     /// Returns whether a complete response is still being written.
     #[must_use]
     pub const fn is_writing_response(&self) -> bool {
--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! store is unavailable or was restored from a copy. [`choose_hub`] selects the router that
 //! reads the store for the others, and [`ViewTracker`] decides whether another router's view of the
 //! targets is newer than the current one. [`ViewTime`] says how old a view can be.
+//! [`MemoryAccount`] decides what a router holds for its callers, and who gives way.
 
 mod adaptive_timeout;
 mod admission_controller;
@@ -25,6 +26,9 @@
 mod limited_request;
 mod live_origins;
 mod lost_suspect;
+mod memory_account;
+mod memory_budget;
+mod memory_holder;
 mod outcome_window;
 mod outlier_detector;
 mod past_time;
@@ -70,6 +74,10 @@
 pub use limited_request::LimitedRequest;
 pub use live_origins::{LiveOrigins, OriginPage};
 pub use lost_suspect::LostSuspect;
+pub use memory_account::{
+    AnswerDecision, HeldMemory, HolderKey, MemoryAccount, ReclaimCause, Reclaimed,
+};
+pub use memory_budget::MemoryBudget;
 pub use outcome_window::{OutcomeTotals, OutcomeWindow};
 pub use outlier_detector::{OutlierDetector, SendOutcome};
 pub use prompt_parts::PromptParts;
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -11,6 +11,8 @@
 mod fleet_outcomes;
 mod greetings;
 mod hub_choice;
+mod memory_account;
+mod memory_crowds;
 mod placement;
 mod plain_calls;
 mod rate_limits;
