fix(gateway): hold no more for callers than the machine has

What callers saw: a router ended for want of memory when callers sent many bodies that stopped short of their end, in pieces or chunks, or did not take their answers; idle connections kept ordinary callers out.

Cause: read_body collected each body as a list of chunks, with a limit on the single one only; answers and stream events waited for their callers uncounted; at the cap new connections were refused rather than idle ones closed; targets' connections had no cap at all.

One that gives way is refused as not run (408, or 503 with Retry-After). Answers are charged until the kernel has taken them, and reading from the target waits for the caller; slow readers are closed when others need the room or their target's connection. Plain answers over 256 kB, or without room, are relayed as they come if their early end shows. Buffers of connections to targets are limited to 32 kB.

--- a/crates/briarrail_gateway/src/gateway_daemon.rs
+++ b/crates/briarrail_gateway/src/gateway_daemon.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use briarrail_dispatch::MemoryBudget;
 use briarrail_settings::{GatewaySettings, SettingsErrors};
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -22,7 +23,8 @@
 };
 use crate::telemetry::{GatewayMetrics, flush_logs, init_json_logs};
 use crate::traffic::{
-    ControlUpdate, OriginCall, SharedState, StopPhase, TrafficState, serve_callers,
+    CallerMemory, ControlUpdate, OriginCall, SharedState, StopPhase, TargetConnections,
+    TrafficState, serve_callers,
 };
 use crate::{ProcessClock, SiteStore, WireDialect};
 
@@ -30,6 +32,16 @@
 /// the store.
 const CALLER_DESCRIPTOR_SHARE: f64 = 0.6;
 
+/// Descriptors that the platform reserves for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Descriptors for the store, other routers, readiness checks and metrics.
+const CONTROL_DESCRIPTORS: usize = 64;
+/// Minimum number of connections to targets, for any number of descriptors.
+const MIN_TARGET_CONNECTIONS: usize = 16;
+
+/// Unit of the memory in the settings, in bytes.
+const MEGABYTE: f64 = 1e6;
+
 /// Timeout for writing the last log lines; a part of the margin reserved at shutdown.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -106,7 +118,8 @@
     let (updates, update_receiver) = unbounded_channel();
     let (stop, stop_receiver) = watch::channel(StopPhase::Serving);
     let traffic = TrafficInputs {
-        max_callers: (settings.max_descriptors as f64 * CALLER_DESCRIPTOR_SHARE) as usize,
+        budget: caller_budget(&settings),
+        target_connections: target_connections(&settings),
         dialect,
         clock,
         shared: Arc::clone(&shared),
@@ -163,13 +176,29 @@
     })
 }
 
+/// Returns the limits on what is held for callers, from the machine's memory and descriptors.
+fn caller_budget(settings: &GatewaySettings) -> MemoryBudget {
+    let max_connections = settings.max_descriptors as f64 * CALLER_DESCRIPTOR_SHARE;
+    MemoryBudget::new(settings.memory_mb * MEGABYTE, max_connections as usize)
+}
+
+/// Returns the maximum number of connections to targets.
+fn target_connections(settings: &GatewaySettings) -> usize {
+    let callers = settings.max_descriptors as f64 * CALLER_DESCRIPTOR_SHARE;
+    let others = callers as usize + FILE_DESCRIPTORS + CONTROL_DESCRIPTORS;
+    let left = (settings.max_descriptors as usize).saturating_sub(others);
+    left.max(MIN_TARGET_CONNECTIONS)
+}
+
 fn new_runtime() -> std::io::Result<Runtime> {
     Builder::new_current_thread().enable_all().build()
 }
 
 /// Inputs of the traffic thread.
 struct TrafficInputs<D> {
-    max_callers: usize,
+    budget: MemoryBudget,
+    /// Maximum number of connections to targets.
+    target_connections: usize,
     dialect: D,
     clock: ProcessClock,
     shared: Arc<SharedState>,
@@ -227,7 +256,8 @@
     D: WireDialect,
 {
     let TrafficInputs {
-        max_callers,
+        budget,
+        target_connections,
         dialect,
         clock,
         shared,
@@ -239,14 +269,17 @@
     LocalSet::new().block_on(runtime, async move {
         let listener = TcpListener::from_std(listener).map_err(|error| error.to_string())?;
         tokio::task::spawn_local(count_turns(Arc::clone(&shared)));
+        let memory = CallerMemory::new(budget, clock, Arc::clone(&metrics));
         let state = Rc::new(TrafficState::new(
             dialect,
             clock,
             shared,
             metrics,
+            memory,
+            TargetConnections::new(target_connections),
             origin_calls,
         ));
-        let serving = serve_callers(Rc::clone(&state), listener, max_callers, stop);
+        let serving = serve_callers(Rc::clone(&state), listener, stop);
         let mut serving = tokio::task::spawn_local(serving);
         loop {
             tokio::select! {
--- a/crates/briarrail_gateway/src/net/http_connection.rs
+++ b/crates/briarrail_gateway/src/net/http_connection.rs
@@ -14,6 +14,7 @@
 use tokio::task::JoinHandle;
 
 use super::head_limit::{HeadBudget, LimitedStream};
+use crate::traffic::ConnectionSlot;
 
 /// Time after which unacknowledged data, or data for which the receiver has no room, closes a
 /// connection; a sound target may pause for a second before it reads on.
@@ -24,6 +25,9 @@
 /// Number of unanswered keepalive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Maximum size of the buffer for a response, which bounds its head too, in bytes.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+
 /// Why a request got no response.
 #[derive(Debug)]
 pub(crate) enum SendError {
@@ -40,6 +44,8 @@
     driver: JoinHandle<()>,
     head_budget: HeadBudget,
     request_count: u64,
+    /// Place in a limited number of connections.
+    slot: Option<ConnectionSlot>,
 }
 
 impl HttpConnection {
@@ -55,6 +61,7 @@
         let head_budget = HeadBudget::default();
         let limited = LimitedStream::new(stream, head_budget.clone());
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(limited))
             .await
             .map_err(std::io::Error::other)?;
@@ -68,9 +75,16 @@
             driver,
             head_budget,
             request_count: 0,
+            slot: None,
         })
     }
 
+    /// Keeps a place taken for as long as the connection exists.
+    pub(crate) fn with_slot(mut self, slot: ConnectionSlot) -> Self {
+        self.slot = Some(slot);
+        self
+    }
+
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         &mut self,
--- a/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
@@ -9,6 +9,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use super::held_gauges::HeldGauges;
+
 const METER_NAME: &str = "briarrail_gateway";
 /// Bucket bounds in seconds, chosen around the latency objectives of plain requests and of first
 /// events.
@@ -31,6 +33,9 @@
     syncs: Counter<u64>,
     request_seconds: Histogram<f64>,
     first_event_seconds: Histogram<f64>,
+    reclaims: Counter<u64>,
+    /// What is held for callers at present.
+    pub(crate) held_memory: HeldGauges,
     dropped_lines: Arc<AtomicU64>,
 }
 
@@ -79,6 +84,11 @@
             ),
             store_calls: counter("briarrail_store_calls", "Calls to the store by outcome"),
             syncs: counter("briarrail_syncs", "Rounds with the hub by outcome"),
+            reclaims: counter(
+                "briarrail_reclaims",
+                "Bodies and connections that gave way for want of memory or places, by cause",
+            ),
+            held_memory: HeldGauges::default(),
             request_seconds: histogram("briarrail_request_seconds", "Time to the whole answer"),
             first_event_seconds: histogram("briarrail_first_event_seconds", "Time to first event"),
             registry,
@@ -144,6 +154,11 @@
         self.store_calls.add(1, &labels);
     }
 
+    /// Counts a body or connection that gave way.
+    pub(crate) fn count_reclaim(&self, cause: &'static str) {
+        self.reclaims.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a sync with the hub.
     pub(crate) fn count_sync(&self, outcome: &'static str) {
         self.syncs.add(1, &[KeyValue::new("outcome", outcome)]);
@@ -159,6 +174,7 @@
                 String::new()
             }
         };
+        text.push_str(&self.held_memory.encode());
         let dropped = self.dropped_lines.load(Ordering::Relaxed);
         text.push_str("# TYPE briarrail_log_lines_dropped_total counter\n");
         text.push_str(&format!("briarrail_log_lines_dropped_total {dropped}\n"));
--- a/crates/briarrail_gateway/src/telemetry/mod.rs
+++ b/crates/briarrail_gateway/src/telemetry/mod.rs
@@ -1,6 +1,7 @@
 //! Logs and metrics.
 
 mod gateway_metrics;
+mod held_gauges;
 mod queue_writer;
 
 pub use gateway_metrics::GatewayMetrics;
--- /dev/null
+++ b/crates/briarrail_gateway/src/traffic/body_relay.rs
@@ -0,0 +1,93 @@
+//! Relays a plain response whose body is too large to be read before it is sent.
+
+use std::rc::Rc;
+
+use briarrail_dispatch::SendOutcome;
+use bytes::Bytes;
+use http::Response;
+
+use super::caller_response::caller_response;
+use super::chunk_sender::ChunkSender;
+use super::request_context::RequestContext;
+use super::request_trace::RequestTrace;
+use super::response_body::{ResponseBody, StreamCompletion};
+use super::stream_relay::{BodyRead, read_body_chunk};
+use super::target_response::TargetResponse;
+use super::traffic_state::TrafficState;
+
+/// Relays the body of a response as fast as its caller takes it.
+///
+/// The caller has a part of the response, so a failure breaks it off visibly.
+pub(super) struct BodyRelay<D> {
+    pub(super) state: Rc<TrafficState<D>>,
+    pub(super) context: Rc<RequestContext>,
+    pub(super) trace: RequestTrace<D>,
+    pub(super) response: Box<TargetResponse<D>>,
+}
+
+impl<D> BodyRelay<D>
+where
+    D: 'static,
+{
+    /// Starts the response to the caller, of whose body `pieces` were read.
+    pub(super) fn start(mut self, pieces: Vec<Bytes>) -> Response<ResponseBody> {
+        self.response.guard.record_event();
+        self.response.guard.record_outcome(SendOutcome::Good);
+        let elapsed = self.response.guard.elapsed();
+        self.state
+            .record_response_time(&self.context.route, elapsed);
+        let (chunk_sender, chunks) = ChunkSender::channel(&self.context.hold);
+        let completion = StreamCompletion::default();
+        let length = self.response.announced_length();
+        let body = ResponseBody::stream(chunks, completion.clone()).with_length(length);
+        let relayed = caller_response(&self.response.head, body);
+        tokio::task::spawn_local(self.run(pieces, chunk_sender, completion));
+        relayed
+    }
+
+    async fn run(
+        mut self,
+        pieces: Vec<Bytes>,
+        chunk_sender: ChunkSender,
+        completion: StreamCompletion,
+    ) {
+        let relaying = self.relay(pieces, &chunk_sender);
+        let end = tokio::select! {
+            end = relaying => end,
+            () = chunk_sender.closed() => None,
+        };
+        let status = self.response.head.status.as_u16();
+        match end {
+            Some(BodyRead::End) => {
+                completion.record();
+                self.response.guard.record_completion();
+                self.state.metrics.count_send(&self.context.service, "good");
+                self.response.release_connection(&self.state);
+                self.trace.set_outcome("answered", "", status);
+            }
+            Some(BodyRead::Interrupted(detail)) => {
+                self.trace.send_log().record_failure("body_broke", &detail);
+                self.response.guard.record_connection_loss();
+                self.trace.set_outcome("cut", "connection lost", status);
+            }
+            Some(BodyRead::DeadlinePassed) => {
+                self.trace.set_outcome("cut", "deadline passed", status);
+            }
+            Some(BodyRead::Chunk(_)) | None => self.response.guard.ignore_outcome(),
+        }
+    }
+
+    /// Relays the body and returns how it ended, or `None` if the caller has left.
+    async fn relay(&mut self, pieces: Vec<Bytes>, chunk_sender: &ChunkSender) -> Option<BodyRead> {
+        for piece in pieces {
+            chunk_sender.send(piece).await.ok()?;
+        }
+        loop {
+            let body = &mut self.response.body;
+            match read_body_chunk(&self.state, body, self.context.deadline).await {
+                BodyRead::Chunk(chunk) => chunk_sender.send(chunk).await.ok()?,
+                end => return Some(end),
+            }
+        }
+    }
+}
--- a/crates/briarrail_gateway/src/traffic/caller_server.rs
+++ b/crates/briarrail_gateway/src/traffic/caller_server.rs
@@ -14,6 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::caller_memory::{MemoryHold, reclaim_cause_name};
 use super::connection_activity::{ConnectionActivity, TrackedStream};
 use super::request_handler::serve_request;
 use super::traffic_state::{StopPhase, TrafficState};
@@ -37,7 +38,6 @@
 pub(crate) async fn serve_callers<D>(
     state: Rc<TrafficState<D>>,
     listener: TcpListener,
-    max_connections: usize,
     mut stop: watch::Receiver<StopPhase>,
 ) where
     D: WireDialect,
@@ -49,14 +49,15 @@
             _ = stop.wait_for(|&phase| phase >= StopPhase::Draining) => return,
         };
         match accepted {
-            Ok((stream, _)) if state.open_connections.get() < max_connections => {
-                let serving = serve_connection(Rc::clone(&state), stream, connection_stop.clone());
-                tokio::task::spawn_local(serving);
-            }
-            Ok((stream, caller)) => {
-                tracing::warn!(event = "caller_refused", %caller, open = max_connections);
-                drop(stream);
-            }
+            Ok((stream, caller)) => match state.memory.open() {
+                Some(hold) => {
+                    let hold = Rc::new(hold);
+                    let stop = connection_stop.clone();
+                    let serving = serve_connection(Rc::clone(&state), stream, hold, stop);
+                    tokio::task::spawn_local(serving);
+                }
+                None => tracing::warn!(event = "caller_refused", %caller, cause = "no place"),
+            },
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -65,31 +66,24 @@
     }
 }
 
-/// Counts a connection as open until it is dropped, also by a panic.
-struct OpenConnection<'a, D>(&'a TrafficState<D>);
-
-impl<'a, D> OpenConnection<'a, D> {
-    fn count(state: &'a TrafficState<D>) -> Self {
-        state.open_connections.set(state.open_connections.get() + 1);
-        Self(state)
-    }
-}
+/// Closes the account of a connection when it is dropped, also by a panic.
+struct OpenConnection<'a>(&'a MemoryHold);
 
-impl<D> Drop for OpenConnection<'_, D> {
+impl Drop for OpenConnection<'_> {
     fn drop(&mut self) {
-        let open = &self.0.open_connections;
-        open.set(open.get() - 1);
+        self.0.close();
     }
 }
 
 async fn serve_connection<D>(
     state: Rc<TrafficState<D>>,
     stream: TcpStream,
+    hold: Rc<MemoryHold>,
     mut stop: watch::Receiver<StopPhase>,
 ) where
     D: WireDialect,
 {
-    let _open = OpenConnection::count(&state);
+    let _open = OpenConnection(&hold);
     let caller = stream.peer_addr().ok();
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "failed to set TCP_NODELAY");
@@ -103,14 +97,16 @@
     let activity = Rc::new(ConnectionActivity::new(
         state.clock,
         Arc::clone(&state.shared),
+        Rc::clone(&hold),
     ));
     let request_stop = stop.clone();
     let service = service_fn(|request| {
         let (state, activity) = (Rc::clone(&state), Rc::clone(&activity));
+        let hold = Rc::clone(&hold);
         let stop = request_stop.clone();
         async move {
             activity.start_request();
-            let mut response = serve_request(&state, request, stop).await;
+            let mut response = serve_request(&state, request, &hold, stop).await;
             if state.shared.stop_phase() != StopPhase::Serving {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -135,6 +131,11 @@
                 }
                 break;
             }
+            cause = hold.signal().connection_reclaimed() => {
+                let cause = reclaim_cause_name(cause);
+                tracing::info!(event = "caller_closed", ?caller, cause);
+                break;
+            }
             () = tokio::time::sleep(TIMEOUT_CHECK_INTERVAL) => {
                 let limits = limits(&state);
                 if let Some(timeout) = activity.expired_timeout(&limits, state.clock.now()) {
--- /dev/null
+++ b/crates/briarrail_gateway/src/traffic/chunk_sender.rs
@@ -0,0 +1,47 @@
+//! Sends the chunks of a response to the connection of its caller.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+
+use super::caller_memory::MemoryHold;
+
+/// Maximum number of chunks that wait for a slow caller; large ones are charged to its connection.
+const MAX_WAITING_CHUNKS: usize = 8;
+
+/// The caller has closed its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct CallerLeft;
+
+/// Sends chunks as fast as the caller takes them.
+#[derive(Debug, Clone)]
+pub(crate) struct ChunkSender {
+    hold: Rc<MemoryHold>,
+    chunks: Sender<Bytes>,
+}
+
+impl ChunkSender {
+    /// Creates a sender, and the receiver for the body of the response.
+    pub(super) fn channel(hold: &Rc<MemoryHold>) -> (Self, Receiver<Bytes>) {
+        let (chunks, receiver) = channel(MAX_WAITING_CHUNKS);
+        hold.start_relay();
+        let hold = Rc::clone(hold);
+        (Self { hold, chunks }, receiver)
+    }
+
+    /// Sends a chunk; waits until the caller has taken what was sent before, up to a window.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has left.
+    pub(super) async fn send(&self, chunk: Bytes) -> Result<(), CallerLeft> {
+        let chunk = self.hold.charge_answer(chunk).await;
+        self.chunks.send(chunk).await.map_err(|_| CallerLeft)
+    }
+
+    /// Waits until the caller leaves.
+    pub(super) async fn closed(&self) {
+        self.chunks.closed().await;
+    }
+}
--- a/crates/briarrail_gateway/src/traffic/connection_activity.rs
+++ b/crates/briarrail_gateway/src/traffic/connection_activity.rs
@@ -12,6 +12,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::caller_memory::MemoryHold;
 use super::traffic_state::SharedState;
 use crate::ProcessClock;
 
@@ -21,14 +22,16 @@
     clock: ProcessClock,
     shared: Arc<SharedState>,
     timer: RefCell<ConnectionTimer>,
+    hold: Rc<MemoryHold>,
 }
 
 impl ConnectionActivity {
-    pub(crate) fn new(clock: ProcessClock, shared: Arc<SharedState>) -> Self {
+    pub(crate) fn new(clock: ProcessClock, shared: Arc<SharedState>, hold: Rc<MemoryHold>) -> Self {
         Self {
             clock,
             shared,
             timer: RefCell::new(ConnectionTimer::new(clock.now())),
+            hold,
         }
     }
 
@@ -68,14 +71,24 @@
         U: FnOnce(&mut ConnectionTimer, MilliTime),
     {
         let mut timer = self.timer.borrow_mut();
-        let was_busy = timer.is_busy();
-        update(&mut timer, self.clock.now());
+        let (was_busy, was_blocked) = (timer.is_busy(), timer.is_blocked());
+        let now = self.clock.now();
+        update(&mut timer, now);
+        if timer.is_blocked() != was_blocked {
+            self.hold.set_blocked(!was_blocked, now);
+        }
         let busy_connections = &self.shared.busy_connections;
         match (was_busy, timer.is_busy()) {
-            (false, true) => busy_connections.fetch_add(1, Ordering::Relaxed),
-            (true, false) => busy_connections.fetch_sub(1, Ordering::Relaxed),
-            _ => return,
-        };
+            (false, true) => {
+                busy_connections.fetch_add(1, Ordering::Relaxed);
+                self.hold.begin_request(now);
+            }
+            (true, false) => {
+                busy_connections.fetch_sub(1, Ordering::Relaxed);
+                self.hold.end_request(now);
+            }
+            _ => {}
+        }
     }
 }
 
--- a/crates/briarrail_gateway/src/traffic/connection_pool.rs
+++ b/crates/briarrail_gateway/src/traffic/connection_pool.rs
@@ -82,6 +82,17 @@
         }
     }
 
+    /// Closes the connection that is idle for longest, if there is one.
+    pub(crate) fn close_oldest(&mut self) {
+        let lists = self.connections.iter();
+        let oldest = lists.filter_map(|(key, list)| Some((list.first()?.idle_since, *key)));
+        if let Some((_, key)) = oldest.min_by_key(|(idle_since, _)| *idle_since)
+            && let Some(list) = self.connections.get_mut(&key)
+        {
+            list.remove(0);
+        }
+    }
+
     /// Closes the idle connections to a target.
     pub(crate) fn remove_target(&mut self, key: TargetKey) {
         self.connections.remove(&key);
--- /dev/null
+++ b/crates/briarrail_gateway/src/traffic/control_update.rs
@@ -0,0 +1,28 @@
+//! Messages between the control thread and the traffic thread.
+
+use briarrail_dispatch::{RosterChange, SuspectReports};
+use tokio::sync::oneshot;
+
+use crate::fleet_counts::FleetCounts;
+
+/// Message from the control thread to the traffic thread.
+#[derive(Debug)]
+pub(crate) enum ControlUpdate {
+    /// Changes to the roster of targets.
+    Roster(Vec<RosterChange>),
+    /// Current requests, recent outcomes and demand of the other routers.
+    PeerCounts(FleetCounts),
+    /// Evidence of other routers on prompt parts that crash targets.
+    SuspectReports(SuspectReports, &'static str),
+    /// Asks for the counts and the evidence of this router.
+    LocalReport(oneshot::Sender<LocalReport>),
+}
+
+/// What the traffic thread tells the control thread for the exchange.
+#[derive(Debug, Default)]
+pub(crate) struct LocalReport {
+    /// Requests, recent outcomes and demand.
+    pub(crate) counts: FleetCounts,
+    /// Evidence on prompt parts that crash targets.
+    pub(crate) suspect_reports: SuspectReports,
+}
--- a/crates/briarrail_gateway/src/traffic/first_answer.rs
+++ b/crates/briarrail_gateway/src/traffic/first_answer.rs
@@ -6,21 +6,23 @@
 use briarrail_dispatch::{SendOutcome, TargetKey};
 use briarrail_model::{MilliDuration, MilliTime};
 use briarrail_outcome::{AttemptEvent, StreamChecker};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use tokio::task::JoinHandle;
 
+use super::answer_buffer::AnswerBuffer;
 use super::request_context::RequestContext;
 use super::response_class::{ResponseClass, is_close_delimited, is_empty_body_lost};
 use super::send_log::SendLog;
 use super::stream_head::StreamHead;
 use super::stream_relay::{BodyRead, read_body_chunk};
-use super::target_send::{PreparedSend, SendResult, TargetResponse, send_prepared};
+use super::target_response::TargetResponse;
+use super::target_send::{PreparedSend, SendResult, send_prepared};
 use super::traffic_state::TrafficState;
 use crate::WireDialect;
 
 /// Maximum size of a response that is not a stream, and of the part of a stream before its first
-/// event with data. A response that is not a stream is read completely before it is relayed, so
-/// that an interrupted one can be retried or reported as a failure.
+/// event with data. Up to this size, a response that is not a stream is read completely before it is
+/// relayed, so that an interrupted one can be retried or reported as a failure.
 pub(super) const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
 
 /// What a target answered to an attempt.
@@ -30,10 +32,21 @@
     Stream(Box<TargetResponse<D>>, StreamChecker, Vec<Bytes>),
     /// A complete response, which may be a failure of the target.
     Complete(Box<TargetResponse<D>>, Bytes),
+    /// A response too large to be read before it is relayed, and what was read of its body.
+    Begun(Box<TargetResponse<D>>, Vec<Bytes>),
     /// No usable answer; already logged.
     Failed(AttemptEvent),
 }
 
+/// What was read of a response before it is relayed.
+enum FirstPart {
+    /// The events of a stream up to the first one with data.
+    Events(StreamChecker, Vec<Bytes>),
+    Whole(Bytes),
+    /// The start of a body that is too large to be held.
+    Pieces(Vec<Bytes>),
+}
+
 /// Failure to read a response, before any of it was relayed.
 enum ResponseFailure {
     /// The connection broke.
@@ -156,16 +169,16 @@
         }
         let result = if is_stream {
             let events = self.read_first_events(&mut response).await;
-            events.map(|(checker, events)| (Some(checker), events))
+            events.map(|(checker, events)| FirstPart::Events(checker, events))
         } else {
-            let body = self.read_full_body(&mut response).await;
-            body.map(|body| (None, vec![body]))
+            self.read_full_body(&mut response).await
         };
         match result {
-            Ok((Some(checker), events)) => FirstAnswer::Stream(response, checker, events),
-            Ok((None, body)) => {
-                FirstAnswer::Complete(response, body.into_iter().next().unwrap_or_default())
+            Ok(FirstPart::Events(checker, events)) => {
+                FirstAnswer::Stream(response, checker, events)
             }
+            Ok(FirstPart::Whole(body)) => FirstAnswer::Complete(response, body),
+            Ok(FirstPart::Pieces(pieces)) => FirstAnswer::Begun(response, pieces),
             Err(failure) => self.fail(&mut response, failure),
         }
     }
@@ -231,19 +244,21 @@
         }
     }
 
+    /// Reads the whole body, unless it is too large to be held and can be relayed as it arrives.
     async fn read_full_body(
         &self,
         response: &mut TargetResponse<D>,
-    ) -> Result<Bytes, ResponseFailure> {
-        let mut buffer = BytesMut::new();
+    ) -> Result<FirstPart, ResponseFailure> {
+        let mut buffer = AnswerBuffer::new(&self.context.hold, MAX_BUFFERED_RESPONSE_BYTES);
         loop {
             match self.read_chunk(response).await {
-                BodyRead::Chunk(chunk)
-                    if buffer.len() + chunk.len() <= MAX_BUFFERED_RESPONSE_BYTES =>
-                {
-                    buffer.extend_from_slice(&chunk);
-                }
-                BodyRead::Chunk(_) => {
+                BodyRead::Chunk(chunk) => {
+                    if buffer.try_append(&chunk) {
+                        continue;
+                    }
+                    if may_relay_in_pieces(response) {
+                        return Ok(FirstPart::Pieces(vec![buffer.finish(), chunk]));
+                    }
                     return Err(ResponseFailure::Failed(AttemptEvent::BadAnswer));
                 }
                 BodyRead::End
@@ -252,7 +267,7 @@
                 {
                     return Err(ResponseFailure::ConnectionLost);
                 }
-                BodyRead::End => return Ok(buffer.freeze()),
+                BodyRead::End => return Ok(FirstPart::Whole(buffer.finish())),
                 BodyRead::DeadlinePassed => {
                     return Err(ResponseFailure::Failed(AttemptEvent::DeadlinePassed));
                 }
@@ -265,3 +280,10 @@
         read_body_chunk(&self.state, &mut response.body, self.context.deadline).await
     }
 }
+
+/// Returns whether a body may be relayed before it is complete.
+///
+/// If a body ends only with its connection, its caller could not tell that it was cut.
+fn may_relay_in_pieces<D>(response: &TargetResponse<D>) -> bool {
+    response.class == ResponseClass::Relay && !is_close_delimited(&response.head.headers)
+}
--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -1,13 +1,22 @@
 //! The traffic thread, which proxies requests from callers to targets.
 
+mod answer_buffer;
+mod body_discard;
+mod body_reader;
+mod body_relay;
+mod caller_memory;
+mod caller_response;
 mod caller_server;
+mod chunk_sender;
 mod connection_activity;
 mod connection_pool;
+mod control_update;
 mod crash_check;
 mod first_answer;
 mod gateway_reply;
 mod part_list;
 mod receive_request;
+mod reclaim_signal;
 mod request_context;
 mod request_handler;
 mod request_trace;
@@ -22,13 +31,16 @@
 mod stream_progress;
 mod stream_relay;
 mod stream_transfer;
+mod target_connections;
+mod target_response;
 mod target_send;
 mod target_silence;
 mod traffic_state;
 mod tried_targets;
 
+pub(crate) use caller_memory::CallerMemory;
 pub(crate) use caller_server::serve_callers;
+pub(crate) use control_update::ControlUpdate;
 pub(crate) use stream_origin::{OriginCall, StreamOrigin};
-pub(crate) use traffic_state::{
-    ControlUpdate, SharedState, StopPhase, TrafficState, suspect_kind_name,
-};
+pub(crate) use target_connections::{ConnectionSlot, TargetConnections};
+pub(crate) use traffic_state::{SharedState, StopPhase, TrafficState, suspect_kind_name};
--- a/crates/briarrail_gateway/src/traffic/receive_request.rs
+++ b/crates/briarrail_gateway/src/traffic/receive_request.rs
@@ -2,15 +2,15 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
-use briarrail_dispatch::{RefusalCause, RouteLookup, RouteSemantics, retry_after};
-use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
+use briarrail_dispatch::{ReclaimCause, RefusalCause, RouteLookup, RouteSemantics, retry_after};
+use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes};
 use bytes::Bytes;
 use http::{Response, StatusCode, Uri, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 
+use super::body_reader::{BodyError, BodyReader};
+use super::caller_memory::MemoryHold;
 use super::gateway_reply::gateway_reply;
 use super::part_list::PartList;
 use super::request_context::{RequestContext, forwarded_headers};
@@ -20,13 +20,8 @@
 use super::traffic_state::{StopPhase, TrafficState};
 use crate::{CallerHeaders, WireDialect};
 
-/// Maximum number of bytes that are read of a refused request's body; usual bodies are smaller.
-const MAX_DISCARDED_BYTES: usize = 4 << 20;
 /// Reason of responses to requests that the router no longer serves.
 pub(super) const STOP_REASON: &str = "the router stops";
-/// Time limit for reading the body of a refused request; many round trips of a caller.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// A request that is rejected without being sent to a target.
 pub(crate) struct Refusal {
     pub(crate) status: StatusCode,
@@ -45,7 +40,10 @@
 
     /// Returns the outcome that is logged and counted.
     pub(crate) fn outcome(&self) -> &'static str {
-        if self.status == StatusCode::SERVICE_UNAVAILABLE {
+        if matches!(
+            self.status,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::REQUEST_TIMEOUT
+        ) {
             "not_run"
         } else {
             "rejected"
@@ -76,6 +74,7 @@
     state: &Rc<TrafficState<D>>,
     head: &request::Parts,
     body: &mut Incoming,
+    hold: &Rc<MemoryHold>,
     arrived_at: MilliTime,
     trace: &mut RequestTrace<D>,
 ) -> Result<RequestContext, Refusal>
@@ -128,15 +127,18 @@
     service.clone_into(&mut trace.service);
     trace.customer = customer.map(|customer| customer.name.to_string());
     let priority = customer.and_then(|customer| customer.priority);
-    let mut context = new_context(state, head, caller, service);
+    let mut context = new_context(state, head, caller, hold, service);
     context.customer.clone_from(&trace.customer);
     context.priority = priority.unwrap_or(route.priority);
     context.apply_route(&table, route, arrived_at);
-    let body = read_body(body, table.limits().body_bytes);
+    let customer = context.customer.as_ref();
+    let customer = customer.map(|name| hash_bytes(name.as_bytes()));
+    let body = BodyReader::new(hold, customer, table.limits().body_bytes).read(body);
     let deadline = state.clock.instant(context.deadline);
     let body = tokio::time::timeout_at(deadline, body).await;
     let timed_out = |_| Refusal::new(StatusCode::REQUEST_TIMEOUT, "the body came too slowly");
-    context.body = body.map_err(timed_out)??;
+    let body = body.map_err(timed_out)?;
+    context.body = body.map_err(|error| body_refusal(error, context.objective, seed))?;
     // The body may have come late in the stop.
     refuse_if_stopping()?;
     trace.traits.fingerprint = Some(request_fingerprint(&context, host));
@@ -148,6 +150,7 @@
     state: &Rc<TrafficState<D>>,
     head: &request::Parts,
     caller: CallerHeaders,
+    hold: &Rc<MemoryHold>,
     service: &str,
 ) -> RequestContext
 where
@@ -160,6 +163,7 @@
         method: head.method.clone(),
         uri: path_and_query.map_or_else(|| Uri::from_static("/"), Uri::from),
         body: Bytes::new(),
+        hold: Rc::clone(hold),
         traits: RequestTraits::default(),
         route: String::new(),
         service: service.to_owned(),
@@ -176,36 +180,22 @@
     }
 }
 
-/// Reads and discards the rest of a refused request's body.
-///
-/// A connection that is closed with unread data is reset, and the caller may lose the refusal.
-pub(crate) async fn discard_body(mut body: Incoming) {
-    let mut discarded_bytes = 0;
-    let discard = async {
-        while let Some(Ok(frame)) = body.frame().await {
-            discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
-            if discarded_bytes > MAX_DISCARDED_BYTES {
-                return;
-            }
-        }
-    };
-    if tokio::time::timeout(DISCARD_TIMEOUT, discard)
-        .await
-        .is_err()
-    {
-        tracing::debug!("body of a refused request came too slowly");
-    }
-}
-
-async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let too_large = || Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large());
-    }
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
-        Err(_) => Err(Refusal::new(StatusCode::BAD_REQUEST, "the body broke off")),
+/// Returns the refusal of a request whose body was not read completely.
+fn body_refusal(error: BodyError, objective: MilliDuration, seed: StableHash) -> Refusal {
+    match error {
+        BodyError::TooLarge => Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+        BodyError::BrokenOff => Refusal::new(StatusCode::BAD_REQUEST, "the body broke off"),
+        BodyError::Reclaimed(ReclaimCause::Stalled) => Refusal::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body made no progress while memory was scarce",
+        ),
+        BodyError::Reclaimed(_) => Refusal {
+            retry_after: Some(retry_after(RefusalCause::AtCapacity(objective), seed)),
+            ..Refusal::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the body gave way while memory was scarce",
+            )
+        },
     }
 }
 
--- a/crates/briarrail_gateway/src/traffic/request_context.rs
+++ b/crates/briarrail_gateway/src/traffic/request_context.rs
@@ -1,6 +1,7 @@
 //! Properties of a request that are the same for all attempts.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use briarrail_dispatch::{RouteConfig, RouteSemantics, RoutingTable, StreamKey};
@@ -9,6 +10,7 @@
 use http::{HeaderMap, HeaderName, Method, Request, Uri, header};
 use http_body_util::Full;
 
+use super::caller_memory::MemoryHold;
 use super::request_traits::RequestTraits;
 use super::stream_origin::ResumePoint;
 use crate::{CallerHeaders, ProcessClock, TargetHeaders, WireDialect};
@@ -37,6 +39,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// What is held for the caller's connection.
+    pub(crate) hold: Rc<MemoryHold>,
     /// Traits by which the request is recognised when it is sent again.
     pub(crate) traits: RequestTraits,
     pub(crate) route: String,
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -9,22 +9,27 @@
     StreamChecker, UnknownReason,
 };
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
+use super::body_relay::BodyRelay;
+use super::caller_memory::MemoryHold;
+use super::caller_response::caller_response;
+use super::chunk_sender::ChunkSender;
 use super::first_answer::{FirstAnswer, PendingAnswer};
 use super::gateway_reply::gateway_reply;
-use super::receive_request::{STOP_REASON, discard_body, receive_request};
-use super::request_context::{RequestContext, remove_hop_by_hop_headers};
+use super::receive_request::{STOP_REASON, receive_request};
+use super::request_context::RequestContext;
 use super::request_trace::RequestTrace;
 use super::response_body::{ResponseBody, StreamCompletion};
-use super::response_class::{ResponseClass, reuse_timeout};
+use super::response_class::ResponseClass;
 use super::stream_head::StreamHead;
 use super::stream_origin::{OriginCall, resolve_origin};
 use super::stream_relay::{StreamRelay, unknown_reason_text};
 use super::stream_transfer::{MAX_FAILED_CONNECTS, OVERLAP};
-use super::target_send::{PreparedSend, TargetResponse, prepare_send};
+use super::target_response::TargetResponse;
+use super::target_send::{PreparedSend, prepare_send};
 use super::target_silence::TargetSilence;
 use super::traffic_state::{StopPhase, TrafficState};
 use super::tried_targets::{TargetScope, TriedTargets};
@@ -34,13 +39,12 @@
 const MAX_UNCOUNTED_RETRIES: u32 = 3;
 /// Minimum time between two searches for another target of a request, for any objective.
 const MIN_SEARCH_INTERVAL: MilliDuration = MilliDuration::from_millis(20);
-/// Maximum number of stream chunks buffered for a slow caller.
-const STREAM_BUFFER_CHUNKS: usize = 8;
 
 /// Serves one request of a caller.
 pub(crate) async fn serve_request<D>(
     state: &Rc<TrafficState<D>>,
     request: Request<Incoming>,
+    hold: &Rc<MemoryHold>,
     stop: watch::Receiver<StopPhase>,
 ) -> Response<ResponseBody>
 where
@@ -49,7 +53,7 @@
     let arrived_at = state.clock.now();
     let mut trace = RequestTrace::new(state, arrived_at);
     let (head, mut body) = request.into_parts();
-    match receive_request(state, &head, &mut body, arrived_at, &mut trace).await {
+    match receive_request(state, &head, &mut body, hold, arrived_at, &mut trace).await {
         Ok(mut context) => {
             let origin = resolve_origin(state, &mut context, &trace).await;
             let handler = RequestHandler::new(state, context, trace);
@@ -59,7 +63,7 @@
             }
         }
         Err(refusal) => {
-            tokio::task::spawn_local(discard_body(body));
+            state.body_discards.start(body);
             trace.set_outcome(refusal.outcome(), refusal.reason, refusal.status.as_u16());
             refusal.reply(state, trace.request_id())
         }
@@ -132,6 +136,15 @@
                 self.start_stream(response, checker, first)
             }
             Some(Ok(FirstAnswer::Complete(response, body))) => self.relay_response(*response, body),
+            Some(Ok(FirstAnswer::Begun(response, pieces))) => {
+                let relay = BodyRelay {
+                    state: self.state,
+                    context: self.context,
+                    trace: self.trace,
+                    response,
+                };
+                relay.start(pieces)
+            }
             Some(Err(outcome)) => self.finish(outcome),
             Some(Ok(FirstAnswer::Failed(_))) => {
                 self.finish(RequestOutcome::Unknown(UnknownReason::ConnectionLost))
@@ -401,7 +414,7 @@
         self.state.send_origin_call(call);
         self.trace.record_first_event();
         self.trace.events += first.len() as u64;
-        let (chunk_sender, chunks) = mpsc::channel(STREAM_BUFFER_CHUNKS);
+        let (chunk_sender, chunks) = ChunkSender::channel(&self.context.hold);
         let completion = StreamCompletion::default();
         let body = ResponseBody::stream(chunks, completion.clone());
         let relayed = caller_response(&response.head, body);
@@ -433,7 +446,7 @@
             .record_response_time(&self.context.route, elapsed);
         self.state.metrics.count_send(&self.context.service, "good");
         let relayed = caller_response(&response.head, ResponseBody::full(body));
-        self.release_connection(response);
+        response.release_connection(&self.state);
         self.trace
             .set_outcome("answered", "", relayed.status().as_u16());
         relayed
@@ -445,22 +458,7 @@
         let log = self.trace.send_log();
         log.record_failure("target_failed", &response.head.status);
         self.failure_response = Some(caller_response(&response.head, ResponseBody::full(body)));
-        self.release_connection(response);
-    }
-
-    /// Returns the connection to the pool, if it can be reused.
-    fn release_connection(&self, response: TargetResponse<D>) {
-        let TargetResponse {
-            connection,
-            guard,
-            head,
-            ..
-        } = response;
-        if let Some(keep_alive) = reuse_timeout(&head.headers) {
-            let now = self.state.clock.now();
-            let mut pool = self.state.idle_connections.borrow_mut();
-            pool.put(guard.key(), connection, keep_alive, now);
-        }
+        response.release_connection(&self.state);
     }
 
     /// Builds the response to a request that no target completed.
@@ -518,16 +516,6 @@
     }
 }
 
-/// Builds the response to the caller from the head of a target's response.
-fn caller_response(head: &response::Parts, body: ResponseBody) -> Response<ResponseBody> {
-    let mut headers: HeaderMap = head.headers.clone();
-    remove_hop_by_hop_headers(&mut headers);
-    let mut response = Response::new(body);
-    *response.status_mut() = head.status;
-    *response.headers_mut() = headers;
-    response
-}
-
 /// Returns whether a step is a send to another target.
 const fn is_next_send(step: RetryStep) -> bool {
     match step {
--- a/crates/briarrail_gateway/src/traffic/response_body.rs
+++ b/crates/briarrail_gateway/src/traffic/response_body.rs
@@ -39,6 +39,8 @@
 #[derive(Debug)]
 pub(crate) struct ResponseBody {
     source: BodySource,
+    /// Length that is announced for a stream, in bytes.
+    length: Option<u64>,
     activity: Option<Rc<ConnectionActivity>>,
 }
 
@@ -48,6 +50,7 @@
         let bytes = Some(bytes).filter(|bytes| !bytes.is_empty());
         Self {
             source: BodySource::Full(bytes),
+            length: None,
             activity: None,
         }
     }
@@ -57,10 +60,17 @@
     pub(crate) const fn stream(chunks: Receiver<Bytes>, completion: StreamCompletion) -> Self {
         Self {
             source: BodySource::Stream(chunks, completion),
+            length: None,
             activity: None,
         }
     }
 
+    /// Announces the length of a stream, in bytes.
+    pub(crate) const fn with_length(mut self, length: Option<u64>) -> Self {
+        self.length = length;
+        self
+    }
+
     /// Records the end of the request when the body is dropped, normally once it was handed over to be
     /// written.
     pub(crate) fn with_activity(mut self, activity: Rc<ConnectionActivity>) -> Self {
@@ -108,7 +118,9 @@
             BodySource::Full(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
-            BodySource::Stream(..) => SizeHint::default(),
+            BodySource::Stream(..) => self
+                .length
+                .map_or_else(SizeHint::default, SizeHint::with_exact),
         }
     }
 }
--- a/crates/briarrail_gateway/src/traffic/stream_continuation.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_continuation.rs
@@ -8,7 +8,7 @@
 
 use super::first_answer::MAX_BUFFERED_RESPONSE_BYTES;
 use super::stream_relay::{BodyRead, read_body_chunk};
-use super::target_send::TargetResponse;
+use super::target_response::TargetResponse;
 use super::traffic_state::TrafficState;
 
 /// A response to a resumption, and what was read of its body.
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -8,18 +8,19 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::mpsc::Sender;
 
+use super::chunk_sender::ChunkSender;
 use super::request_context::RequestContext;
 use super::request_trace::RequestTrace;
 use super::response_body::StreamCompletion;
-use super::response_class::{is_close_delimited, reuse_timeout};
+use super::response_class::is_close_delimited;
 use super::stream_continuation::StreamContinuation;
 use super::stream_head::StreamHead;
 use super::stream_origin::{OriginCall, ResumePoint};
 use super::stream_progress::StreamProgress;
 use super::stream_transfer::{StreamTransfer, TransferEnd, check_continuation};
-use super::target_send::{SendResult, TargetResponse, send_to_target};
+use super::target_response::TargetResponse;
+use super::target_send::{SendResult, send_to_target};
 use super::traffic_state::TrafficState;
 use super::tried_targets::{TargetScope, TriedTargets};
 use crate::WireDialect;
@@ -74,7 +75,7 @@
     pub(crate) response: Box<TargetResponse<D>>,
     /// Head of the response that began the stream.
     pub(crate) stream_head: StreamHead,
-    pub(crate) chunk_sender: Sender<Bytes>,
+    pub(crate) chunk_sender: ChunkSender,
     pub(crate) completion: StreamCompletion,
 }
 
@@ -334,26 +335,15 @@
             state,
             context,
             mut trace,
-            response,
+            mut response,
             ..
         } = self;
-        let TargetResponse {
-            connection,
-            mut guard,
-            head,
-            ..
-        } = *response;
-        guard.record_completion();
+        response.guard.record_completion();
         state.send_origin_call(OriginCall::Ended(context.stream_key()));
         state.metrics.count_send(&context.service, "good");
-        if let Some(keep_alive) = reuse_timeout(&head.headers) {
-            let now = state.clock.now();
-            state
-                .idle_connections
-                .borrow_mut()
-                .put(guard.key(), connection, keep_alive, now);
-        }
-        trace.set_outcome("answered", "", head.status.as_u16());
+        let status = response.head.status.as_u16();
+        response.release_connection(&state);
+        trace.set_outcome("answered", "", status);
     }
 
     /// Ends the stream without its completion, which closes the caller's connection, so that the caller
@@ -374,7 +364,7 @@
     deadline: MilliTime,
     response: &'a mut TargetResponse<D>,
     checker: &'a mut StreamChecker,
-    chunk_sender: &'a Sender<Bytes>,
+    chunk_sender: &'a ChunkSender,
     progress: &'a StreamProgress,
     /// Number of events that were relayed.
     events: &'a mut u64,
--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -14,9 +14,8 @@
 use super::stream_head::StreamHead;
 use super::stream_origin::ResumePoint;
 use super::stream_progress::StreamProgress;
-use super::target_send::{
-    PreparedSend, SendResult, TargetResponse, prepare_send, retry_time, send_prepared,
-};
+use super::target_response::TargetResponse;
+use super::target_send::{PreparedSend, SendResult, prepare_send, retry_time, send_prepared};
 use super::target_silence::TargetSilence;
 use super::traffic_state::TrafficState;
 use super::tried_targets::{TargetScope, TriedTargets};
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -10,7 +10,7 @@
 use briarrail_model::{CallSemantics, MilliDuration, MilliTime};
 use briarrail_outcome::AttemptEvent;
 use bytes::Bytes;
-use http::{Request, Response, response};
+use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -20,6 +20,8 @@
 use super::send_guard::SendGuard;
 use super::send_log::SendLog;
 use super::stream_origin::ResumePoint;
+use super::target_connections::reserve_connection;
+use super::target_response::TargetResponse;
 use super::traffic_state::TrafficState;
 use super::tried_targets::TriedTargets;
 use crate::WireDialect;
@@ -40,24 +42,13 @@
 /// Why no connection to a target is available.
 #[derive(Debug)]
 enum ConnectError {
-    /// This router's share of the target's connections is in use; not a failure of the target.
+    /// This router's share of the target's connections, or all it may open, are in use; not a failure
+    /// of the target.
     LimitReached,
     /// The connection could not be opened.
     ConnectFailed(std::io::Error),
 }
 
-/// A response whose head is valid; its body is still to be read.
-#[derive(Debug)]
-pub(crate) struct TargetResponse<D> {
-    pub(crate) connection: HttpConnection,
-    pub(crate) guard: SendGuard<D>,
-    pub(crate) head: response::Parts,
-    pub(crate) body: Incoming,
-    pub(crate) class: ResponseClass,
-    /// Release of the target.
-    pub(crate) release: ReleaseKey,
-}
-
 /// Result of sending a request to a target.
 #[derive(Debug)]
 pub(crate) enum SendResult<D> {
@@ -462,6 +453,11 @@
         }
         target.record.address
     };
+    let slot = reserve_connection(state)
+        .await
+        .ok_or(ConnectError::LimitReached)?;
     let result = HttpConnection::open(address, CONNECT_TIMEOUT).await;
-    result.map_err(ConnectError::ConnectFailed)
+    result
+        .map(|connection| connection.with_slot(slot))
+        .map_err(ConnectError::ConnectFailed)
 }
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -10,20 +10,23 @@
     AdaptiveTimeout, AdmissionController, AdmissionRatio, CrashQuarantine, FleetSize, LimitReport,
     LimitStatement, LimitedRequest, OutcomeTotals, PlacementLimits, ReleaseKey, RetryBudget,
     RetryBudgetLimits, RosterChange, RoutingTable, SendOutcome, SuspectChange, SuspectKind,
-    SuspectReports, TargetKey, TargetRegistry, TargetState,
+    TargetKey, TargetRegistry, TargetState,
 };
 use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
 use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit};
 use briarrail_settings::FleetLimits;
 use bytes::Bytes;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
 
+use super::body_discard::BodyDiscards;
+use super::caller_memory::CallerMemory;
 use super::connection_pool::ConnectionPool;
+use super::control_update::{ControlUpdate, LocalReport};
 use super::crash_check::{CrashChecks, LostRequest};
 use super::request_context::RequestContext;
 use super::request_traits::RequestTraits;
 use super::stream_origin::OriginCall;
+use super::target_connections::TargetConnections;
 use crate::ProcessClock;
 use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
@@ -97,28 +100,6 @@
     }
 }
 
-/// Message from the control thread to the traffic thread.
-#[derive(Debug)]
-pub(crate) enum ControlUpdate {
-    /// Changes to the roster of targets.
-    Roster(Vec<RosterChange>),
-    /// Current requests, recent outcomes and demand of the other routers.
-    PeerCounts(FleetCounts),
-    /// Evidence of other routers on prompt parts that crash targets.
-    SuspectReports(SuspectReports, &'static str),
-    /// Asks for the counts and the evidence of this router.
-    LocalReport(oneshot::Sender<LocalReport>),
-}
-
-/// What the traffic thread tells the control thread for the exchange.
-#[derive(Debug, Default)]
-pub(crate) struct LocalReport {
-    /// Requests, recent outcomes and demand.
-    pub(crate) counts: FleetCounts,
-    /// Evidence on prompt parts that crash targets.
-    pub(crate) suspect_reports: SuspectReports,
-}
-
 /// State of the traffic thread.
 #[derive(Debug)]
 pub(crate) struct TrafficState<D> {
@@ -128,7 +109,9 @@
     pub(crate) metrics: Arc<GatewayMetrics>,
     pub(crate) registry: RefCell<TargetRegistry>,
     pub(crate) idle_connections: RefCell<ConnectionPool>,
-    pub(crate) open_connections: Cell<usize>,
+    pub(crate) memory: Arc<CallerMemory>,
+    pub(super) body_discards: BodyDiscards,
+    pub(super) target_connections: TargetConnections,
     /// Retry budgets by service.
     retry_budgets: RefCell<HashMap<String, RetryBudget>>,
     /// Admission of plain calls, by service.
@@ -150,6 +133,8 @@
         clock: ProcessClock,
         shared: Arc<SharedState>,
         metrics: Arc<GatewayMetrics>,
+        memory: Arc<CallerMemory>,
+        target_connections: TargetConnections,
         origin_calls: UnboundedSender<OriginCall>,
     ) -> Self {
         Self {
@@ -159,7 +144,9 @@
             metrics,
             registry: RefCell::default(),
             idle_connections: RefCell::default(),
-            open_connections: Cell::new(0),
+            memory,
+            body_discards: BodyDiscards::default(),
+            target_connections,
             retry_budgets: RefCell::default(),
             admissions: RefCell::default(),
             timeouts: RefCell::default(),
