--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -16,6 +16,8 @@
 mod greetings;
 mod homes;
 mod hub_choice;
+mod memory_account;
+mod memory_crowds;
 mod placement;
 mod plain_calls;
 mod rate_limits;
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -1,7 +1,7 @@
 //! State of the traffic thread, and the state that it shares with the control thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 
@@ -9,22 +9,25 @@
 use briarrail_dispatch::{
     AdaptiveTimeout, AdmissionController, AdmissionRatio, CrashQuarantine, FleetSize, LimitReport,
     LimitStatement, LimitedRequest, OutcomeTotals, PlacementLimits, RetryBudget, RetryBudgetLimits,
-    RosterChange, RouterList, RoutingTable, SendDenial, SendOutcome, SuspectChange, SuspectKind,
-    SuspectReports, TargetKey, TargetRegistry, TargetState,
+    RoutingTable, SendDenial, SendOutcome, SuspectChange, SuspectKind, TargetKey, TargetRegistry,
+    TargetState,
 };
-use briarrail_model::{DataCentre, MilliDuration, MilliTime, hash_bytes};
+use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
 use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit};
 use briarrail_settings::FleetLimits;
 use bytes::Bytes;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
 
+use super::body_discard::BodyDiscards;
+use super::caller_memory::CallerMemory;
 use super::cold_bounds::ColdSources;
 use super::connection_pool::ConnectionPool;
+use super::control_update::{ControlUpdate, LocalReport};
 use super::crash_check::{CrashChecks, LostRequest};
 use super::request_context::RequestContext;
 use super::request_traits::RequestTraits;
 use super::stream_origin::OriginCall;
+use super::target_connections::TargetConnections;
 use crate::ProcessClock;
 use crate::fleet_counts::FleetCounts;
 use crate::telemetry::GatewayMetrics;
@@ -98,32 +101,6 @@
     }
 }
 
-/// Message from the control thread to the traffic thread.
-#[derive(Debug)]
-pub(crate) enum ControlUpdate {
-    /// Changes to the roster of targets.
-    Roster(Vec<RosterChange>),
-    /// The evacuated data centres.
-    Evacuations(BTreeSet<DataCentre>),
-    /// Current requests, recent outcomes and demand of the other routers.
-    PeerCounts(FleetCounts),
-    /// The routers among which the bounds of cold targets are divided.
-    Routers(RouterList),
-    /// Evidence of other routers on prompt parts that crash targets.
-    SuspectReports(SuspectReports, &'static str),
-    /// Asks for the counts and the evidence of this router.
-    LocalReport(oneshot::Sender<LocalReport>),
-}
-
-/// What the traffic thread tells the control thread for the exchange.
-#[derive(Debug, Default)]
-pub(crate) struct LocalReport {
-    /// Requests, recent outcomes and demand.
-    pub(crate) counts: FleetCounts,
-    /// Evidence on prompt parts that crash targets.
-    pub(crate) suspect_reports: SuspectReports,
-}
-
 /// State of the traffic thread.
 #[derive(Debug)]
 pub(crate) struct TrafficState<D> {
@@ -133,7 +110,9 @@
     pub(crate) metrics: Arc<GatewayMetrics>,
     pub(crate) registry: RefCell<TargetRegistry>,
     pub(crate) idle_connections: RefCell<ConnectionPool>,
-    pub(crate) open_connections: Cell<usize>,
+    pub(crate) memory: Arc<CallerMemory>,
+    pub(super) body_discards: BodyDiscards,
+    pub(super) target_connections: TargetConnections,
     /// Retry budgets by service.
     retry_budgets: RefCell<HashMap<String, RetryBudget>>,
     /// Admission of plain calls, by service.
@@ -157,6 +136,8 @@
         clock: ProcessClock,
         shared: Arc<SharedState>,
         metrics: Arc<GatewayMetrics>,
+        memory: Arc<CallerMemory>,
+        target_connections: TargetConnections,
         origin_calls: UnboundedSender<OriginCall>,
     ) -> Self {
         Self {
@@ -166,7 +147,9 @@
             metrics,
             registry: RefCell::default(),
             idle_connections: RefCell::default(),
-            open_connections: Cell::new(0),
+            memory,
+            body_discards: BodyDiscards::default(),
+            target_connections,
             retry_budgets: RefCell::default(),
             admissions: RefCell::default(),
             timeouts: RefCell::default(),
--- a/crates/briarrail_settings/src/gateway_settings.rs
+++ b/crates/briarrail_settings/src/gateway_settings.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 
 use briarrail_model::{DataCentre, HostName, MilliDuration, RegionName};
@@ -14,6 +15,10 @@
 
 /// Longest time that may be set for an evacuation to take effect, in milliseconds.
 const MAX_EVACUATE_MS: f64 = 3_600_000.0;
+/// Memory of the process if the settings don't state it, in MB.
+const DEFAULT_MEMORY_MB: f64 = 1_024.0;
+/// Memory with which a router can run, in MB.
+const MEMORY_RANGE_MB: RangeInclusive<f64> = 32.0..=1_048_576.0;
 
 /// Limits that the operators set for the whole fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -78,6 +83,8 @@
     pub core_share: f64,
     /// Maximum number of open file descriptors.
     pub max_descriptors: u64,
+    /// Memory that the process may use, in MB (1,000,000 bytes).
+    pub memory_mb: f64,
     /// Limits that apply to the whole fleet.
     pub fleet: FleetLimits,
     /// Logging.
@@ -125,6 +132,7 @@
         store.finish();
         let exchange_key = root.required("exchange_key");
         let max_descriptors = root.integer("max_descriptors", 1_024, 64..=10_000_000);
+        let memory_mb = read_memory(&root);
         let link_mbps = root.value_or("link_mbps", 1_000.0);
         let core_share = root.value_or("core_share", 1.0);
         let fleet = read_fleet_limits(root.section("fleet"));
@@ -143,12 +151,26 @@
             link_mbps,
             core_share,
             max_descriptors,
+            memory_mb,
             fleet,
             logs,
         })
     }
 }
 
+fn read_memory(root: &SectionReader<'_>) -> f64 {
+    let memory_mb = root.value_or("memory_mb", DEFAULT_MEMORY_MB);
+    if !MEMORY_RANGE_MB.contains(&memory_mb) {
+        let hint = format!(
+            "expected {} to {}",
+            MEMORY_RANGE_MB.start(),
+            MEMORY_RANGE_MB.end()
+        );
+        root.add_error(SettingsErrorKind::OutOfRange, "memory_mb", &hint);
+    }
+    memory_mb
+}
+
 fn read_fleet_limits(section: SectionReader<'_>) -> FleetLimits {
     let seconds = |key, default: f64| {
         let value: f64 = section.value_or(key, default);
--- a/crates/briarrail_settings/tests/suite/gateway.rs
+++ b/crates/briarrail_settings/tests/suite/gateway.rs
@@ -27,12 +27,12 @@
 /// Without the keys there is no bound; one key alone is an error where it turns nothing on.
 #[test]
 fn the_bound_of_cold_targets_is_checked() {
-    let bounds = "\"cold_overrun\": 1.5,\n        \"cold_slack\": 5";
+    let bounds = "\"cold_overrun\": 1.5,\n        \"cold_slack\": 5,";
     assert!(EXAMPLE.contains(bounds));
     let without = EXAMPLE.replace(bounds, "");
     let settings = GatewaySettings::from_text(&without).unwrap();
     assert_eq!(settings.fleet.cold_tolerance, None);
-    let errors = ["\"cold_slack\": 5", "\"cold_overrun\": 0.5"]
+    let errors = ["\"cold_slack\": 5,", "\"cold_overrun\": 0.5,"]
         .map(|keys| GatewaySettings::from_text(&EXAMPLE.replace(bounds, keys)).unwrap_err());
     insta::assert_snapshot!(format!("{}\n{}", errors[0], errors[1]));
 }
@@ -55,3 +55,15 @@
     assert!(settings.regions.is_empty());
     assert_eq!(settings.fleet.evacuate_within, None);
 }
+
+#[test]
+fn memory_outside_its_range_is_reported() {
+    for memory_mb in ["31", "1048577", "-1"] {
+        let text = EXAMPLE.replacen('{', &format!("{{ \"memory_mb\": {memory_mb},"), 1);
+        let errors = GatewaySettings::from_text(&text).unwrap_err().to_string();
+        assert!(errors.contains("memory_mb"), "{errors}");
+    }
+    let text = EXAMPLE.replacen('{', "{ \"memory_mb\": 112,", 1);
+    let settings = GatewaySettings::from_text(&text).unwrap();
+    assert!((settings.memory_mb - 112.0).abs() < f64::EPSILON);
+}
