fix(gateway): look further for a target while many are lost at once

Cause: a request was sent on after three targets in all, lost ones or full ones, and the list of targets tells of a crash only when entries lapse. With half of the targets lost, one request in sixteen meets four of them.

Change: connections that are refused have a bound of their own, eight; nothing was sent to those targets, so such a retry costs a round trip. Refusals keep theirs, and the budget.

--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -32,6 +32,9 @@
 
 /// Maximum number of retries after a target that provably did not run the request.
 const MAX_UNCOUNTED_RETRIES: u32 = 3;
+/// Maximum number of retries after a target that refuses connections, while the list of targets does not
+/// tell of its loss yet.
+const MAX_CONNECT_RETRIES: u32 = 8;
 /// Minimum time between two searches for another target of a request, for any objective.
 const MIN_SEARCH_INTERVAL: MilliDuration = MilliDuration::from_millis(20);
 /// Maximum number of stream chunks buffered for a slow caller.
@@ -99,7 +102,8 @@
     fn new(state: &Rc<TrafficState<D>>, context: RequestContext, trace: RequestTrace<D>) -> Self {
         let policy = RetryPolicy::new(context.semantics.call_semantics(), context.deadline)
             .with_max_attempts(context.max_attempts)
-            .with_uncounted_retries(MAX_UNCOUNTED_RETRIES);
+            .with_uncounted_retries(MAX_UNCOUNTED_RETRIES)
+            .with_connect_retries(MAX_CONNECT_RETRIES);
         Self {
             state: Rc::clone(state),
             context: Rc::new(context),
--- a/crates/briarrail_outcome/src/retry_machine.rs
+++ b/crates/briarrail_outcome/src/retry_machine.rs
@@ -40,6 +40,8 @@
     attempt: u32,
     /// Retries after targets that provably did not run the request.
     uncounted_retries: u32,
+    /// Retries after targets that could not be reached, which are bounded on their own.
+    connect_retries: u32,
     /// Whether an attempt is in progress, so that part of the request may have been sent.
     in_flight: bool,
     /// Whether a target may have run the request, with no proof that it did not.
@@ -69,6 +71,7 @@
             policy,
             attempt: 0,
             uncounted_retries: 0,
+            connect_retries: 0,
             in_flight: false,
             may_have_run: false,
             response_started: false,
@@ -201,6 +204,11 @@
         L: RetryLimiter,
     {
         self.not_run_reason = NotRunReason::Unreachable;
+        if self.connect_retries < self.policy.max_connect_retries && self.may_send_again(now) {
+            self.connect_retries += 1;
+            self.in_flight = true;
+            return self.next_send();
+        }
         if let Some(step) = self.retry_uncounted(now, &mut NoRetryLimit) {
             return step;
         }
@@ -301,17 +309,20 @@
         self.has_silent_target
     }
 
+    /// Returns whether the request can be sent to another target as far as its deadline and its
+    /// response are concerned.
+    fn may_send_again(&self, now: MilliTime) -> bool {
+        now < self.policy.deadline && (!self.response_started || self.resume_offset.is_some())
+    }
+
     /// Retries at another target without counting an attempt, while the policy allows it.
     fn retry_uncounted<L>(&mut self, now: MilliTime, limiter: &mut L) -> Option<RetryStep>
     where
         L: RetryLimiter,
     {
-        let allowed = now < self.policy.deadline
-            && self.uncounted_retries < self.policy.max_uncounted_retries;
-        if !allowed
-            || (self.response_started && self.resume_offset.is_none())
-            || !limiter.try_acquire()
-        {
+        let allowed =
+            self.may_send_again(now) && self.uncounted_retries < self.policy.max_uncounted_retries;
+        if !allowed || !limiter.try_acquire() {
             return None;
         }
         self.uncounted_retries += 1;
--- a/crates/briarrail_outcome/src/retry_policy.rs
+++ b/crates/briarrail_outcome/src/retry_policy.rs
@@ -14,6 +14,9 @@
     /// Maximum number of retries after a target that provably did not run the request; they don't
     /// count as attempts.
     pub max_uncounted_retries: u32,
+    /// Maximum number of retries after a target that could not be reached, before those count as
+    /// retries after a target that did not run the request.
+    pub max_connect_retries: u32,
 }
 
 impl RetryPolicy {
@@ -25,6 +28,7 @@
             max_attempts: 1,
             deadline,
             max_uncounted_retries: 0,
+            max_connect_retries: 0,
         }
     }
 
@@ -44,4 +48,12 @@
         self.max_uncounted_retries = retries;
         self
     }
+
+    /// Sets the maximum number of retries after a target that could not be reached. If many targets
+    /// are lost at once, a request meets several of them before the list of targets tells.
+    #[must_use]
+    pub const fn with_connect_retries(mut self, retries: u32) -> Self {
+        self.max_connect_retries = retries;
+        self
+    }
 }
--- a/crates/briarrail_outcome/tests/suite/retry.rs
+++ b/crates/briarrail_outcome/tests/suite/retry.rs
@@ -425,3 +425,28 @@
     let outcome = RequestOutcome::NotRun(NotRunReason::TargetRefused);
     assert_eq!(step, RetryStep::Finish(outcome));
 }
+
+/// Guards against requests that are refused because several targets were lost at once, which the list of
+/// targets does not tell yet.
+#[test]
+fn lost_targets_do_not_use_up_the_retries_after_refusals() {
+    let deadline = MilliTime::from_millis(1_000);
+    let policy = RetryPolicy::new(CallSemantics::AtMostOnce, deadline)
+        .with_uncounted_retries(1)
+        .with_connect_retries(4);
+    let mut machine = RetryMachine::new(policy);
+    let now = MilliTime::from_millis(0);
+    machine.start(now);
+    let mut next = |event| machine.handle(event, now, &mut NoRetryLimit);
+    for _ in 0..4 {
+        let step = next(AttemptEvent::ConnectFailed);
+        assert_eq!(step, RetryStep::Send { attempt: 1 });
+    }
+    let refusal = AttemptEvent::Refused { not_run: true };
+    assert_eq!(next(refusal), RetryStep::Send { attempt: 1 });
+    let outcome = RequestOutcome::NotRun(NotRunReason::Unreachable);
+    assert_eq!(
+        next(AttemptEvent::ConnectFailed),
+        RetryStep::Finish(outcome)
+    );
+}
