feat(dispatch): refuse prompts that find no room, and keep the others where they are

Cause: with half of the engines lost and demand up, prompts waited in queues of three times the slots, moved from full engine to full engine and were read again wherever they came; the reading took the time that was missing. All classes were late, and half of the prompts got nothing.

Change: the admission of plain calls decides for prompts too, with a policy of its own: what counts as completed, the load that is aimed for, and how strongly the load corrects the rates (AdmissionPolicy, CompletionBasis). A prompt stays at two targets of its order; a large one goes elsewhere only where half of the slots are free. A target is full at 1.25 requests a slot. Streams that are taken up are always sent. ServiceAdmissions takes the controllers out of TrafficState.

--- a/crates/briarrail_dispatch/src/admission_controller.rs
+++ b/crates/briarrail_dispatch/src/admission_controller.rs
@@ -1,6 +1,6 @@
-//! Admission of plain calls to a service that is asked for more than it can execute.
+//! Admission of requests to a service that is asked for more than it can execute.
 //!
-//! Targets queue calls that exceed their slots. When the demand stays above the capacity, the queues
+//! Targets queue requests that exceed their slots. When the demand stays above the capacity, the queues
 //! stay full: every call waits for the whole queue and is late, although the targets complete as many
 //! calls as they can. A queue that is kept short leaves the throughput as it is, and the calls that
 //! are sent are on time; the others are rejected at once, without a visit to full targets.
@@ -11,27 +11,15 @@
 
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_pair};
 
-use crate::ServiceCapacity;
 use crate::sliding_window::SlidingWindow;
+use crate::{AdmissionPolicy, CompletionBasis, ServiceCapacity};
 
 /// Length of the window over which the demand is counted; a few rounds of the exchange.
 const DEMAND_WINDOW: MilliDuration = MilliDuration::from_millis(1_000);
 /// Time constant of the mean load; longer than the delay after which the load responds.
 const MEAN_LOAD_MEMORY: MilliDuration = MilliDuration::from_millis(2_000);
-/// Exponent of the correction by the current load, if that load is known without delay.
-const LOAD_EXPONENT: f32 = 0.5;
-/// Exponent of the correction by the mean load. It is small, because the load changes many times as
-/// much as the ratio while the demand is close to the capacity.
-const MEAN_LOAD_EXPONENT: f32 = 0.2;
-/// Number of service times after which the load of a target says little about the present one.
-const LOAD_VALIDITY_SERVICE_TIMES: f32 = 3.0;
 /// Maximum age of the demand of the other routers.
 const MAX_PEER_DEMAND_AGE: MilliDuration = MilliDuration::from_millis(1_500);
-/// Part of the objective that a call may spend at a target; the rest covers the spread of service
-/// times and of the queues of single targets.
-const TARGET_TIME_RATIO: f32 = 0.3;
-/// Minimum load per slot that is aimed for, so that no slot stays idle between two calls.
-const MIN_LOAD_PER_SLOT: f32 = 1.2;
 const ADMISSION_SALT: StableHash = StableHash(0x6164_6d69_7400);
 
 /// Share of a service's calls to send, and what it follows from.
@@ -61,9 +49,10 @@
     }
 }
 
-/// Measures the demand for one service, and the load that it causes.
+/// Measures the demand for one service, and the load that it causes; the policy says how the load counts.
 #[derive(Debug, Clone)]
 pub struct AdmissionController {
+    policy: AdmissionPolicy,
     /// Calls that this router received.
     arrivals: SlidingWindow<u32>,
     /// Calls that the other routers received in a window, and the time of that count.
@@ -75,17 +64,30 @@
 
 impl Default for AdmissionController {
     fn default() -> Self {
+        Self::new(AdmissionPolicy::PLAIN_CALLS)
+    }
+}
+
+impl AdmissionController {
+    /// Creates the controller of a service.
+    #[must_use]
+    pub const fn new(policy: AdmissionPolicy) -> Self {
         Self {
+            policy,
             arrivals: SlidingWindow::new(DEMAND_WINDOW),
             peer_arrivals: None,
             mean_load: 0.0,
             measured_at: None,
         }
     }
-}
 
-impl AdmissionController {
-    /// Counts a call of a caller.
+    /// Returns which requests count for the throughput of the targets.
+    #[must_use]
+    pub const fn basis(&self) -> CompletionBasis {
+        self.policy.basis
+    }
+
+    /// Counts a request of a caller.
     pub fn record_arrival(&mut self, now: MilliTime) {
         self.arrivals.add(1, now);
     }
@@ -145,13 +147,14 @@
         objective: MilliDuration,
         service_time_ms: f32,
     ) -> f32 {
-        let max_time_ms = objective.as_millis() as f32 * TARGET_TIME_RATIO;
-        let wanted = (max_time_ms / service_time_ms).max(MIN_LOAD_PER_SLOT);
-        let valid_ms = LOAD_VALIDITY_SERVICE_TIMES * service_time_ms;
+        let max_time_ms = objective.as_millis() as f32 * self.policy.target_time_ratio;
+        let wanted = (max_time_ms / service_time_ms).max(self.policy.min_load_per_slot);
+        let valid_ms = self.policy.load_validity_service_times * service_time_ms;
         let confidence = valid_ms / (valid_ms + capacity.load_age.as_millis() as f32);
         let least = 1.0 / capacity.slots.max(1.0);
         let current = wanted / capacity.load_per_slot().max(least);
         let mean = wanted / self.mean_load.max(least);
-        current.powf(LOAD_EXPONENT * confidence) * mean.powf(MEAN_LOAD_EXPONENT)
+        current.powf(self.policy.load_exponent * confidence)
+            * mean.powf(self.policy.mean_load_exponent)
     }
 }
--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -12,12 +12,14 @@
 
 mod adaptive_timeout;
 mod admission_controller;
+mod admission_policy;
 mod begin_memory;
 mod blocked_suspect;
 mod cold_limiter;
 mod cold_policy;
 mod cold_targets;
 mod cold_terms;
+mod completion_basis;
 mod connection_timer;
 mod crash_quarantine;
 mod crash_suspect;
@@ -75,10 +77,12 @@
 
 pub use adaptive_timeout::AdaptiveTimeout;
 pub use admission_controller::{AdmissionController, AdmissionRatio};
+pub use admission_policy::AdmissionPolicy;
 pub use blocked_suspect::BlockedSuspect;
 pub use cold_limiter::ColdSource;
 pub use cold_targets::ColdChange;
 pub use cold_terms::ColdTerms;
+pub use completion_basis::CompletionBasis;
 pub use connection_timer::{ConnectionTimeout, ConnectionTimer};
 pub use crash_quarantine::CrashQuarantine;
 pub use crash_suspect::{CrashSuspect, SuspectKind};
--- a/crates/briarrail_dispatch/src/outcome_window.rs
+++ b/crates/briarrail_dispatch/src/outcome_window.rs
@@ -50,6 +50,12 @@
         (self.good + self.failed) as f32 / REQUEST_UNITS as f32
     }
 
+    /// Returns the number of requests that were answered.
+    #[must_use]
+    pub fn answered(&self) -> f32 {
+        self.good as f32 / REQUEST_UNITS as f32
+    }
+
     /// Returns the failure ratio, from 0 to 1.
     #[must_use]
     pub fn failure_ratio(&self) -> f32 {
--- a/crates/briarrail_dispatch/src/service_time_meter.rs
+++ b/crates/briarrail_dispatch/src/service_time_meter.rs
@@ -11,6 +11,7 @@
 
 use crate::outcome_window::OUTCOME_WINDOW;
 use crate::sliding_window::SlidingWindow;
+use crate::{CompletionBasis, OutcomeTotals};
 
 /// Number of completed requests after which a measurement has lost most of its weight.
 const MEMORY_REQUESTS: f32 = 25.0;
@@ -36,13 +37,24 @@
     /// Busy time in slot milliseconds.
     pub(crate) busy_ms: f32,
     pub(crate) completed: f32,
+    /// Part of the completed requests that were answered.
+    pub(crate) answered: f32,
 }
 
 impl SlotUse {
     /// Returns the mean time for which a request occupied a slot, or `None` if too few were
     /// completed.
-    pub(crate) fn service_time_ms(self) -> Option<f32> {
-        (self.completed >= 1.0 && self.busy_ms > 0.0).then(|| self.busy_ms / self.completed)
+    pub(crate) fn service_time_ms(self, basis: CompletionBasis) -> Option<f32> {
+        let requests = self.requests(basis);
+        (requests >= 1.0 && self.busy_ms > 0.0).then(|| self.busy_ms / requests)
+    }
+
+    /// Returns the number of requests that count as completed.
+    pub(crate) const fn requests(self, basis: CompletionBasis) -> f32 {
+        match basis {
+            CompletionBasis::Outcomes => self.completed,
+            CompletionBasis::Answers => self.answered,
+        }
     }
 }
 
@@ -53,6 +65,7 @@
         Self {
             busy_ms: self.busy_ms + other.busy_ms,
             completed: self.completed + other.completed,
+            answered: self.answered + other.answered,
         }
     }
 }
@@ -96,9 +109,8 @@
 }
 
 impl ServiceTimeMeter {
-    /// Adds a measurement: the slots in use, and the requests completed within the window of the
-    /// outcomes.
-    pub(crate) fn measure(&mut self, busy_slots: f32, completed: f32, now: MilliTime) {
+    /// Adds a measurement: the slots in use, and the outcomes within their window.
+    pub(crate) fn measure(&mut self, busy_slots: f32, outcomes: OutcomeTotals, now: MilliTime) {
         let since = self.measured_at.replace(now);
         let span = since.map_or(MilliDuration::ZERO, |at| now.since(at));
         let span_ms = span.min(MAX_SPAN).as_millis() as f32;
@@ -113,7 +125,8 @@
         if recent.span_ms < window_ms * MIN_WINDOW_COVERAGE {
             return;
         }
-        let completed = completed * span_ms / window_ms;
+        let completed = outcomes.requests() * span_ms / window_ms;
+        let answered = outcomes.answered() * span_ms / window_ms;
         let forgotten = (completed / MEMORY_REQUESTS)
             .min(span_ms / self.min_memory_ms())
             .max(span_ms / MAX_MEMORY_MS);
@@ -124,6 +137,7 @@
                 .busy_ms
                 .mul_add(kept, recent.busy_ms * span_ms / recent.span_ms),
             completed: self.slot_use.completed.mul_add(kept, completed),
+            answered: self.slot_use.answered.mul_add(kept, answered),
         };
     }
 
@@ -132,7 +146,8 @@
     /// The shorter the requests, the less one measurement of the slots in use says about the time
     /// until the next one, and the more of them are needed.
     fn min_memory_ms(&self) -> f32 {
-        let service_time_ms = self.slot_use.service_time_ms().unwrap_or_default();
+        let service_time_ms = self.slot_use.service_time_ms(CompletionBasis::Outcomes);
+        let service_time_ms = service_time_ms.unwrap_or_default();
         let valid_ms = VALID_SERVICE_TIMES * service_time_ms;
         let intervals = EXCHANGE_INTERVAL_MS / valid_ms.max(1.0);
         (intervals * EXCHANGE_INTERVAL_MS).min(MAX_MIN_MEMORY_MS)
--- a/crates/briarrail_dispatch/src/target_placement.rs
+++ b/crates/briarrail_dispatch/src/target_placement.rs
@@ -11,7 +11,9 @@
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_pair};
 
 use crate::service_time_meter::SlotUse;
-use crate::{SendDenial, SendNeed, ServiceCapacity, TargetKey, TargetRegistry, TargetState};
+use crate::{
+    CompletionBasis, SendDenial, SendNeed, ServiceCapacity, TargetKey, TargetRegistry, TargetState,
+};
 
 /// Load limits for placement.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -31,11 +33,15 @@
 const SMALL_PROMPT_LOAD_RATIO: f32 = 1.4;
 /// Number of requests added to the load limit for small prompts.
 const SMALL_PROMPT_LOAD_SLACK: f32 = 2.0;
-/// Number of targets in rendezvous order that are tried before the least loaded one.
-const MAX_PREFERRED_TARGETS: usize = 3;
+/// Number of targets in rendezvous order that keep a prompt. Beyond that, small prompts go to the least
+/// loaded target; reading a large one again costs more than the wait that it saves, unless slots are free.
+const MAX_PREFERRED_TARGETS: usize = 2;
+/// Load per slot up to which a target reads large prompts that others keep.
+const MAX_SPREAD_LOAD_PER_SLOT: f32 = 0.5;
 const TARGET_SELECTION_SALT: StableHash = StableHash(0x6472_6177);
-/// Load per slot at which a target with a prompt cache takes no more requests.
-const MAX_PROMPT_LOAD_PER_SLOT: f32 = 3.0;
+/// Load per slot at which a target with a prompt cache takes no more requests; covers the spread of the
+/// counts, so that no slot stays idle.
+const MAX_PROMPT_LOAD_PER_SLOT: f32 = 1.25;
 /// Maximum load per slot at which a target of plain calls takes no more requests.
 const MAX_PLAIN_LOAD_PER_SLOT: f32 = 6.0;
 /// Minimum of that load for a service whose calls take longer than half their objective.
@@ -97,6 +103,16 @@
 }
 
 impl Candidate {
+    /// Returns whether reading a large prompt again would delay few other requests.
+    fn has_free_slots(&self) -> bool {
+        self.load < self.slots * MAX_SPREAD_LOAD_PER_SLOT
+    }
+
+    /// Returns whether a prompt would begin soon.
+    fn takes_prompts(&self) -> bool {
+        self.load < self.slots * MAX_PROMPT_LOAD_PER_SLOT
+    }
+
     /// Returns whether a plain call would wait for less than a time.
     fn has_room(&self, max_time_ms: f32) -> bool {
         let service_times = max_time_ms / self.service_time_ms;
@@ -120,11 +136,12 @@
         let mean = self.mean_load(request.service, now);
         let usable = self.usable_targets(request.service, request.tried, &request.need, now);
         let initial_ms = request.objective.as_millis() as f32 * INITIAL_SERVICE_TIME_RATIO;
-        let measured_ms = mean_service_time_ms(&usable);
+        let basis = CompletionBasis::Outcomes;
+        let measured_ms = mean_service_time_ms(&usable, basis);
         let mean_time_ms = measured_ms.unwrap_or(initial_ms).max(1.0);
         let to_candidate = |(key, state)| {
             let service_time_ms = measured_ms.map_or(mean_time_ms, |mean_ms| {
-                target_service_time_ms(state, mean_ms)
+                target_service_time_ms(state, mean_ms, basis)
             });
             Candidate {
                 key,
@@ -138,12 +155,7 @@
         };
         let mut candidates: Vec<Candidate> = usable.into_iter().map(to_candidate).collect();
         match request.affinity {
-            Some(_) => {
-                candidates.retain(|candidate| {
-                    candidate.load < candidate.slots * MAX_PROMPT_LOAD_PER_SLOT
-                });
-                place_by_affinity(candidates, request, limits, mean)
-            }
+            Some(_) => place_by_affinity(candidates, request, limits, mean),
             None => {
                 damp_stale_counts(&mut candidates, TURNOVER_SERVICE_TIMES * mean_time_ms);
                 let objective_ms = request.objective.as_millis() as f32;
@@ -189,10 +201,15 @@
 
     /// Returns the slots, load and throughput of the targets that may receive a service's requests.
     #[must_use]
-    pub fn service_capacity(&self, service: &str, now: MilliTime) -> ServiceCapacity {
+    pub fn service_capacity(
+        &self,
+        service: &str,
+        basis: CompletionBasis,
+        now: MilliTime,
+    ) -> ServiceCapacity {
         let targets = self.usable_targets(service, &[], &SendNeed::ANY, now);
         let mut capacity = ServiceCapacity {
-            service_time_ms: mean_service_time_ms(&targets),
+            service_time_ms: mean_service_time_ms(&targets, basis),
             ..ServiceCapacity::default()
         };
         for (_, state) in &targets {
@@ -202,7 +219,7 @@
             let age = state.peer_count_age(now).unwrap_or_default();
             capacity.load_age = capacity.load_age.max(peer_count_lag(age));
             if let Some(mean_ms) = capacity.service_time_ms {
-                let executed = slots * 1_000.0 / target_service_time_ms(state, mean_ms);
+                let executed = slots * 1_000.0 / target_service_time_ms(state, mean_ms, basis);
                 let limit = state.rate_limit(now).unwrap_or(f32::INFINITY);
                 capacity.requests_per_s += executed.min(limit);
             }
@@ -288,18 +305,21 @@
 
 /// Returns the mean time for which a request occupies a slot of some targets, in milliseconds, or
 /// `None` if it is not measured yet.
-fn mean_service_time_ms(targets: &[(TargetKey, &TargetState)]) -> Option<f32> {
+fn mean_service_time_ms(
+    targets: &[(TargetKey, &TargetState)],
+    basis: CompletionBasis,
+) -> Option<f32> {
     let uses = targets.iter().map(|(_, state)| state.slot_use());
     uses.fold(SlotUse::default(), SlotUse::add)
-        .service_time_ms()
+        .service_time_ms(basis)
 }
 
 /// Returns the service time of one target, which counts as the mean of all targets until it has
 /// completed a number of requests.
-fn target_service_time_ms(state: &TargetState, mean_ms: f32) -> f32 {
+fn target_service_time_ms(state: &TargetState, mean_ms: f32, basis: CompletionBasis) -> f32 {
     let measured = state.slot_use();
     let busy_ms = MEAN_TIME_REQUESTS.mul_add(mean_ms, measured.busy_ms);
-    (busy_ms / (MEAN_TIME_REQUESTS + measured.completed)).max(1.0)
+    (busy_ms / (MEAN_TIME_REQUESTS + measured.requests(basis))).max(1.0)
 }
 
 fn place_by_affinity(
@@ -318,8 +338,12 @@
         small_prompt_limit.min(large_prompt_limit)
     };
     let mut preferred = candidates.iter().take(MAX_PREFERRED_TARGETS);
-    let below_limit = preferred.position(|candidate| candidate.load <= limit);
-    let index = below_limit.or_else(|| least_loaded(&candidates))?;
+    let below_limit =
+        preferred.position(|candidate| candidate.load <= limit && candidate.takes_prompts());
+    let index = below_limit.or_else(|| {
+        let is_large = request.shared_tokens >= LARGE_PROMPT_TOKENS;
+        least_loaded(&candidates).filter(|&index| !is_large || candidates[index].has_free_slots())
+    })?;
     Some(Placement {
         target: candidates[index].key,
         rank: Some(index),
@@ -327,14 +351,17 @@
     })
 }
 
-/// Returns the index of the candidate with the lowest load per slot.
+/// Returns the index of the candidate with the lowest load per slot that takes prompts.
 fn least_loaded(candidates: &[Candidate]) -> Option<usize> {
     let by_load = |&index: &usize| {
         let candidate = &candidates[index];
         let load_per_slot = candidate.load / candidate.slots.max(1.0);
         ((load_per_slot * 1_000.0) as u64, candidate.rendezvous_hash)
     };
-    (0..candidates.len()).min_by_key(by_load)
+    let takes_prompts = |&index: &usize| candidates[index].takes_prompts();
+    (0..candidates.len())
+        .filter(takes_prompts)
+        .min_by_key(by_load)
 }
 
 /// Moves each load towards the mean, further for older peer counts.
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -438,9 +438,9 @@
         if let Some(state) = self.targets.get_mut(key) {
             state.peer_requests = Some((count, as_of));
             state.peer_outcomes = outcomes;
-            let completed = state.local_outcomes.sum(as_of).plus(outcomes).requests();
+            let outcomes = state.local_outcomes.sum(as_of).plus(outcomes);
             let busy_slots = state.expected_load(as_of).min(state.record.slots as f32);
-            state.service_time.measure(busy_slots, completed, as_of);
+            state.service_time.measure(busy_slots, outcomes, as_of);
         }
     }
 
--- a/crates/briarrail_dispatch/tests/suite/admission.rs
+++ b/crates/briarrail_dispatch/tests/suite/admission.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use briarrail_dispatch::{
-    AdmissionController, OutcomeTotals, PlacementRequest, RefusalCause, SendNeed, SendOutcome,
-    TargetKey, TargetRegistry, TargetState, retry_after,
+    AdmissionController, CompletionBasis, OutcomeTotals, PlacementRequest, RefusalCause, SendNeed,
+    SendOutcome, TargetKey, TargetRegistry, TargetState, retry_after,
 };
 use briarrail_model::{MilliDuration, StableHash, hash_pair};
 use rand::rngs::SmallRng;
@@ -236,7 +236,10 @@
             }
             let peer_arrivals = all_arrivals - own_arrivals;
             router.admission.set_peer_arrivals(peer_arrivals, at(now));
-            let capacity = router.registry.service_capacity(SERVICE, at(now));
+            let capacity =
+                router
+                    .registry
+                    .service_capacity(SERVICE, CompletionBasis::Outcomes, at(now));
             router.admission.record_load(&capacity, at(now));
         }
     }
@@ -249,7 +252,10 @@
         let seed = hash_pair(StableHash(self.next_seed), StableHash(self.scenario.seed));
         let router = &mut self.routers[call.router];
         router.admission.record_arrival(at(now));
-        let capacity = router.registry.service_capacity(SERVICE, at(now));
+        let capacity =
+            router
+                .registry
+                .service_capacity(SERVICE, CompletionBasis::Outcomes, at(now));
         let admission = router
             .admission
             .admission_ratio(&capacity, objective, at(now));
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -16,6 +16,7 @@
 mod hub_choice;
 mod placement;
 mod plain_calls;
+mod prompt_overload;
 mod rate_limits;
 mod restored_roster;
 mod retry_after;
--- a/crates/briarrail_dispatch/tests/suite/target_notices.rs
+++ b/crates/briarrail_dispatch/tests/suite/target_notices.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use briarrail_dispatch::{
-    AdmissionController, OutcomeTotals, PauseReport, PlacementRequest, RefusalCause, RetryBudget,
-    RetryBudgetLimits, SendDenial, SendNeed, SendOutcome, TargetKey, TargetNotice, TargetPause,
-    TargetRegistry, retry_after,
+    AdmissionController, CompletionBasis, OutcomeTotals, PauseReport, PlacementRequest,
+    RefusalCause, RetryBudget, RetryBudgetLimits, SendDenial, SendNeed, SendOutcome, TargetKey,
+    TargetNotice, TargetPause, TargetRegistry, retry_after,
 };
 use briarrail_model::{MilliDuration, StableHash, hash_pair};
 use rand::rngs::SmallRng;
@@ -278,7 +278,10 @@
             }
             let peer_arrivals = arrivals - own_arrivals;
             router.admission.set_peer_arrivals(peer_arrivals, at(now));
-            let capacity = router.registry.service_capacity(SERVICE, at(now));
+            let capacity =
+                router
+                    .registry
+                    .service_capacity(SERVICE, CompletionBasis::Outcomes, at(now));
             router.admission.record_load(&capacity, at(now));
         }
         let mut pauses: BTreeMap<u32, PauseReport> = BTreeMap::new();
@@ -319,7 +322,10 @@
             self.refuse(call, cause, seed, now);
             return;
         }
-        let capacity = router.registry.service_capacity(SERVICE, at(now));
+        let capacity =
+            router
+                .registry
+                .service_capacity(SERVICE, CompletionBasis::Outcomes, at(now));
         let admission = router
             .admission
             .admission_ratio(&capacity, OBJECTIVE, at(now));
--- a/crates/briarrail_gateway/src/traffic/mod.rs
+++ b/crates/briarrail_gateway/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod response_class;
 mod send_guard;
 mod send_log;
+mod service_admissions;
 mod stream_continuation;
 mod stream_head;
 mod stream_origin;
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -195,9 +195,9 @@
 
     /// Returns whether to send the request to a target at all.
     ///
-    /// Engines with a prompt cache report their load, so placement alone bounds it.
+    /// A stream that is taken up has used its share before.
     fn is_admitted(&mut self) -> bool {
-        if self.context.caches_prompts {
+        if self.context.resume_point.is_some() {
             return true;
         }
         let admission = self.state.admission_ratio(&self.context);
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -7,13 +7,13 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use briarrail_dispatch::{
-    AdaptiveTimeout, AdmissionController, AdmissionRatio, CrashQuarantine, FleetSize, LimitReport,
-    LimitStatement, LimitedRequest, OutcomeTotals, PlacementLimits, RetryBudget, RetryBudgetLimits,
-    RosterChange, RouterList, RoutingTable, SendDenial, SendOutcome, SuspectChange, SuspectKind,
-    SuspectReports, TargetKey, TargetRegistry, TargetState,
+    AdaptiveTimeout, AdmissionRatio, CrashQuarantine, FleetSize, LimitReport, LimitStatement,
+    LimitedRequest, OutcomeTotals, PlacementLimits, RetryBudget, RetryBudgetLimits, RosterChange,
+    RouterList, RoutingTable, SendDenial, SendOutcome, SuspectChange, SuspectKind, SuspectReports,
+    TargetKey, TargetRegistry, TargetState,
 };
-use briarrail_model::{MilliDuration, MilliTime, hash_bytes};
-use briarrail_peer::{ServiceDemand, TargetCount, TargetLimit};
+use briarrail_model::{MilliDuration, MilliTime};
+use briarrail_peer::{TargetCount, TargetLimit};
 use briarrail_settings::FleetLimits;
 use bytes::Bytes;
 use tokio::sync::mpsc::UnboundedSender;
@@ -24,6 +24,7 @@
 use super::crash_check::{CrashChecks, LostRequest};
 use super::request_context::RequestContext;
 use super::request_traits::RequestTraits;
+use super::service_admissions::ServiceAdmissions;
 use super::stream_origin::OriginCall;
 use super::target_standings::STORE_SOURCE;
 use crate::ProcessClock;
@@ -135,8 +136,7 @@
     pub(crate) open_connections: Cell<usize>,
     /// Retry budgets by service.
     retry_budgets: RefCell<HashMap<String, RetryBudget>>,
-    /// Admission of plain calls, by service.
-    admissions: RefCell<HashMap<String, AdmissionController>>,
+    admissions: RefCell<ServiceAdmissions>,
     /// Timeouts for the first response bytes, by route.
     timeouts: RefCell<HashMap<String, AdaptiveTimeout>>,
     pub(super) fleet_size: Cell<FleetSize>,
@@ -217,22 +217,11 @@
         }
     }
 
-    /// Counts a plain call of a caller, and returns the share of the service's calls to send.
+    /// Counts a request of a caller, and returns the share of the service's requests to send.
     pub(crate) fn admission_ratio(&self, context: &RequestContext) -> AdmissionRatio {
-        let now = self.clock.now();
-        let capacity = self
-            .registry
-            .borrow()
-            .service_capacity(&context.service, now);
+        let registry = self.registry.borrow();
         let mut admissions = self.admissions.borrow_mut();
-        if !admissions.contains_key(&context.service) {
-            admissions.insert(context.service.clone(), AdmissionController::default());
-        }
-        let Some(admission) = admissions.get_mut(&context.service) else {
-            return AdmissionRatio::ALL;
-        };
-        admission.record_arrival(now);
-        admission.admission_ratio(&capacity, context.objective, now)
+        admissions.record_arrival(context, &registry, self.clock.now())
     }
 
     /// Counts a request that was placed at a target, and decides whether the target gets it by the
@@ -468,22 +457,8 @@
                 tracing::debug!(good = totals.good, failed = totals.failed);
             }
         }
-        self.update_admissions(&registry, &counts.demands, now);
-    }
-
-    /// Updates the demand and the load of the services with plain calls.
-    fn update_admissions(
-        &self,
-        registry: &TargetRegistry,
-        demands: &[ServiceDemand],
-        now: MilliTime,
-    ) {
-        for (service, admission) in self.admissions.borrow_mut().iter_mut() {
-            let hash = service_hash(service);
-            let demand = demands.iter().find(|demand| demand.service == hash);
-            admission.set_peer_arrivals(demand.map_or(0, |demand| demand.requests), now);
-            admission.record_load(&registry.service_capacity(service, now), now);
-        }
+        let mut admissions = self.admissions.borrow_mut();
+        admissions.update(&registry, &counts.demands, now);
     }
 
     fn local_counts(&self) -> FleetCounts {
@@ -509,24 +484,13 @@
         let is_nonzero = |count: &TargetCount| count.requests + count.good + count.failed > 0;
         FleetCounts {
             targets: counts.filter(is_nonzero).collect(),
-            demands: self.local_demands(now),
+            demands: self.admissions.borrow_mut().demands(now),
             limits,
             leaving: registry.leaving_lifetimes(),
             pauses: registry.pause_reports(now),
         }
     }
 
-    fn local_demands(&self, now: MilliTime) -> Vec<ServiceDemand> {
-        let mut admissions = self.admissions.borrow_mut();
-        let demands = admissions
-            .iter_mut()
-            .map(|(service, admission)| ServiceDemand {
-                service: service_hash(service),
-                requests: admission.local_arrivals(now),
-            });
-        demands.filter(|demand| demand.requests > 0).collect()
-    }
-
     fn retry_budget_limits(&self) -> RetryBudgetLimits {
         let terms = self.shared.terms.load();
         RetryBudgetLimits {
@@ -563,11 +527,6 @@
     }
 }
 
-/// Returns the hash that identifies a service in the exchange.
-fn service_hash(service: &str) -> u32 {
-    hash_bytes(service.as_bytes()).0 as u32
-}
-
 const fn outcome_name(outcome: SendOutcome) -> &'static str {
     match outcome {
         SendOutcome::Good => "good",
