--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -20,6 +20,7 @@
 mod memory_crowds;
 mod placement;
 mod plain_calls;
+mod prompt_overload;
 mod rate_limits;
 mod restored_roster;
 mod retry_after;
