--- a/crates/briarrail_dispatch/tests/suite/cold_newcomers.rs
+++ b/crates/briarrail_dispatch/tests/suite/cold_newcomers.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::fixtures::{LIMITS, at, prompt, request, target};
+use crate::fixtures::{LIMITS, at, max_in_a_second, prompt, request, target};
 
 const ROUTERS: usize = 65;
 const TARGETS: usize = 90;
@@ -184,14 +184,6 @@
     }
 }
 
-fn max_in_a_second(times: &[u64]) -> usize {
-    let counts = times
-        .iter()
-        .enumerate()
-        .map(|(index, from)| times[index..].partition_point(|time| *time < from + 1_000));
-    counts.max().unwrap_or_default()
-}
-
 /// Load pattern: a busy service grows by a third at once; the newcomers are empty, so that every
 /// router sends them what the others can't take.
 ///
--- a/crates/briarrail_dispatch/tests/suite/cold_targets.rs
+++ b/crates/briarrail_dispatch/tests/suite/cold_targets.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::fixtures::{at, target};
+use crate::fixtures::{at, max_in_a_second, target};
 
 /// Requests per second that a cold target may get (FAILBACK): 17 x 1.5 + 5.
 const BOUND_PER_S: f64 = 30.5;
@@ -167,7 +167,7 @@
             }
         }
     }
-    let max_per_s = arrivals.iter_mut().map(|arrived| max_in_a_second(arrived));
+    let max_per_s = arrivals.iter().map(|arrived| max_in_a_second(arrived));
     let max_per_s = max_per_s.max().unwrap_or_default();
     let length_s = (measured.end - measured.start) as f64 / 1_000.0;
     let counts = arrivals.iter().flatten();
@@ -178,14 +178,6 @@
     }
 }
 
-fn max_in_a_second(arrived: &mut [u64]) -> usize {
-    arrived.sort_unstable();
-    let in_window = |(index, from): (usize, &u64)| {
-        arrived[index..].partition_point(|time| *time < from + 1_000)
-    };
-    arrived.iter().enumerate().map(in_window).max().unwrap_or(0)
-}
-
 fn steady(count: usize) -> Vec<Life> {
     vec![STEADY; count]
 }
@@ -311,7 +303,7 @@
                 }
             }
         }
-        let max_per_s = max_in_a_second(&mut arrived);
+        let max_per_s = max_in_a_second(&arrived);
         let used = arrived.len() as f64 / COLD_START_MS as f64 * 1_000.0 / BOUND_PER_S;
         assert!(max_per_s as f64 <= BOUND_PER_S, "{size}: {max_per_s}");
         assert!(used >= 0.8, "{size}: {used}");
@@ -343,7 +335,7 @@
                 }
             }
         }
-        let max_per_s = max_in_a_second(&mut arrived);
+        let max_per_s = max_in_a_second(&arrived);
         assert!(max_per_s as f64 <= BOUND_PER_S, "{size}: {max_per_s}");
         assert!(max_per_s as f64 >= 0.8 * BOUND_PER_S, "{size}: {max_per_s}");
     }
--- a/crates/briarrail_dispatch/tests/suite/fixtures.rs
+++ b/crates/briarrail_dispatch/tests/suite/fixtures.rs
@@ -50,3 +50,13 @@
         need: SendNeed::ANY,
     }
 }
+
+/// Returns the largest number of some times, in milliseconds, that lie within one second.
+pub(crate) fn max_in_a_second(times: &[u64]) -> usize {
+    let mut sorted = times.to_vec();
+    sorted.sort_unstable();
+    let in_second =
+        |(index, from): (usize, &u64)| sorted[index..].partition_point(|time| *time < from + 1_000);
+    let counts = sorted.iter().enumerate().map(in_second);
+    counts.max().unwrap_or_default()
+}
