fix(gateway): read no more for a caller beyond its window

A caller that doesn't take its stream held an event beyond the one that was charged, since the relay read on before the former was taken. It now waits after each charged piece until the caller is back within its window, half of what is free. A relayed body whose length is known counts as answered also when the HTTP library drops it with its last byte.

--- a/crates/briarrail_dispatch/src/memory_account.rs
+++ b/crates/briarrail_dispatch/src/memory_account.rs
@@ -255,6 +255,13 @@
         AnswerDecision::Wait(self.reclaim_answers(bytes, now))
     }
 
+    /// Returns whether more waits for a caller than its window, so that nothing more is read for it.
+    #[must_use]
+    pub fn is_behind(&self, key: HolderKey) -> bool {
+        let holder = self.holders.get(key);
+        holder.is_some_and(|holder| holder.answer_bytes > self.answer_window())
+    }
+
     /// Charges the buffer of an answer that is not sent before it is complete, in bytes; returns
     /// `false` if it has to be sent in pieces for want of room.
     pub fn try_buffer_answer(&mut self, key: HolderKey, bytes: usize, now: MilliTime) -> bool {
--- a/crates/briarrail_dispatch/tests/suite/memory_account.rs
+++ b/crates/briarrail_dispatch/tests/suite/memory_account.rs
@@ -181,3 +181,16 @@
     assert_eq!(closed, Some(Reclaimed { holder, cause }));
     assert_eq!(account.close_slow_relay(at(2_000)), None);
 }
+
+#[test]
+fn the_window_of_a_caller_shrinks_as_others_fall_behind() {
+    let mut account = new_account();
+    let keys = [(); 3].map(|()| account.open(at(0)).unwrap().0);
+    assert!(account.try_buffer_answer(keys[0], 300_000, at(0)));
+    assert!(!account.is_behind(keys[0]));
+    assert!(account.try_buffer_answer(keys[1], 600_000, at(0)));
+    assert!(account.is_behind(keys[0]));
+    assert!(!account.is_behind(keys[2]));
+    account.release_answer(keys[1], 600_000, at(10));
+    assert!(!account.is_behind(keys[0]));
+}
--- a/crates/briarrail_gateway/src/traffic/body_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/body_relay.rs
@@ -51,11 +51,17 @@
         chunk_sender: ChunkSender,
         completion: StreamCompletion,
     ) {
-        let relaying = self.relay(pieces, &chunk_sender);
-        let end = tokio::select! {
+        let mut sent_bytes = 0;
+        let relaying = self.relay(pieces, &chunk_sender, &mut sent_bytes);
+        let mut end = tokio::select! {
+            biased;
             end = relaying => end,
             () = chunk_sender.closed() => None,
         };
+        // The HTTP library drops a body of known length with its last byte.
+        if end.is_none() && self.response.announced_length() == Some(sent_bytes) {
+            end = Some(self.read().await);
+        }
         let status = self.response.head.status.as_u16();
         match end {
             Some(BodyRead::End) => {
@@ -78,16 +84,28 @@
     }
 
     /// Relays the body and returns how it ended, or `None` if the caller has left.
-    async fn relay(&mut self, pieces: Vec<Bytes>, chunk_sender: &ChunkSender) -> Option<BodyRead> {
+    async fn relay(
+        &mut self,
+        pieces: Vec<Bytes>,
+        chunk_sender: &ChunkSender,
+        sent_bytes: &mut u64,
+    ) -> Option<BodyRead> {
         for piece in pieces {
+            *sent_bytes += piece.len() as u64;
             chunk_sender.send(piece).await.ok()?;
         }
         loop {
-            let body = &mut self.response.body;
-            match read_body_chunk(&self.state, body, self.context.deadline).await {
-                BodyRead::Chunk(chunk) => chunk_sender.send(chunk).await.ok()?,
+            match self.read().await {
+                BodyRead::Chunk(chunk) => {
+                    *sent_bytes += chunk.len() as u64;
+                    chunk_sender.send(chunk).await.ok()?;
+                }
                 end => return Some(end),
             }
         }
     }
+    async fn read(&mut self) -> BodyRead {
+        let body = &mut self.response.body;
+        read_body_chunk(&self.state, body, self.context.deadline).await
+    }
 }
--- a/crates/briarrail_gateway/src/traffic/caller_memory.rs
+++ b/crates/briarrail_gateway/src/traffic/caller_memory.rs
@@ -230,6 +230,18 @@
         }
     }
 
+    /// Waits until the caller has taken what exceeds its window.
+    pub(crate) async fn wait_taken(&self) {
+        loop {
+            let released = self.memory.answer_released.notified();
+            if !self.memory.lock().account.is_behind(self.key) {
+                return;
+            }
+            // The window grows when other connections are closed.
+            drop(tokio::time::timeout(CHARGE_INTERVAL, released).await);
+        }
+    }
+
     fn try_charge_answer(&self, bytes: usize) -> bool {
         let now = self.memory.clock.now();
         let mut ledger = self.memory.lock();
--- a/crates/briarrail_gateway/src/traffic/chunk_sender.rs
+++ b/crates/briarrail_gateway/src/traffic/chunk_sender.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 
-use super::caller_memory::MemoryHold;
+use super::caller_memory::{MemoryHold, UNCHARGED_BYTES};
 
 /// Maximum number of chunks that wait for a slow caller; large ones are charged to its connection.
 const MAX_WAITING_CHUNKS: usize = 8;
@@ -30,14 +30,19 @@
         (Self { hold, chunks }, receiver)
     }
 
-    /// Sends a chunk; waits until the caller has taken what was sent before, up to a window.
+    /// Sends a chunk, and waits until the caller has taken what exceeds its window.
     ///
     /// # Errors
     ///
     /// Fails if the caller has left.
     pub(super) async fn send(&self, chunk: Bytes) -> Result<(), CallerLeft> {
+        let is_charged = chunk.len() > UNCHARGED_BYTES;
         let chunk = self.hold.charge_answer(chunk).await;
-        self.chunks.send(chunk).await.map_err(|_| CallerLeft)
+        self.chunks.send(chunk).await.map_err(|_| CallerLeft)?;
+        if is_charged {
+            self.hold.wait_taken().await;
+        }
+        Ok(())
     }
 
     /// Waits until the caller leaves.
