fix(dispatch): take no target for cold because of a fault on the router's side

Cause, found in a review by reading: a router that is cut off for a moment ejects all of its targets, and each then counted as coming back cold, so that the router refused what idle targets would have run. Ejection as an outlier, which says nothing of a restart, did the same. And a router that was cut off for more than two minutes had its share of the bound back at once, while the others still had divided it among themselves.

Change: only an ejection by this router's own lost connections counts, and not while most targets of the service are ejected. A router that is back after that time joins anew.

--- a/crates/briarrail_dispatch/src/fleet_members.rs
+++ b/crates/briarrail_dispatch/src/fleet_members.rs
@@ -51,6 +51,10 @@
             self.joined_at = Some(now);
         }
         if list.is_in_touch {
+            // The others have divided this router's share among themselves.
+            if self.joined_at.is_some() && now.since(self.contact_at) > DEPARTURE_TIME {
+                self.joined_at = Some(now);
+            }
             self.contact_at = now;
         }
         let mut is_changed = false;
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -455,12 +455,29 @@
         if was_ejected && state.outlier_detector.ejected_until().is_none() {
             state.local_outcomes.clear();
         }
-        if is_ejected && matches!(outcome, SendOutcome::Unreachable | SendOutcome::Broken) {
-            state.expect_cold_return();
+        let may_be_down = matches!(outcome, SendOutcome::Unreachable | SendOutcome::Broken);
+        if is_ejected && may_be_down && !self.has_common_failure(key) {
+            let state = self.targets.get_mut(key);
+            state.into_iter().for_each(TargetState::expect_cold_return);
         }
         is_ejected
     }
 
+    /// Returns whether most targets of a target's service are ejected, so that the cause is on this
+    /// router's side rather than a restart of each.
+    fn has_common_failure(&self, key: TargetKey) -> bool {
+        let Some(state) = self.targets.get(key) else {
+            return false;
+        };
+        let targets = self.service_targets(&state.record.service);
+        let (mut ejected, mut all) = (0, 0);
+        for (_, state) in targets {
+            all += 1;
+            ejected += usize::from(state.outlier_detector.ejected_until().is_some());
+        }
+        2 * ejected > all && all > 1
+    }
+
     /// Returns the recent outcomes of this router's requests to a target.
     pub fn local_outcomes(&mut self, key: TargetKey, now: MilliTime) -> OutcomeTotals {
         let state = self.targets.get_mut(key);
@@ -493,12 +510,7 @@
                 good: all.good - totals.good,
                 failed: all.failed - totals.failed,
             };
-            let is_ejected =
-                totals.is_outlier(others) && state.outlier_detector.eject_as_outlier(now);
-            if is_ejected {
-                state.expect_cold_return();
-            }
-            is_ejected
+            totals.is_outlier(others) && state.outlier_detector.eject_as_outlier(now)
         });
         by_target
     }
--- a/crates/briarrail_dispatch/tests/suite/cold_targets.rs
+++ b/crates/briarrail_dispatch/tests/suite/cold_targets.rs
@@ -340,3 +340,22 @@
         assert!(max_per_s as f64 >= 0.8 * BOUND_PER_S, "{size}: {max_per_s}");
     }
 }
+
+/// Load pattern: a router is cut off from all targets for a moment, which go on.
+#[test]
+fn targets_are_not_cold_because_their_router_was_cut_off() {
+    let mut router = Router::new(0, 0, 0);
+    let lives = steady(9);
+    let mut random = SmallRng::seed_from_u64(9);
+    for now in (0..COLD_AT).step_by(SYNC_MS as usize) {
+        router.sync(&lives, now);
+    }
+    for key in router.keys.clone() {
+        let outcome = SendOutcome::Unreachable;
+        router.registry.record_outcome(key, outcome, at(COLD_AT));
+    }
+    let last = router.keys.len() - 1;
+    let now = COLD_AT + 4_500;
+    router.sync(&lives, now);
+    assert_eq!(router.send(last, now, &mut random), 40);
+}
--- a/crates/briarrail_dispatch/tests/suite/fleet_members.rs
+++ b/crates/briarrail_dispatch/tests/suite/fleet_members.rs
@@ -108,3 +108,20 @@
     assert_eq!(shares(&members, NOW + 121_000), DIVIDED);
     assert_eq!(shares(&members, NOW + 121_000 + 121_000), 0);
 }
+
+/// The others have divided the share of a router that was cut off for long.
+#[test]
+fn a_router_that_is_back_after_a_long_cut_has_no_share_at_first() {
+    let mut members = member(0, 1, 0);
+    let list = |is_in_touch| RouterList {
+        local: router(0),
+        routers: vec![router(0)],
+        is_complete: true,
+        is_in_touch,
+    };
+    members.observe(&list(false), at(200_000));
+    members.observe(&list(true), at(201_000));
+    assert_eq!(members.share(0, DIVIDED, at(201_000)), 0);
+    members.observe(&list(true), at(215_000));
+    assert_eq!(members.share(0, DIVIDED, at(215_000)), DIVIDED);
+}
