fix(gateway): let crowds of requests in progress and large answers get on

Found in a review, by reading:

- A large answer was charged twice: for the part that the router had held and again as that part was sent, so many at once waited for the room that they took themselves, until they were cut.
The part goes out with its first charge now.
- Requests in progress whose bodies never come took all places, and new connections were closed at once.
The place of one that makes no progress, or whose answer is not taken, is given to a new connection.
- A connection that was found idle was closed although a request had been read since.
It answers that first.
- A caller that leaves is noticed while its answer waits for room.
A transfer coding overrides an announced length.

Tests: many_large_answers_at_once fails without the first change (cut, 200 and incomplete). A new crowd (900 callers that announce bodies and send none) and the test of the account stand for the second; the crowd was not run without it.

--- a/crates/briarrail_dispatch/src/memory_account.rs
+++ b/crates/briarrail_dispatch/src/memory_account.rs
@@ -38,6 +38,8 @@
     SlowReader,
     /// The connection has no request, and a new one needs its place.
     Idle,
+    /// The body of the connection's request makes no progress, and a new connection needs its place.
+    Unfinished,
 }
 
 /// A connection whose memory is reclaimed.
@@ -100,16 +102,16 @@
         self.held
     }
 
-    /// Opens a connection, for which an idle one may have to be closed.
+    /// Opens a connection, for which another one may have to be closed: an idle one, or else one whose
+    /// request does not arrive or whose answer is not taken.
     ///
-    /// Returns `None` if all places are taken by requests in progress.
+    /// Returns `None` if all places are taken by requests that get on.
     pub fn open(&mut self, now: MilliTime) -> Option<(HolderKey, Option<Reclaimed>)> {
         let mut reclaimed = None;
         if self.held.connections >= self.budget.connections {
-            let holder = self.longest_idle()?;
-            self.close(holder);
-            let cause = ReclaimCause::Idle;
-            reclaimed = Some(Reclaimed { holder, cause });
+            let given_up = self.first_to_close(now)?;
+            self.close(given_up.holder);
+            reclaimed = Some(given_up);
         }
         self.held.connections += 1;
         Some((self.holders.insert(MemoryHolder::new(now)), reclaimed))
@@ -365,6 +367,40 @@
         }
     }
 
+    /// Returns the connection that is closed for a new one.
+    fn first_to_close(&self, now: MilliTime) -> Option<Reclaimed> {
+        let close_for = |cause| move |holder| Reclaimed { holder, cause };
+        let idle = self.longest_idle().map(close_for(ReclaimCause::Idle));
+        let unfinished = || {
+            self.longest_stalled(now)
+                .map(close_for(ReclaimCause::Unfinished))
+        };
+        let slow = || {
+            self.slowest_reader(now)
+                .map(close_for(ReclaimCause::SlowReader))
+        };
+        idle.or_else(unfinished).or_else(slow)
+    }
+
+    fn longest_stalled(&self, now: MilliTime) -> Option<HolderKey> {
+        let stalled = self.holders.iter().filter_map(|(key, holder)| {
+            let stalled_for = holder.body.as_ref()?.stalled_for(now)?;
+            Some((stalled_for, key))
+        });
+        stalled
+            .max_by_key(|(stalled_for, _)| *stalled_for)
+            .map(|(_, key)| key)
+    }
+
+    fn slowest_reader(&self, now: MilliTime) -> Option<HolderKey> {
+        let slow = self
+            .holders
+            .iter()
+            .filter(|(_, holder)| holder.is_slow_reader(now));
+        slow.min_by_key(|(_, holder)| holder.blocked_since.unwrap_or(holder.answer_since))
+            .map(|(key, _)| key)
+    }
+
     /// Returns the idle connection that is closed first: one that was never served before one that
     /// may be used again, and then the one that is idle for longest.
     fn longest_idle(&self) -> Option<HolderKey> {
--- a/crates/briarrail_dispatch/tests/suite/memory_account.rs
+++ b/crates/briarrail_dispatch/tests/suite/memory_account.rs
@@ -194,3 +194,26 @@
     account.release_answer(keys[1], 600_000, at(10));
     assert!(!account.is_behind(keys[0]));
 }
+
+#[test]
+fn requests_that_do_not_get_on_give_their_places_to_new_connections() {
+    let mut account = new_account();
+    let unfinished = open_body(&mut account, 10, at(0));
+    let reader = account.open(at(0)).unwrap().0;
+    account.begin_request(reader, at(0));
+    account.block_writes(reader, at(0));
+    for _ in 2..CONNECTIONS {
+        let (key, _) = account.open(at(0)).unwrap();
+        account.begin_request(key, at(0));
+    }
+    assert_eq!(account.open(at(900)), None, "none is stalled yet");
+    for (holder, cause) in [
+        (unfinished, ReclaimCause::Unfinished),
+        (reader, ReclaimCause::SlowReader),
+    ] {
+        let (key, reclaimed) = account.open(at(2_000)).unwrap();
+        assert_eq!(reclaimed, Some(Reclaimed { holder, cause }));
+        account.begin_request(key, at(2_000));
+    }
+    assert_eq!(account.open(at(2_000)), None, "all others get on");
+}
--- a/crates/briarrail_gateway/src/traffic/body_reader.rs
+++ b/crates/briarrail_gateway/src/traffic/body_reader.rs
@@ -33,6 +33,8 @@
     first: Option<Bytes>,
     buffer: Vec<u8>,
     received: usize,
+    /// Whether the account has the body.
+    is_listed: bool,
     is_charged: bool,
 }
 
@@ -50,6 +52,7 @@
             first: None,
             buffer: Vec::new(),
             received: 0,
+            is_listed: false,
             is_charged: false,
         }
     }
@@ -67,6 +70,10 @@
         if let Some(length) = announced.exact() {
             self.expected = length as usize;
         }
+        if !body.is_end_stream() {
+            self.is_listed = true;
+            self.hold.start_body(self.customer, self.expected);
+        }
         loop {
             let frame = tokio::select! {
                 biased;
@@ -93,6 +100,9 @@
         if self.received > self.limit {
             return Err(BodyError::TooLarge);
         }
+        if self.received < self.expected {
+            self.hold.record_arrival(self.received);
+        }
         if is_first {
             self.first = Some(data);
             return Ok(());
@@ -100,11 +110,7 @@
         if let Some(first) = self.first.take() {
             self.append(&first)?;
         }
-        self.append(&data)?;
-        if self.is_charged {
-            self.hold.record_arrival(self.received);
-        }
-        Ok(())
+        self.append(&data)
     }
 
     fn append(&mut self, data: &[u8]) -> Result<(), BodyError> {
@@ -122,10 +128,7 @@
     }
 
     fn charge(&mut self, capacity: usize) -> Result<(), BodyError> {
-        if !self.is_charged {
-            self.is_charged = true;
-            self.hold.start_body(self.customer, self.expected);
-        }
+        self.is_charged = true;
         self.hold.grow_body(capacity).map_err(BodyError::Reclaimed)
     }
 
@@ -134,7 +137,8 @@
             return first;
         }
         let buffer = std::mem::take(&mut self.buffer);
-        if std::mem::take(&mut self.is_charged) {
+        if self.is_charged {
+            self.is_listed = false;
             self.hold.finish_body(buffer, self.customer)
         } else {
             buffer.into()
@@ -144,7 +148,7 @@
 
 impl Drop for BodyReader<'_> {
     fn drop(&mut self) {
-        if self.is_charged {
+        if self.is_listed {
             self.hold.abandon_body();
         }
     }
--- a/crates/briarrail_gateway/src/traffic/body_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/body_relay.rs
@@ -15,6 +15,15 @@
 use super::target_response::TargetResponse;
 use super::traffic_state::TrafficState;
 
+/// The part of a body that was read before it was known to be too large to be held.
+#[derive(Debug)]
+pub(super) struct BegunBody {
+    /// The part that was held, and is charged.
+    pub(super) start: Bytes,
+    /// The chunk that did not fit.
+    pub(super) next: Bytes,
+}
+
 /// Relays the body of a response as fast as its caller takes it.
 ///
 /// The caller has a part of the response, so a failure breaks it off visibly.
@@ -29,8 +38,8 @@
 where
     D: 'static,
 {
-    /// Starts the response to the caller, of whose body `pieces` were read.
-    pub(super) fn start(mut self, pieces: Vec<Bytes>) -> Response<ResponseBody> {
+    /// Starts the response to the caller, of whose body `begun` was read.
+    pub(super) fn start(mut self, begun: BegunBody) -> Response<ResponseBody> {
         self.response.guard.record_event();
         self.response.guard.record_outcome(SendOutcome::Good);
         let elapsed = self.response.guard.elapsed();
@@ -41,18 +50,18 @@
         let length = self.response.announced_length();
         let body = ResponseBody::stream(chunks, completion.clone()).with_length(length);
         let relayed = caller_response(&self.response.head, body);
-        tokio::task::spawn_local(self.run(pieces, chunk_sender, completion));
+        tokio::task::spawn_local(self.run(begun, chunk_sender, completion));
         relayed
     }
 
     async fn run(
         mut self,
-        pieces: Vec<Bytes>,
+        begun: BegunBody,
         chunk_sender: ChunkSender,
         completion: StreamCompletion,
     ) {
         let mut sent_bytes = 0;
-        let relaying = self.relay(pieces, &chunk_sender, &mut sent_bytes);
+        let relaying = self.relay(begun, &chunk_sender, &mut sent_bytes);
         let mut end = tokio::select! {
             biased;
             end = relaying => end,
@@ -86,14 +95,14 @@
     /// Relays the body and returns how it ended, or `None` if the caller has left.
     async fn relay(
         &mut self,
-        pieces: Vec<Bytes>,
+        begun: BegunBody,
         chunk_sender: &ChunkSender,
         sent_bytes: &mut u64,
     ) -> Option<BodyRead> {
-        for piece in pieces {
-            *sent_bytes += piece.len() as u64;
-            chunk_sender.send(piece).await.ok()?;
-        }
+        let BegunBody { start, next } = begun;
+        *sent_bytes += (start.len() + next.len()) as u64;
+        chunk_sender.send_charged(start).await.ok()?;
+        chunk_sender.send(next).await.ok()?;
         loop {
             match self.read().await {
                 BodyRead::Chunk(chunk) => {
@@ -104,6 +113,7 @@
             }
         }
     }
+
     async fn read(&mut self) -> BodyRead {
         let body = &mut self.response.body;
         read_body_chunk(&self.state, body, self.context.deadline).await
--- a/crates/briarrail_gateway/src/traffic/caller_memory.rs
+++ b/crates/briarrail_gateway/src/traffic/caller_memory.rs
@@ -144,7 +144,7 @@
         }
     }
 
-    /// Starts to receive a body that is charged.
+    /// Starts to receive a body.
     pub(crate) fn start_body(&self, customer: Option<StableHash>, expected: usize) {
         let now = self.memory.clock.now();
         let mut ledger = self.memory.lock();
@@ -314,6 +314,9 @@
 
 impl Drop for AnswerCharge {
     fn drop(&mut self) {
+        if self.bytes == 0 {
+            return;
+        }
         let now = self.memory.clock.now();
         let mut ledger = self.memory.lock();
         ledger.account.release_answer(self.key, self.bytes, now);
@@ -346,5 +349,6 @@
         ReclaimCause::Displaced => "displaced",
         ReclaimCause::SlowReader => "slow_reader",
         ReclaimCause::Idle => "idle",
+        ReclaimCause::Unfinished => "unfinished",
     }
 }
--- a/crates/briarrail_gateway/src/traffic/caller_server.rs
+++ b/crates/briarrail_gateway/src/traffic/caller_server.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarrail_dispatch::CallerLimits;
+use briarrail_dispatch::{CallerLimits, ReclaimCause};
 use briarrail_model::MilliDuration;
 use http::{HeaderValue, header};
 use hyper::server::conn::http1;
@@ -132,9 +132,13 @@
                 break;
             }
             cause = hold.signal().connection_reclaimed() => {
-                let cause = reclaim_cause_name(cause);
-                tracing::info!(event = "caller_closed", ?caller, cause);
-                break;
+                let name = reclaim_cause_name(cause);
+                tracing::info!(event = "caller_closed", ?caller, cause = name);
+                // A request may have been read since the connection was found idle.
+                if cause != ReclaimCause::Idle || !activity.is_busy() {
+                    break;
+                }
+                connection.as_mut().graceful_shutdown();
             }
             () = tokio::time::sleep(TIMEOUT_CHECK_INTERVAL) => {
                 let limits = limits(&state);
--- a/crates/briarrail_gateway/src/traffic/chunk_sender.rs
+++ b/crates/briarrail_gateway/src/traffic/chunk_sender.rs
@@ -37,7 +37,23 @@
     /// Fails if the caller has left.
     pub(super) async fn send(&self, chunk: Bytes) -> Result<(), CallerLeft> {
         let is_charged = chunk.len() > UNCHARGED_BYTES;
-        let chunk = self.hold.charge_answer(chunk).await;
+        tokio::select! {
+            biased;
+            chunk = self.hold.charge_answer(chunk) => self.forward(chunk, is_charged).await,
+            () = self.chunks.closed() => Err(CallerLeft),
+        }
+    }
+
+    /// Sends a chunk that is charged already, like [`send`](Self::send).
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has left.
+    pub(super) async fn send_charged(&self, chunk: Bytes) -> Result<(), CallerLeft> {
+        self.forward(chunk, true).await
+    }
+
+    async fn forward(&self, chunk: Bytes, is_charged: bool) -> Result<(), CallerLeft> {
         self.chunks.send(chunk).await.map_err(|_| CallerLeft)?;
         if is_charged {
             self.hold.wait_taken().await;
--- a/crates/briarrail_gateway/src/traffic/connection_activity.rs
+++ b/crates/briarrail_gateway/src/traffic/connection_activity.rs
@@ -54,6 +54,11 @@
         self.timer.borrow().expired_timeout(limits, now)
     }
 
+    /// Returns whether the caller is owed a response.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.timer.borrow().is_busy()
+    }
+
     fn is_writing_response(&self) -> bool {
         self.timer.borrow().is_writing_response()
     }
--- a/crates/briarrail_gateway/src/traffic/first_answer.rs
+++ b/crates/briarrail_gateway/src/traffic/first_answer.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinHandle;
 
 use super::answer_buffer::AnswerBuffer;
+use super::body_relay::BegunBody;
 use super::request_context::RequestContext;
 use super::response_class::{ResponseClass, is_close_delimited, is_empty_body_lost};
 use super::send_log::SendLog;
@@ -33,7 +34,7 @@
     /// A complete response, which may be a failure of the target.
     Complete(Box<TargetResponse<D>>, Bytes),
     /// A response too large to be read before it is relayed, and what was read of its body.
-    Begun(Box<TargetResponse<D>>, Vec<Bytes>),
+    Begun(Box<TargetResponse<D>>, BegunBody),
     /// No usable answer; already logged.
     Failed(AttemptEvent),
 }
@@ -44,7 +45,7 @@
     Events(StreamChecker, Vec<Bytes>),
     Whole(Bytes),
     /// The start of a body that is too large to be held.
-    Pieces(Vec<Bytes>),
+    Begun(BegunBody),
 }
 
 /// Failure to read a response, before any of it was relayed.
@@ -178,7 +179,7 @@
                 FirstAnswer::Stream(response, checker, events)
             }
             Ok(FirstPart::Whole(body)) => FirstAnswer::Complete(response, body),
-            Ok(FirstPart::Pieces(pieces)) => FirstAnswer::Begun(response, pieces),
+            Ok(FirstPart::Begun(begun)) => FirstAnswer::Begun(response, begun),
             Err(failure) => self.fail(&mut response, failure),
         }
     }
@@ -257,7 +258,8 @@
                         continue;
                     }
                     if may_relay_in_pieces(response) {
-                        return Ok(FirstPart::Pieces(vec![buffer.finish(), chunk]));
+                        let start = buffer.finish();
+                        return Ok(FirstPart::Begun(BegunBody { start, next: chunk }));
                     }
                     return Err(ResponseFailure::Failed(AttemptEvent::BadAnswer));
                 }
--- a/crates/briarrail_gateway/src/traffic/reclaim_signal.rs
+++ b/crates/briarrail_gateway/src/traffic/reclaim_signal.rs
@@ -44,7 +44,9 @@
     pub(super) fn send(&self, cause: ReclaimCause) {
         match cause {
             ReclaimCause::Stalled | ReclaimCause::Displaced => self.body.send(cause),
-            ReclaimCause::SlowReader | ReclaimCause::Idle => self.connection.send(cause),
+            ReclaimCause::SlowReader | ReclaimCause::Idle | ReclaimCause::Unfinished => {
+                self.connection.send(cause);
+            }
         }
     }
 
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -143,14 +143,14 @@
                 self.start_stream(response, checker, first)
             }
             Some(Ok(FirstAnswer::Complete(response, body))) => self.relay_response(*response, body),
-            Some(Ok(FirstAnswer::Begun(response, pieces))) => {
+            Some(Ok(FirstAnswer::Begun(response, begun))) => {
                 let relay = BodyRelay {
                     state: self.state,
                     context: self.context,
                     trace: self.trace,
                     response,
                 };
-                relay.start(pieces)
+                relay.start(begun)
             }
             Some(Err(outcome)) => self.finish(outcome),
             Some(Ok(FirstAnswer::Failed(_))) => {
--- a/crates/briarrail_gateway/src/traffic/target_response.rs
+++ b/crates/briarrail_gateway/src/traffic/target_response.rs
@@ -25,9 +25,19 @@
 
 impl<D> TargetResponse<D> {
     /// Returns the length of the body that the target announced, in bytes.
+    ///
+    /// A transfer coding overrides the length.
     pub(crate) fn announced_length(&self) -> Option<u64> {
-        let value = self.head.headers.get(header::CONTENT_LENGTH)?;
-        value.to_str().ok()?.parse().ok()
+        let headers = &self.head.headers;
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            return None;
+        }
+        headers
+            .get(header::CONTENT_LENGTH)?
+            .to_str()
+            .ok()?
+            .parse()
+            .ok()
     }
 
     /// Returns the connection to the pool after the body was read, if it can be reused.
