--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -4,10 +4,11 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::fs::{self, File};
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -460,6 +461,77 @@
     }
 }
 
+// ---- Links
+
+/// A proxy in front of an address, which can be cut: it then passes nothing on, in silence, and goes on
+/// when the cut has healed.
+#[derive(Debug)]
+pub struct CutProxy {
+    pub address: SocketAddr,
+    is_cut: AtomicBool,
+}
+
+impl CutProxy {
+    pub fn start(target: SocketAddr) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a proxy can't listen");
+        let proxy = Arc::new(Self {
+            address: listener.local_addr().unwrap(),
+            is_cut: AtomicBool::new(false),
+        });
+        let server = Arc::clone(&proxy);
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let server = Arc::clone(&server);
+                thread::spawn(move || server.connect(near, target));
+            }
+        });
+        proxy
+    }
+
+    pub fn set_cut(&self, is_cut: bool) {
+        record(if is_cut {
+            "the link is cut"
+        } else {
+            "the link has healed"
+        });
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
+
+    fn wait_whole(&self) {
+        while self.is_cut.load(Ordering::Relaxed) {
+            sleep_ms(5);
+        }
+    }
+
+    fn connect(self: Arc<Self>, near: TcpStream, target: SocketAddr) {
+        self.wait_whole();
+        let Ok(far) = TcpStream::connect(target) else {
+            return;
+        };
+        near.set_nodelay(true).ok();
+        far.set_nodelay(true).ok();
+        let (Ok(near_clone), Ok(far_clone)) = (near.try_clone(), far.try_clone()) else {
+            return;
+        };
+        let proxy = Arc::clone(&self);
+        thread::spawn(move || proxy.pass_on(near_clone, far_clone));
+        self.pass_on(far, near);
+    }
+
+    fn pass_on(&self, mut from: TcpStream, mut to: TcpStream) {
+        let mut buffer = [0; 16_384];
+        loop {
+            let read = from.read(&mut buffer).unwrap_or(0);
+            self.wait_whole();
+            if read == 0 || to.write_all(&buffer[..read]).is_err() {
+                to.shutdown(Shutdown::Both).ok();
+                from.shutdown(Shutdown::Both).ok();
+                return;
+            }
+        }
+    }
+}
+
 // ---- The operator
 
 #[derive(Debug, Clone)]
@@ -734,7 +806,7 @@
     pub id: String,
     pub service: String,
     pub zone: String,
-    pub version: String,
+    version: Mutex<String>,
     pub address: SocketAddr,
     pub slots: u32,
     store: Arc<Store>,
@@ -760,7 +832,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             zone: zone.to_owned(),
-            version: version.to_owned(),
+            version: Mutex::new(version.to_owned()),
             address: free_address(),
             slots: 64,
             store: Arc::clone(store),
@@ -797,13 +869,22 @@
             self.service,
             self.address,
             self.zone,
-            self.version,
+            self.version(),
             self.slots,
             self.born.lock().unwrap()
         );
         self.store.put("servers", &self.id, &spec);
     }
 
+    pub fn version(&self) -> String {
+        self.version.lock().unwrap().clone()
+    }
+
+    /// Sets the version of the software for the lifetimes that follow.
+    pub fn set_version(&self, version: &str) {
+        *self.version.lock().unwrap() = version.to_owned();
+    }
+
     pub fn is_up(&self) -> bool {
         self.listener.lock().unwrap().is_some()
     }
