--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -5,10 +5,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -20,6 +20,21 @@
 
 static START: OnceLock<Instant> = OnceLock::new();
 static RECORD: OnceLock<Mutex<File>> = OnceLock::new();
+/// Processes that were started and not ended yet.
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started, and the case as not run.
+fn give_up(reason: &str) -> ! {
+    eprintln!("{reason}");
+    record(reason);
+    for pid in PROCESSES.lock().unwrap().drain(..) {
+        Command::new("kill")
+            .args(["-KILL", &pid.to_string()])
+            .status()
+            .ok();
+    }
+    std::process::exit(NOT_RUN);
+}
 
 /// Returns the seconds since the start of the case.
 pub fn now_s() -> f64 {
@@ -52,11 +67,23 @@
         .as_millis() as u64
 }
 
+/// Ports for listeners, below those that the system gives to outgoing channels.
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u16 = 18_000;
+
 /// Returns an address of the loopback interface with a free port.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .and_then(|listener| listener.local_addr())
-        .expect("no free port")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let offset = std::process::id() as u16 % 997 * 17;
+    for _ in 0..PORTS {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (offset % PORTS + step % PORTS) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+    give_up("no free port")
 }
 
 pub fn sleep_ms(millis: u64) {
@@ -703,11 +730,13 @@
             .stderr(errors)
             .spawn();
         match child {
-            Ok(child) => self.child = Some(child),
-            Err(error) => {
-                eprintln!("target/release/briarrail_edge does not start: {error}");
-                std::process::exit(NOT_RUN);
+            Ok(child) => {
+                PROCESSES.lock().unwrap().push(child.id());
+                self.child = Some(child);
             }
+            Err(error) => give_up(&format!(
+                "target/release/briarrail_edge does not start: {error}"
+            )),
         }
         record(&format!("router {} starts at {}", self.name, self.callers));
     }
@@ -737,9 +766,7 @@
             }
             sleep_ms(50);
         }
-        eprintln!("{} does not get ready", self.name);
-        record(&format!("router {} does not get ready", self.name));
-        std::process::exit(NOT_RUN);
+        give_up(&format!("router {} does not get ready", self.name));
     }
 
     pub fn pid(&self) -> u32 {
@@ -770,6 +797,7 @@
         if let Some(mut child) = self.child.take() {
             child.kill().ok();
             child.wait().ok();
+            PROCESSES.lock().unwrap().retain(|pid| *pid != child.id());
             record(&format!("router {} is killed", self.name));
         }
     }
@@ -789,10 +817,7 @@
 
 impl Drop for Router {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            child.kill().ok();
-            child.wait().ok();
-        }
+        self.kill();
     }
 }
 
