--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
@@ -18,6 +19,14 @@
 pub const BROKEN: i32 = 1;
 pub const NOT_RUN: i32 = 2;
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// `PR_SET_PDEATHSIG` and `SIGKILL` of Linux.
+const SET_PARENT_DEATH_SIGNAL: i32 = 1;
+const KILL: u64 = 9;
+
 static START: OnceLock<Instant> = OnceLock::new();
 static RECORD: OnceLock<Mutex<File>> = OnceLock::new();
 /// Processes that were started and not ended yet.
@@ -723,12 +732,21 @@
             .open(&self.log)
             .expect("log can't be written");
         let errors = log.try_clone().unwrap();
-        let child = Command::new("target/release/briarrail_edge")
+        let mut command = Command::new("target/release/briarrail_edge");
+        command
             .env("BRIARRAIL_BOOT", &self.settings)
             .stdin(Stdio::null())
             .stdout(log)
-            .stderr(errors)
-            .spawn();
+            .stderr(errors);
+        // The router ends with the case, also when that is interrupted or panics. The signal
+        // comes when the thread ends that starts the router, which is the main one.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(SET_PARENT_DEATH_SIGNAL, KILL, 0u64, 0u64, 0u64);
+                Ok(())
+            });
+        }
+        let child = command.spawn();
         match child {
             Ok(child) => {
                 PROCESSES.lock().unwrap().push(child.id());
