fix(gateway): continue streams of lost routers once a release has begun

Cause: while one release serves, nobody is told where streams begin, since there is nothing to confuse. The first target of a second release ended that for all streams at once, also for those of routers that could not tell any more.

The logs show `origin: ambiguous` after `stream_origins_read` with 0 streams, and no line about the new version at the lost router.

Change: a later release of a service is guarded. Before a router sends requests to its targets, the store lists the router as a user of the release, on one page with its streams under way. A stream that nobody knows can then have begun at a guarded release only if one of its users does not answer. Pages get an owner, so that two writers of a data centre don't replace each other.

Why it works: what decides is written before the state changes, on the store, and names routers, not streams, so the loss of any number of routers leaves it.

Nothing more is sent or written while one release serves.

--- a/crates/briarrail_dispatch/src/lib.rs
+++ b/crates/briarrail_dispatch/src/lib.rs
@@ -46,8 +46,12 @@
 mod past_time;
 mod pause_report;
 mod prompt_parts;
+mod release_entry;
+mod release_gate;
+mod release_inference;
 mod release_key;
 mod release_ledger;
+mod release_user;
 mod reply_window;
 mod retry_after;
 mod retry_budget;
@@ -112,8 +116,14 @@
 pub use outlier_detector::{OutlierDetector, SendOutcome};
 pub use pause_report::PauseReport;
 pub use prompt_parts::PromptParts;
+pub use release_entry::ReleaseEntry;
+pub use release_gate::ReleaseGate;
+pub use release_inference::{
+    FleetEvidence, ReleaseUsers, can_infer, can_precede_process, infer_release, users_to_ask,
+};
 pub use release_key::ReleaseKey;
 pub use release_ledger::{ReleaseLedger, sole_release};
+pub use release_user::ReleaseUser;
 pub use reply_window::ReplyWindow;
 pub use retry_after::{RefusalCause, retry_after};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
--- a/crates/briarrail_dispatch/src/live_origins.rs
+++ b/crates/briarrail_dispatch/src/live_origins.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct LiveOrigins {
     streams: HashMap<StreamKey, (ReleaseKey, MilliTime)>,
+    /// Time at which a stream was dropped for want of room.
+    dropped_at: Option<MilliTime>,
     /// Whether a stream began since the last page was built.
     has_new: bool,
     /// Whether the last page that was built may not be in the store.
@@ -32,7 +34,11 @@
     /// Records that a stream began, and returns whether it was not known; streams beyond the maximum
     /// are dropped.
     pub fn record_begin(&mut self, stream: StreamKey, release: ReleaseKey, now: MilliTime) -> bool {
-        if self.streams.len() >= MAX_STREAMS || self.streams.contains_key(&stream) {
+        if self.streams.contains_key(&stream) {
+            return false;
+        }
+        if self.streams.len() >= MAX_STREAMS {
+            self.dropped_at = Some(now);
             return false;
         }
         self.streams.insert(stream, (release, now));
@@ -40,6 +46,11 @@
         true
     }
 
+    /// Requests that the page is written again, because what is stored with it has changed.
+    pub const fn request_page(&mut self) {
+        self.has_new = true;
+    }
+
     /// Records that a caller has a stream completely.
     pub fn record_end(&mut self, stream: StreamKey) {
         self.streams.remove(&stream);
@@ -75,6 +86,13 @@
         Some(page)
     }
 
+    /// Returns whether streams that may be under way were dropped.
+    #[must_use]
+    pub fn is_partial(&self, now: MilliTime) -> bool {
+        self.dropped_at
+            .is_some_and(|at| now.since(at) <= MAX_STREAM_TIME)
+    }
+
     /// Records that the page that was built last is in the store.
     pub const fn confirm_page(&mut self) {
         self.is_unconfirmed = false;
--- a/crates/briarrail_dispatch/src/release_ledger.rs
+++ b/crates/briarrail_dispatch/src/release_ledger.rs
@@ -8,7 +8,7 @@
 
 use briarrail_model::{MilliDuration, MilliTime};
 
-use crate::{ReleaseKey, ServiceRelease};
+use crate::{ReleaseEntry, ReleaseKey, ServiceRelease};
 
 /// Time after which no stream of a release that has left is under way; longer than callers wait for
 /// a stream.
@@ -18,6 +18,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct ReleaseLedger {
     listed: BTreeSet<ServiceRelease>,
+    /// Listed releases that routers use only after the store has listed them as users.
+    guarded: BTreeSet<ServiceRelease>,
     /// Times since which listed releases have no target.
     unused_since: BTreeMap<ServiceRelease, MilliTime>,
 }
@@ -30,23 +32,53 @@
     }
 
     /// Replaces the releases by those that the store lists.
-    pub fn replace_listed<R>(&mut self, releases: R)
+    pub fn replace_listed<E>(&mut self, entries: E)
     where
-        R: IntoIterator<Item = ServiceRelease>,
+        E: IntoIterator<Item = ReleaseEntry>,
     {
-        self.listed = releases.into_iter().collect();
+        self.listed.clear();
+        self.guarded.clear();
+        for entry in entries {
+            self.record_listed(entry);
+        }
         self.unused_since
             .retain(|release, _| self.listed.contains(release));
     }
 
     /// Records that the store lists a release.
-    pub fn record_listed(&mut self, release: ServiceRelease) {
-        self.listed.insert(release);
+    pub fn record_listed(&mut self, entry: ReleaseEntry) {
+        if entry.is_guarded {
+            self.guarded.insert(entry.release.clone());
+        } else {
+            self.guarded.remove(&entry.release);
+        }
+        self.listed.insert(entry.release);
+    }
+
+    /// Returns the entry of a release that the store doesn't list yet: it is open to all routers if
+    /// the store lists no other release of the service.
+    #[must_use]
+    pub fn new_entry(&self, release: ServiceRelease) -> ReleaseEntry {
+        let mut others = self.listed.iter().filter(|other| **other != release);
+        ReleaseEntry {
+            is_guarded: others.any(|other| other.service == release.service),
+            release,
+        }
+    }
+
+    /// Returns the guarded releases that have become the only ones of their services, and can be
+    /// opened to all routers.
+    #[must_use]
+    pub fn sole_guarded(&self) -> Vec<ServiceRelease> {
+        let guarded = self.guarded.iter();
+        let sole = guarded.filter(|release| !self.new_entry((*release).clone()).is_guarded);
+        sole.cloned().collect()
     }
 
     /// Records that the store lists a release no more.
     pub fn record_removed(&mut self, release: &ServiceRelease) {
         self.listed.remove(release);
+        self.guarded.remove(release);
         self.unused_since.remove(release);
     }
 
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -22,6 +22,7 @@
 mod plain_calls;
 mod prompt_overload;
 mod rate_limits;
+mod release_inference;
 mod restored_roster;
 mod retry_after;
 mod retry_budget;
--- a/crates/briarrail_dispatch/tests/suite/stream_releases.rs
+++ b/crates/briarrail_dispatch/tests/suite/stream_releases.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use briarrail_dispatch::{
-    LiveOrigins, PlacementRequest, ReleaseKey, ReleaseLedger, SendNeed, SendOutcome,
+    LiveOrigins, PlacementRequest, ReleaseEntry, ReleaseKey, ReleaseLedger, SendNeed, SendOutcome,
     ServiceRelease, StreamKey, StreamOrigins, TargetPhase, TargetRecord, TargetRegistry,
     is_in_touch, origin_holders, origin_sources, origin_witnesses, sole_release,
 };
@@ -18,6 +18,13 @@
     }
 }
 
+fn entry(version: &str, is_guarded: bool) -> ReleaseEntry {
+    ReleaseEntry {
+        release: release(version),
+        is_guarded,
+    }
+}
+
 fn target_of(id: &str, version: &str) -> TargetRecord {
     TargetRecord {
         version: version.into(),
@@ -212,12 +219,12 @@
         versions.iter().map(|version| release(version)).collect()
     };
     let mut ledger = ReleaseLedger::default();
-    ledger.replace_listed([release("1")]);
+    ledger.replace_listed([entry("1", false)]);
     assert_eq!(ledger.unlisted(set(&["1", "2"])), set(&["2"]));
     let both = BTreeSet::from([release("1").key(), release("2").key()]);
     assert_eq!(ledger.ambiguous(&set(&["1"])), BTreeSet::new());
     assert_eq!(ledger.ambiguous(&set(&["2"])), both);
-    ledger.record_listed(release("2"));
+    ledger.record_listed(entry("2", true));
     assert_eq!(ledger.ambiguous(&set(&["2"])), both);
     assert_eq!(ledger.expired(&set(&["1", "2"]), at(0)), []);
     assert_eq!(ledger.expired(&set(&["2"]), at(1_000)), []);
--- a/crates/briarrail_gateway/src/control/control_loop.rs
+++ b/crates/briarrail_gateway/src/control/control_loop.rs
@@ -7,7 +7,9 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use briarrail_dispatch::{CrashQuarantine, EvacuationLedger, TargetRoster, ViewTime, ViewTracker};
+use briarrail_dispatch::{
+    CrashQuarantine, EvacuationLedger, ReleaseGate, TargetRoster, ViewTime, ViewTracker,
+};
 use briarrail_model::MilliDuration;
 use briarrail_peer::{FrameCodec, KeyRing, SharedKey, SyncRouter};
 use briarrail_settings::{FleetLimits, GatewaySettings};
@@ -28,6 +30,7 @@
 use super::hub_sync::run_hub_sync;
 use super::monitoring_server::serve_monitoring;
 use super::origin_exchange::{OriginExchange, run_origin_exchange};
+use super::release_admission::AdmissionCall;
 use super::release_records::maintain_releases;
 use super::roster_log::RosterLog;
 use super::router_registration::maintain_registration;
@@ -102,13 +105,14 @@
     let origins = UdpSocket::from_std(listeners.origins)?;
     let mut sigterm = signal(SignalKind::terminate())?;
     let mut sighup = signal(SignalKind::hangup())?;
-    let state = Rc::new(RefCell::new(new_state(&inputs)));
+    let (admissions, admission_calls) = unbounded_channel();
+    let state = Rc::new(RefCell::new(new_state(&inputs, admissions)));
     let (failures, mut failed_tasks) = unbounded_channel();
     spawn_store_tasks(&state, &store);
     let serving = serve_peers(Rc::clone(&state), peers);
     spawn_essential("peers", failures.clone(), serving);
     let exchange = OriginExchange::new(Rc::clone(&state), store.clone(), origins);
-    let exchanging = run_origin_exchange(exchange, listeners.origin_calls);
+    let exchanging = run_origin_exchange(exchange, listeners.origin_calls, admission_calls);
     spawn_essential("stream origins", failures.clone(), exchanging);
     let readiness_state = Rc::clone(&state);
     let path = inputs.dialect.readiness_path();
@@ -198,7 +202,10 @@
     settings.link_mbps.min(core_mbps).max(1.0).log2() as u8
 }
 
-fn new_state<D>(inputs: &ControlInputs<D>) -> ControlState {
+fn new_state<D>(
+    inputs: &ControlInputs<D>,
+    admissions: UnboundedSender<AdmissionCall>,
+) -> ControlState {
     let settings = &inputs.settings;
     let key = SharedKey::new(settings.exchange_key.reveal().as_bytes());
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -224,6 +231,8 @@
         config_requested_at: None,
         config_requested_by: None,
         peers: std::collections::BTreeMap::new(),
+        has_predecessor: false,
+        router_left_at: None,
         hub_counts: None,
         hub_starting_at: None,
         config_time: ViewTime::Unknown,
@@ -240,6 +249,10 @@
         sync_round_trip: MilliDuration::ZERO,
         followed: None,
         releases: None,
+        gate: ReleaseGate::default(),
+        has_usable_targets: false,
+        gate_wakeup: Rc::default(),
+        admissions,
     }
 }
 
--- a/crates/briarrail_gateway/src/control/control_state.rs
+++ b/crates/briarrail_gateway/src/control/control_state.rs
@@ -6,8 +6,9 @@
 use std::sync::atomic::Ordering;
 
 use briarrail_dispatch::{
-    CrashQuarantine, EvacuationLedger, GreetingState, HubCandidate, ReleaseLedger, RosterChange,
-    TargetRoster, ViewTime, ViewTracker, choose_hub, choose_view_sources,
+    CrashQuarantine, EvacuationLedger, GreetingState, HubCandidate, ReleaseGate, ReleaseLedger,
+    RosterChange, TargetRoster, ViewTime, ViewTracker, can_precede_process, choose_hub,
+    choose_view_sources,
 };
 use briarrail_model::{
     DataCentre, HostName, MilliDuration, MilliTime, RegionName, StableHash, hash_pair,
@@ -17,6 +18,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::config_exchange::HeldConfig;
+use super::release_admission::AdmissionCall;
 use super::roster_log::RosterLog;
 use super::unreadable_entries::UnreadableEntries;
 use crate::fleet_counts::FleetCounts;
@@ -98,6 +100,10 @@
     /// Router that asked for this router's configuration.
     pub(crate) config_requested_by: Option<HostName>,
     pub(crate) peers: BTreeMap<HostName, PeerState>,
+    /// Whether a router of this name was listed before this process had written its entry.
+    pub(crate) has_predecessor: bool,
+    /// Time at which the last router was forgotten.
+    pub(crate) router_left_at: Option<MilliTime>,
     pub(crate) hub_counts: Option<HubCounts>,
     /// Time of the last reply of a hub that had no view of the store yet because it was starting.
     pub(crate) hub_starting_at: Option<MilliTime>,
@@ -130,6 +136,14 @@
     pub(crate) followed: Option<SyncRouter>,
     /// Releases that the store lists; `None` until this router has read them.
     pub(crate) releases: Option<ReleaseLedger>,
+    /// Releases whose targets the traffic thread knows.
+    pub(crate) gate: ReleaseGate,
+    /// Whether each service has had a release whose targets the traffic thread knows.
+    pub(crate) has_usable_targets: bool,
+    /// Wakes the task that asks for admissions when targets of a new release are listed.
+    pub(crate) gate_wakeup: Rc<Notify>,
+    /// Requests of other routers to be listed as users of releases.
+    pub(crate) admissions: UnboundedSender<AdmissionCall>,
 }
 
 impl ControlState {
@@ -195,13 +209,16 @@
 
     /// Returns whether the router can serve requests.
     pub(crate) fn is_ready(&self) -> bool {
-        self.config.is_some() && self.has_target_list && self.knows_evacuations()
+        self.config.is_some()
+            && self.has_target_list
+            && self.knows_evacuations()
+            && self.has_usable_targets
     }
 
     /// Logs roster changes and forwards them to the traffic thread.
     pub(crate) fn apply_roster_changes(
         &mut self,
-        mut changes: Vec<RosterChange>,
+        changes: Vec<RosterChange>,
         source: &'static str,
     ) {
         if changes.is_empty() {
@@ -211,8 +228,7 @@
             self.log_roster_change(change, source);
         }
         self.roster_log.record(&changes);
-        let knows_evacuations = self.knows_evacuations();
-        changes.retain(|change| knows_evacuations || !matches!(change, RosterChange::Upserted(_)));
+        let changes = self.withhold_targets(changes);
         self.send_update(ControlUpdate::Roster(changes));
     }
 
@@ -337,13 +353,32 @@
             let contact = peer.last_contact_at;
             contact.is_some_and(|at| now.since(at) <= RECENT_CONTACT_WINDOW)
         };
-        self.peers
-            .retain(|name, peer| listed(name) || is_recent(peer));
+        self.retain_routers(|name, peer| listed(name) || is_recent(peer), now);
         for router in routers {
             self.upsert_router(router, now);
         }
     }
 
+    /// Forgets the routers that are not to be kept.
+    pub(crate) fn retain_routers<F>(&mut self, is_kept: F, now: MilliTime)
+    where
+        F: Fn(&HostName, &PeerState) -> bool,
+    {
+        let count = self.peers.len();
+        self.peers.retain(|name, peer| is_kept(name, peer));
+        if self.peers.len() < count {
+            self.router_left_at = Some(now);
+        }
+    }
+
+    /// Returns whether a router may have been lost with streams under way: the one before this process,
+    /// or one that is listed no more.
+    pub(crate) fn knows_lost_router(&self, now: MilliTime) -> bool {
+        let predecessor = self.has_predecessor.then(MilliTime::default);
+        let mut losses = predecessor.into_iter().chain(self.router_left_at);
+        losses.any(|at| can_precede_process(now.since(at)))
+    }
+
     /// Returns a digest of the known routers.
     pub(crate) fn routers_digest(&self) -> u64 {
         let router_hash = |router: &SyncRouter| {
--- a/crates/briarrail_gateway/src/control/evacuation_exchange.rs
+++ b/crates/briarrail_gateway/src/control/evacuation_exchange.rs
@@ -3,9 +3,7 @@
 //! Views are ordered by their position in the history of the store, so a slower router does not
 //! bring back what a faster one has replaced.
 
-use briarrail_dispatch::{
-    EvacuationChange, EvacuationPosition, EvacuationView, RosterChange, ViewTime,
-};
+use briarrail_dispatch::{EvacuationChange, EvacuationPosition, EvacuationView, ViewTime};
 use briarrail_model::{DataCentre, MilliDuration, MilliTime};
 use briarrail_peer::EvacuationList;
 
@@ -41,9 +39,7 @@
         self.apply_evacuation_changes(&changes, source, age);
         if !was_known {
             // The traffic thread gets no targets before it knows which of them are evacuated.
-            let records = self.roster.records().cloned();
-            let changes = records.map(RosterChange::Upserted).collect();
-            self.send_update(ControlUpdate::Roster(changes));
+            self.send_targets(|_| true);
         }
     }
 
--- a/crates/briarrail_gateway/src/control/hub_server.rs
+++ b/crates/briarrail_gateway/src/control/hub_server.rs
@@ -18,6 +18,7 @@
 
 use super::SharedControlState;
 use super::control_state::ControlState;
+use super::release_admission::{ADMISSION_PATH, answer_admission_frame};
 use super::suspect_exchange::EncodedReports;
 use crate::fleet_counts::FleetCounts;
 
@@ -81,7 +82,8 @@
         *response.status_mut() = status;
         response
     };
-    if request.uri().path() != SYNC_PATH {
+    let path = request.uri().path().to_owned();
+    if path != SYNC_PATH && path != ADMISSION_PATH {
         return Ok(empty_response(StatusCode::NOT_FOUND));
     }
     let Ok(frame) = Limited::new(request.into_body(), MAX_FRAME_BYTES)
@@ -90,7 +92,12 @@
     else {
         return Ok(empty_response(StatusCode::PAYLOAD_TOO_LARGE));
     };
-    let reply = handle_frame(&mut state.borrow_mut(), &frame.to_bytes());
+    let frame = frame.to_bytes();
+    let reply = if path == ADMISSION_PATH {
+        answer_admission_frame(&state, &frame).await
+    } else {
+        handle_frame(&mut state.borrow_mut(), &frame)
+    };
     Ok(match reply {
         Ok(reply) => Response::new(Full::new(reply)),
         Err(error) => {
--- /dev/null
+++ b/crates/briarrail_gateway/src/control/live_router.rs
@@ -0,0 +1,15 @@
+//! A router that answered a question about a stream.
+
+use briarrail_dispatch::ReleaseUser;
+use briarrail_model::MilliTime;
+
+/// A router that answered a question about a stream.
+#[derive(Debug, Clone)]
+pub(super) struct LiveRouter {
+    /// The router process.
+    pub(super) user: ReleaseUser,
+    /// Whether it knows of a router that may have been lost with streams under way.
+    pub(super) knows_lost_router: bool,
+    /// Time of the answer.
+    pub(super) answered_at: MilliTime,
+}
--- a/crates/briarrail_gateway/src/control/origin_exchange.rs
+++ b/crates/briarrail_gateway/src/control/origin_exchange.rs
@@ -6,24 +6,28 @@
 //! a connection would cost more than the message.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use briarrail_dispatch::{
-    LiveOrigins, ReleaseKey, ServiceRelease, StreamKey, StreamOrigins, is_in_touch, origin_holders,
-    origin_sources, origin_witnesses, sole_release,
+    LiveOrigins, ReleaseEntry, ReleaseKey, ReleaseUser, ReleaseUsers, ServiceRelease, StreamKey,
+    StreamOrigins, is_in_touch, origin_holders, origin_sources, origin_witnesses, sole_release,
 };
 use briarrail_model::{HostName, MilliTime, StableHash};
-use briarrail_peer::{Envelope, FrameError, MessageKind, OriginMessage, OriginNotice};
+use briarrail_peer::{
+    Envelope, FrameError, MessageKind, OriginAnswer, OriginMessage, OriginNotice,
+};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, watch};
 
 use super::SharedControlState;
 use super::control_state::ControlState;
+use super::live_router::LiveRouter;
 use super::origin_store::OriginStore;
+use super::release_admission::{AdmissionCall, answer_admission, request_admission};
 use crate::SiteStore;
 use crate::traffic::{OriginCall, StreamOrigin};
 
@@ -46,24 +50,24 @@
 /// Answer of another router to a question; no release if it does not know the stream.
 #[derive(Debug)]
 struct SourceAnswer {
-    source: HostName,
+    source: LiveRouter,
     release: Option<ReleaseKey>,
 }
 
 /// What other routers answered to a question.
 #[derive(Debug)]
-struct SourceAnswers {
+pub(super) struct SourceAnswers {
     asked: usize,
-    /// Number of routers that answered that they don't know the stream.
-    answered: usize,
-    release: Option<ReleaseKey>,
+    /// Routers that answered that they don't know the stream.
+    pub(super) answered: Vec<LiveRouter>,
+    pub(super) release: Option<ReleaseKey>,
 }
 
 /// Knows where streams began, from this router's own streams and from other routers.
 #[derive(Debug)]
 pub(crate) struct OriginExchange<S> {
-    state: SharedControlState,
-    store: OriginStore<S>,
+    pub(super) state: SharedControlState,
+    pub(super) store: OriginStore<S>,
     socket: UdpSocket,
     origins: RefCell<StreamOrigins>,
     /// This router's own streams.
@@ -74,7 +78,23 @@
     searches: RefCell<HashMap<(StreamKey, u64), UnboundedSender<SourceAnswer>>>,
     last_search: Cell<u64>,
     /// Streams that this router writes to the store for its data centre.
-    recorded_streams: RefCell<LiveOrigins>,
+    pub(super) recorded_streams: RefCell<LiveOrigins>,
+    /// Users of guarded releases that this router lists on its page in the store.
+    pub(super) users: RefCell<ReleaseUsers>,
+    /// Number of changes of the page that other routers wait for.
+    pub(super) page_changes: Cell<u64>,
+    /// Number of these changes that the store has.
+    pub(super) stored_changes: watch::Sender<u64>,
+    /// Wakes the task that writes the page.
+    pub(super) page_requests: Notify,
+    /// Epoch of the store to which the page was last written.
+    page_epoch: Cell<u64>,
+    /// Routers that answered lately that they don't know a stream.
+    pub(super) live_routers: RefCell<BTreeMap<HostName, LiveRouter>>,
+    /// Whether this router is asking for admission to releases.
+    pub(super) is_requesting_admission: Cell<bool>,
+    /// Number of consecutive requests for admission that failed.
+    pub(super) failed_admissions: Cell<usize>,
     /// Router that was told of this router's streams last, to write them to the store.
     recorder: RefCell<Option<HostName>>,
     /// Releases of the services of which several serve; only their streams are told of.
@@ -96,12 +116,20 @@
             searches: RefCell::default(),
             last_search: Cell::new(0),
             recorded_streams: RefCell::default(),
+            users: RefCell::default(),
+            page_changes: Cell::default(),
+            stored_changes: watch::Sender::new(0),
+            page_requests: Notify::new(),
+            page_epoch: Cell::default(),
+            live_routers: RefCell::default(),
+            is_requesting_admission: Cell::default(),
+            failed_admissions: Cell::default(),
             recorder: RefCell::default(),
             ambiguous: RefCell::default(),
         }
     }
 
-    fn now(&self) -> MilliTime {
+    pub(super) fn now(&self) -> MilliTime {
         self.state.borrow().clock.now()
     }
 
@@ -170,7 +198,8 @@
 
     /// Finds where a stream began: from this router's memory, from other routers, or because only
     /// one release can have begun it.
-    async fn find(&self, stream: StreamKey, service: &str) -> StreamOrigin {
+    async fn find(&self, stream: StreamKey, service: &str, is_inferable: bool) -> StreamOrigin {
+        let asked_at = self.now();
         if let Some(release) = self.find_local(stream) {
             return StreamOrigin::Known(release, "local");
         }
@@ -188,17 +217,24 @@
         let Some(listed) = self.store.read_releases().await else {
             return self.find_without_store(stream, service).await;
         };
-        if let Some(release) = self.sole_release(service, &listed) {
+        if let Some(release) = self.sole_release(service, &release_set(&listed)) {
             return StreamOrigin::Known(release, "sole");
         }
         let Some(origins) = self.store.read_origins().await else {
             return StreamOrigin::Unavailable;
         };
-        let release = origins.get(&stream).copied();
-        release.map_or(StreamOrigin::Ambiguous, |release| {
+        if let Some(release) = origins.streams.get(&stream).copied() {
             self.record(stream, release);
-            StreamOrigin::Known(release, "store")
-        })
+            return StreamOrigin::Known(release, "store");
+        }
+        if !is_inferable {
+            return StreamOrigin::Ambiguous;
+        }
+        let origin = self.infer_origin(stream, service, asked_at).await;
+        if let StreamOrigin::Known(release, _) = origin {
+            self.record(stream, release);
+        }
+        origin
     }
 
     /// Finds where a stream began while the store can't be read.
@@ -219,11 +255,12 @@
             self.record(stream, release);
             return StreamOrigin::Known(release, "router");
         }
-        let is_in_touch = is_in_touch(answers.asked, answers.answered);
+        let answered = answers.answered.len();
+        let is_in_touch = is_in_touch(answers.asked, answered);
         tracing::info!(
             event = "stream_origin_witnesses",
             asked = answers.asked,
-            answered = answers.answered,
+            answered,
             is_in_touch,
         );
         let sole = followed.and_then(|followed| self.sole_release(service, &followed));
@@ -244,7 +281,7 @@
     }
 
     /// Asks other routers where a stream began.
-    async fn ask(
+    pub(super) async fn ask(
         &self,
         stream: StreamKey,
         mut sources: Vec<(HostName, SocketAddr)>,
@@ -254,13 +291,14 @@
         self.last_search.set(search.1);
         let (sender, mut answers) = unbounded_channel();
         self.searches.borrow_mut().insert(search, sender);
+        let mut answered = Vec::new();
         let mut release = None;
         for _ in 0..MAX_QUESTIONS {
             for (source, address) in &sources {
                 let message = OriginMessage::Query(stream.0.0);
                 self.send(source, *address, message).await;
             }
-            release = await_answers(&mut answers, &mut sources).await;
+            release = await_answers(&mut answers, &mut sources, &mut answered).await;
             if release.is_some() || sources.is_empty() {
                 break;
             }
@@ -268,14 +306,14 @@
         self.searches.borrow_mut().remove(&search);
         SourceAnswers {
             asked,
-            answered: asked - sources.len(),
+            answered,
             release,
         }
     }
 
     /// Updates which releases need their streams told of, and tells of those under way that are new
     /// among them, or of all if another router is to write them to the store.
-    async fn update_ambiguous(&self) {
+    pub(super) async fn update_ambiguous(&self) {
         let now = self.now();
         let (found, recorder) = {
             let state = self.state.borrow();
@@ -285,7 +323,9 @@
             (state.ambiguous_releases(), recorder)
         };
         self.own_streams.borrow_mut().retain(|_| true, now);
-        let is_kept = |release| found.contains(&release);
+        self.drop_users();
+        let has_users = !self.users.borrow().is_empty();
+        let is_kept = |release| has_users || found.contains(&release);
         self.recorded_streams.borrow_mut().retain(is_kept, now);
         let is_same = self.recorder.replace(recorder.clone()) == recorder;
         let known = self.ambiguous.replace(found.clone());
@@ -335,24 +375,59 @@
 
     /// Writes the new origins to the store.
     async fn write_origins(&self) {
-        let is_recorder = {
+        let (is_recorder, epoch) = {
             let state = self.state.borrow();
-            state.is_listed && state.origin_recorder().is_none()
+            let is_recorder = state.is_listed && state.origin_recorder().is_none();
+            (is_recorder, state.store_epoch())
         };
-        if !is_recorder || self.ambiguous.borrow().is_empty() {
+        let has_streams = is_recorder && !self.ambiguous.borrow().is_empty();
+        let has_users = !self.users.borrow().is_empty();
+        if (!has_streams && !has_users) || !self.store.choose_page(&self.users).await {
             return;
         }
-        let Some(number) = self.store.choose_page().await else {
-            return;
-        };
+        if self.page_epoch.replace(epoch) != epoch {
+            // A restore of the store may have taken the page back.
+            self.recorded_streams.borrow_mut().request_page();
+        }
+        let change = self.page_changes.get();
         let Some(streams) = self.recorded_streams.borrow_mut().next_page() else {
             return;
         };
-        if self.store.write_page(number, streams).await {
+        let users = self.users.borrow().clone();
+        let is_partial = self.recorded_streams.borrow().is_partial(self.now());
+        if self.store.write_page(streams, users, is_partial).await {
             self.recorded_streams.borrow_mut().confirm_page();
+            self.stored_changes.send_replace(change);
         }
     }
 
+    /// Drops the users of releases that the store lists no more.
+    fn drop_users(&self) {
+        let state = self.state.borrow();
+        let Some(ledger) = &state.releases else {
+            return;
+        };
+        let in_use = state.releases_in_use();
+        let listed = ledger.listed().union(&in_use);
+        let listed: BTreeSet<ReleaseKey> = listed.map(ServiceRelease::key).collect();
+        let mut users = self.users.borrow_mut();
+        users.retain(|release, _| listed.contains(release));
+    }
+
+    /// Returns this router's streams of services of which several releases serve.
+    pub(super) fn ambiguous_streams(&self) -> Vec<OriginNotice> {
+        let streams = self.own_streams.borrow();
+        let ambiguous = self.ambiguous.borrow();
+        let notices = ambiguous.iter().flat_map(|release| {
+            let streams = streams.of_release(*release);
+            streams.map(|stream| OriginNotice {
+                stream: stream.0.0,
+                release: Some(release.0.0),
+            })
+        });
+        notices.collect()
+    }
+
     async fn send(&self, receiver: &HostName, address: SocketAddr, message: OriginMessage) {
         let frame = self.seal(receiver, message);
         let sent = match frame {
@@ -412,18 +487,30 @@
             }
             OriginMessage::Query(stream) => {
                 let release = self.find_local(StreamKey(StableHash(stream)));
-                let answer = OriginNotice {
+                let answer = OriginAnswer {
                     stream,
                     release: release.map(|release| release.0.0),
+                    knows_lost_router: self.state.borrow().knows_lost_router(self.now()),
                 };
                 let message = OriginMessage::Answer(answer);
                 self.send(&envelope.from, sender, message).await;
             }
-            OriginMessage::Answer(answer) => self.handle_answer(&envelope.from, answer),
+            OriginMessage::Answer(answer) => {
+                let user = ReleaseUser {
+                    router: envelope.from,
+                    incarnation: envelope.incarnation,
+                };
+                let source = LiveRouter {
+                    user,
+                    knows_lost_router: answer.knows_lost_router,
+                    answered_at: self.now(),
+                };
+                self.handle_answer(&source, answer);
+            }
         }
     }
 
-    fn handle_answer(&self, source: &HostName, answer: OriginNotice) {
+    fn handle_answer(&self, source: &LiveRouter, answer: OriginAnswer) {
         let stream = StreamKey(StableHash(answer.stream));
         let searches = self.searches.borrow();
         let receivers = searches.iter().filter(|((asked, _), _)| *asked == stream);
@@ -441,8 +528,16 @@
     }
 }
 
+/// Returns the releases of entries of the store.
+fn release_set(entries: &[ReleaseEntry]) -> BTreeSet<ServiceRelease> {
+    entries.iter().map(|entry| entry.release.clone()).collect()
+}
+
 /// Returns the names and addresses of some of the other routers.
-fn addresses(state: &ControlState, names: Vec<&HostName>) -> Vec<(HostName, SocketAddr)> {
+pub(super) fn addresses<'n, N>(state: &ControlState, names: N) -> Vec<(HostName, SocketAddr)>
+where
+    N: IntoIterator<Item = &'n HostName>,
+{
     let routers = names.into_iter().filter_map(|name| state.peers.get(name));
     routers
         .map(|peer| (peer.router.name.clone(), peer.router.address))
@@ -454,6 +549,7 @@
 async fn await_answers(
     answers: &mut UnboundedReceiver<SourceAnswer>,
     sources: &mut Vec<(HostName, SocketAddr)>,
+    answered: &mut Vec<LiveRouter>,
 ) -> Option<ReleaseKey> {
     let deadline = tokio::time::Instant::now() + ANSWER_TIMEOUT;
     while !sources.is_empty() {
@@ -464,7 +560,8 @@
         if answer.release.is_some() {
             return answer.release;
         }
-        sources.retain(|(source, _)| *source != answer.source);
+        sources.retain(|(source, _)| *source != answer.source.user.router);
+        answered.push(answer.source);
     }
     None
 }
@@ -473,6 +570,7 @@
 pub(crate) async fn run_origin_exchange<S>(
     exchange: OriginExchange<S>,
     mut calls: UnboundedReceiver<OriginCall>,
+    mut admissions: UnboundedReceiver<AdmissionCall>,
 ) where
     S: SiteStore,
 {
@@ -486,12 +584,20 @@
                     exchange.record_begin(stream, release).await;
                 }
                 Some(OriginCall::Ended(stream)) => exchange.record_end(stream),
-                Some(OriginCall::Find { stream, service, reply }) => {
+                Some(OriginCall::Find { stream, service, is_inferable, reply }) => {
                     let exchange = Rc::clone(&exchange);
-                    tokio::task::spawn_local(answer_call(exchange, stream, service, reply));
+                    tokio::task::spawn_local(async move {
+                        let origin = exchange.find(stream, &service, is_inferable).await;
+                        if reply.send(origin).is_err() {
+                            tracing::debug!("the caller of a stream has disconnected");
+                        }
+                    });
                 }
                 None => return,
             },
+            Some(call) = admissions.recv() => {
+                tokio::task::spawn_local(answer_admission(Rc::clone(&exchange), call));
+            }
             received = exchange.socket.recv_from(&mut buffer) => match received {
                 Ok((length, sender)) => exchange.receive(&buffer[..length], sender).await,
                 Err(error) => {
@@ -503,30 +609,22 @@
     }
 }
 
-/// Tells of streams and writes their origins to the store while several releases serve,
-/// indefinitely.
+/// Asks for the use of new releases, and tells of streams and writes their origins to the store while
+/// several releases serve, indefinitely.
 async fn record_origins<S>(exchange: Rc<OriginExchange<S>>)
 where
     S: SiteStore,
 {
+    let gate_wakeup = Rc::clone(&exchange.state.borrow().gate_wakeup);
     loop {
-        tokio::time::sleep(RECORD_INTERVAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(RECORD_INTERVAL) => {}
+            () = gate_wakeup.notified() => {}
+            () = exchange.page_requests.notified() => {}
+        }
+        request_admission(&exchange);
         exchange.update_ambiguous().await;
         exchange.tell_ended().await;
         exchange.write_origins().await;
     }
 }
-
-async fn answer_call<S>(
-    exchange: Rc<OriginExchange<S>>,
-    stream: StreamKey,
-    service: String,
-    reply: oneshot::Sender<StreamOrigin>,
-) where
-    S: SiteStore,
-{
-    let origin = exchange.find(stream, &service).await;
-    if reply.send(origin).is_err() {
-        tracing::debug!("the caller of a stream has disconnected");
-    }
-}
--- a/crates/briarrail_gateway/src/control/release_records.rs
+++ b/crates/briarrail_gateway/src/control/release_records.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use briarrail_dispatch::{ReleaseKey, ReleaseLedger, ServiceRelease, TargetRecord};
+use briarrail_dispatch::{ReleaseEntry, ReleaseKey, ReleaseLedger, ServiceRelease, TargetRecord};
 use briarrail_model::{MilliDuration, MilliTime};
 use briarrail_platform::StoreError;
 
@@ -16,6 +16,9 @@
 const CALL: &str = "releases";
 /// Interval at which the entries are compared with the targets in use.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which a router that starts checks whether it can read the entries; its targets wait for
+/// them.
+const STARTUP_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which the router that maintains the entries reads them again, in case another one
 /// changed them.
 const LIST_INTERVAL: MilliDuration = MilliDuration::from_secs(15);
@@ -40,14 +43,22 @@
 
     /// Returns the releases of the targets that this router knows.
     pub(crate) fn releases_in_use(&self) -> BTreeSet<ServiceRelease> {
-        self.roster.records().map(ServiceRelease::from).collect()
+        let records = self.roster.records();
+        let names: BTreeSet<(&str, &str)> = records
+            .map(|record| (record.service.as_str(), record.version.as_str()))
+            .collect();
+        let releases = names.into_iter().map(|(service, version)| ServiceRelease {
+            service: service.to_owned(),
+            version: version.to_owned(),
+        });
+        releases.collect()
     }
 }
 
 /// Adds the entries of releases that are new, before their targets are used.
 ///
-/// A target is also used without an entry, if the store does not take it in time: its streams can
-/// then not be continued after a loss of all routers, while without the target fewer would begin.
+/// The list of targets is not held back for longer if the store doesn't take an entry; whether the
+/// targets are used is up to the [`ReleaseGate`](briarrail_dispatch::ReleaseGate).
 pub(crate) async fn list_new_releases<'r, S, R>(state: &SharedControlState, store: &S, records: R)
 where
     S: SiteStore,
@@ -76,13 +87,23 @@
     E: std::fmt::Display,
 {
     tracing::warn!(
-        event = "release_used_without_entry",
+        event = "release_without_entry",
         service = release.service,
         version = release.version,
         %error,
     );
 }
 
+/// The last successful read of the entries.
+struct EntryRead {
+    at: MilliTime,
+    /// Epoch of the store.
+    epoch: u64,
+    /// Whether this router maintained the entries then; what it has followed since as another one's
+    /// follower may not be in the store.
+    is_maintainer: bool,
+}
+
 /// Keeps the entries equal to the releases in use while this router reads the store for the others.
 ///
 /// The others read the entries when they start, and then follow them by the targets.
@@ -90,9 +111,14 @@
 where
     S: SiteStore,
 {
-    let mut listed_at: Option<(MilliTime, u64)> = None;
+    let mut last_read: Option<EntryRead> = None;
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        let interval = if last_read.is_some() {
+            CHECK_INTERVAL
+        } else {
+            STARTUP_INTERVAL
+        };
+        tokio::time::sleep(interval).await;
         let (now, epoch, is_maintainer, has_targets) = {
             let state = state.borrow();
             let is_maintainer = state.maintains_releases();
@@ -107,8 +133,9 @@
         if !has_targets {
             continue;
         }
-        let is_current = listed_at.is_some_and(|(at, listed_epoch)| {
-            !is_maintainer || (now.since(at) < LIST_INTERVAL && listed_epoch == epoch)
+        let is_current = last_read.as_ref().is_some_and(|read| {
+            let is_recent = now.since(read.at) < LIST_INTERVAL && read.epoch == epoch;
+            !is_maintainer || (read.is_maintainer && is_recent)
         });
         if !is_current {
             // The others need no current list: the maintainer adds what it lacks to the store, and their
@@ -119,9 +146,16 @@
                 ReadConsistency::AllowStale
             };
             match read_entries(&state, &store, consistency).await {
-                Ok(()) => listed_at = Some((now, epoch)),
+                Ok(()) => {
+                    last_read = Some(EntryRead {
+                        at: now,
+                        epoch,
+                        is_maintainer,
+                    });
+                }
                 Err(error) => {
                     tracing::warn!(event = "releases_not_read", %error);
+                    tokio::time::sleep(CHECK_INTERVAL).await;
                     continue;
                 }
             }
@@ -144,9 +178,11 @@
 {
     let outcome = store.list_releases(consistency).await;
     count_call(state, &outcome);
+    let entries = outcome?;
     let mut state = state.borrow_mut();
     let ledger = state.releases.get_or_insert_with(ReleaseLedger::default);
-    ledger.replace_listed(outcome?);
+    ledger.replace_listed(entries.iter().cloned());
+    state.admit_unguarded(&entries);
     Ok(())
 }
 
@@ -155,7 +191,7 @@
 where
     S: SiteStore,
 {
-    let (unlisted, expired) = {
+    let (unlisted, expired, sole) = {
         let mut state = state.borrow_mut();
         let now = state.clock.now();
         let in_use = state.releases_in_use();
@@ -163,8 +199,19 @@
             return Ok(());
         };
         let unlisted = ledger.unlisted(in_use.iter().cloned());
-        (unlisted, ledger.expired(&in_use, now))
+        (
+            unlisted,
+            ledger.expired(&in_use, now),
+            ledger.sole_guarded(),
+        )
     };
+    for release in sole {
+        let outcome = store.open_release(&release).await;
+        count_call(state, &outcome);
+        outcome?;
+        log_change("release_entry_opened", &release);
+        record_listed(state, release, false);
+    }
     for release in unlisted {
         add_entry(state, store, release).await?;
     }
@@ -188,7 +235,10 @@
         return;
     };
     for release in ledger.unlisted(in_use.iter().cloned()) {
-        ledger.record_listed(release);
+        ledger.record_listed(ReleaseEntry {
+            release,
+            is_guarded: true,
+        });
     }
     for release in ledger.expired(&in_use, now) {
         ledger.record_removed(&release);
@@ -203,14 +253,26 @@
 where
     S: SiteStore,
 {
-    let outcome = store.put_release(&release).await;
+    let entry = {
+        let mut state = state.borrow_mut();
+        let ledger = state.releases.get_or_insert_with(ReleaseLedger::default);
+        ledger.new_entry(release.clone())
+    };
+    let outcome = store.add_release(&entry).await;
     count_call(state, &outcome);
     outcome?;
     log_change("release_entry_added", &release);
+    record_listed(state, release, entry.is_guarded);
+    Ok(())
+}
+
+fn record_listed(state: &SharedControlState, release: ServiceRelease, is_guarded: bool) {
     if let Some(ledger) = state.borrow_mut().releases.as_mut() {
-        ledger.record_listed(release);
+        ledger.record_listed(ReleaseEntry {
+            release,
+            is_guarded,
+        });
     }
-    Ok(())
 }
 
 pub(crate) fn count_call<T>(state: &SharedControlState, outcome: &Result<T, StoreError>) {
--- a/crates/briarrail_gateway/src/control/router_registration.rs
+++ b/crates/briarrail_gateway/src/control/router_registration.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 
 use super::SharedControlState;
-use super::control_state::ControlState;
+use super::control_state::{ControlState, PeerState};
 use super::store_health::{StoreHealth, read_conditions};
 use crate::traffic::StopPhase;
 use crate::{RouterListing, RouterRecord, SiteStore};
@@ -114,6 +114,9 @@
         if listing.revision.epoch < epoch {
             return;
         }
+        let mut records = listing.records.iter();
+        let has_own_name = records.any(|record| record.name == local.name);
+        state.has_predecessor |= has_own_name && own_entry.written_at.is_none() && !state.is_listed;
         let is_listed = listing.records.contains(local);
         if is_listed {
             state.record_listed();
@@ -152,7 +155,9 @@
             Ok(()) => tracing::info!(event = "router_entry_removed", router = %name),
             Err(error) => tracing::warn!(event = "router_entry_kept", router = %name, %error),
         }
-        state.borrow_mut().peers.remove(&name);
+        let mut state = state.borrow_mut();
+        let now = state.clock.now();
+        state.retain_routers(|other, _| *other != name, now);
     }
 }
 
@@ -172,10 +177,11 @@
     let is_inactive = |at: MilliTime| now.since(at) >= MAX_CONTACT_AGE;
     let is_recent = |at: MilliTime| now.since(at) < RESTORE_GRACE;
     let keeps_unlisted = state.restored_at.is_some_and(is_recent);
-    state.peers.retain(|name, peer| {
+    let is_kept = |name: &HostName, peer: &PeerState| {
         let is_active = peer.last_contact_at.is_some_and(|at| !is_inactive(at));
         is_active || keeps_unlisted || listed.contains(name)
-    });
+    };
+    state.retain_routers(is_kept, now);
     let peers = state.peers.values();
     let inactive = peers.filter(|peer| peer.last_contact_at.is_some_and(is_inactive));
     inactive.map(|peer| peer.router.clone()).collect()
--- a/crates/briarrail_gateway/src/site_store.rs
+++ b/crates/briarrail_gateway/src/site_store.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use briarrail_dispatch::{
-    CrashSuspect, OriginPage, RosterRecord, ServiceRelease, SiteConfig, TargetRecord,
+    CrashSuspect, OriginPage, ReleaseEntry, ReleaseUsers, RosterRecord, ServiceRelease, SiteConfig,
+    TargetRecord,
 };
 use briarrail_model::{DataCentre, HostName};
 use briarrail_platform::StoreError;
@@ -124,10 +125,16 @@
 pub struct OriginPageRecord {
     /// The data centre.
     pub data_centre: DataCentre,
-    /// Number of the page; each router that takes over writing begins the next one.
+    /// Number of the page; each router process that begins to write takes the next one.
     pub number: u64,
+    /// Identifies the router process that writes the page.
+    pub owner: u64,
     /// The streams, by the release that began them.
     pub streams: OriginPage,
+    /// Router processes that may begin streams at guarded releases.
+    pub users: ReleaseUsers,
+    /// Whether streams may be missing, for want of room.
+    pub is_partial: bool,
 }
 
 /// How current the result of a read must be.
@@ -263,15 +270,24 @@
     fn list_releases(
         &self,
         age: ReadConsistency,
-    ) -> impl Future<Output = Result<Vec<ServiceRelease>, StoreError>>;
+    ) -> impl Future<Output = Result<Vec<ReleaseEntry>, StoreError>>;
 
-    /// Adds the entry of a release, if it is missing.
+    /// Adds the entry of a release; one that exists stays as it is.
     ///
     /// # Errors
     ///
     /// Fails if the store is unreachable or rejects the call.
-    fn put_release(&self, release: &ServiceRelease)
-    -> impl Future<Output = Result<(), StoreError>>;
+    fn add_release(&self, entry: &ReleaseEntry) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Opens a guarded release to all routers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is unreachable or rejects the call.
+    fn open_release(
+        &self,
+        release: &ServiceRelease,
+    ) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Removes the entry of a release, if it exists.
     ///
@@ -290,8 +306,7 @@
     /// Fails if the store is unreachable or rejects the call.
     fn list_origin_pages(&self) -> impl Future<Output = Result<Vec<OriginPageRecord>, StoreError>>;
 
-    /// Creates or replaces a page with origins of streams; replaces older pages of the data centre
-    /// once there are more than a few.
+    /// Creates or replaces the page of its owner.
     ///
     /// # Errors
     ///
@@ -300,4 +315,14 @@
         &self,
         page: &OriginPageRecord,
     ) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Removes the page of its owner, if it exists.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is unreachable or rejects the call.
+    fn remove_origin_page(
+        &self,
+        page: &OriginPageRecord,
+    ) -> impl Future<Output = Result<(), StoreError>>;
 }
--- a/crates/briarrail_gateway/src/traffic/receive_request.rs
+++ b/crates/briarrail_gateway/src/traffic/receive_request.rs
@@ -178,6 +178,7 @@
         max_connections: 0,
         deadline: MilliTime::default(),
         homes: None,
+        has_short_streams: false,
         resume_point: None,
     }
 }
--- a/crates/briarrail_gateway/src/traffic/request_context.rs
+++ b/crates/briarrail_gateway/src/traffic/request_context.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use briarrail_dispatch::{HomeSet, RouteConfig, RouteSemantics, RoutingTable, SendNeed, StreamKey};
+use briarrail_dispatch::{
+    HomeSet, RouteConfig, RouteSemantics, RoutingTable, SendNeed, StreamKey, can_infer,
+};
 use briarrail_model::{MilliDuration, MilliTime, StableHash, hash_bytes};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, Request, Uri, header};
@@ -57,6 +59,8 @@
     pub(crate) deadline: MilliTime,
     /// Data centres in which the request may run; `None` if it may run in any.
     pub(crate) homes: Option<HomeSet>,
+    /// Whether the origins of the route's streams can be inferred.
+    pub(crate) has_short_streams: bool,
     /// Where the caller continues a stream; `None` if the stream begins with this attempt.
     pub(crate) resume_point: Option<ResumePoint>,
 }
@@ -74,6 +78,7 @@
         self.objective = route.objective;
         self.event_gap = route.event_gap;
         self.max_attempts = route.max_attempts;
+        self.has_short_streams = can_infer(route.timeout);
         let caller_deadline = self.caller.deadline.map(|timeout| arrived_at + timeout);
         let route_deadline = arrived_at + route.timeout;
         self.deadline =
--- a/crates/briarrail_gateway/src/traffic/stream_origin.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_origin.rs
@@ -41,6 +41,8 @@
     Find {
         stream: StreamKey,
         service: String,
+        /// Whether the origin may be inferred if nobody knows it.
+        is_inferable: bool,
         reply: oneshot::Sender<StreamOrigin>,
     },
 }
@@ -111,6 +113,7 @@
     state.send_origin_call(OriginCall::Find {
         stream: context.stream_key(),
         service: context.service.clone(),
+        is_inferable: context.caller.resumed_attempt.is_some() && context.has_short_streams,
         reply,
     });
     let deadline = state.clock.instant(context.deadline);
--- a/crates/briarrail_peer/src/lib.rs
+++ b/crates/briarrail_peer/src/lib.rs
@@ -3,6 +3,7 @@
 //! A frame is a short header with a truncated HMAC-SHA256 tag, followed by an [`Envelope`] in
 //! MessagePack. Structures are encoded as maps, so a receiver ignores fields that it does not know.
 
+mod admission_message;
 mod byte_budget;
 mod claim_message;
 mod envelope;
@@ -18,6 +19,7 @@
 mod pull_request;
 mod sync_message;
 
+pub use admission_message::{AdmissionReply, AdmissionRequest, ReleaseName};
 pub use byte_budget::{ByteBudget, REPLY_HEADER_BYTES, REQUEST_HEADER_BYTES};
 pub use claim_message::{
     ClaimAnswer, ClaimOutcome, ClaimReply, ClaimReport, ClaimRequest, ReportReply,
@@ -31,7 +33,7 @@
 pub use key_ring::{KeyRing, SharedKey};
 pub use load_item::LoadItem;
 pub use message_kind::MessageKind;
-pub use origin_message::{OriginMessage, OriginNotice};
+pub use origin_message::{OriginAnswer, OriginMessage, OriginNotice};
 pub use pull_request::PullRequest;
 pub use sync_message::{
     EvacuationList, RosterUpdate, ServiceDemand, StoredConfig, SyncReply, SyncRequest, SyncRouter,
--- a/crates/briarrail_peer/src/message_kind.rs
+++ b/crates/briarrail_peer/src/message_kind.rs
@@ -24,6 +24,10 @@
     SyncReply,
     /// An [`OriginMessage`](crate::OriginMessage).
     Origin,
+    /// An [`AdmissionRequest`](crate::AdmissionRequest).
+    AdmissionRequest,
+    /// An [`AdmissionReply`](crate::AdmissionReply).
+    AdmissionReply,
 }
 
 impl MessageKind {
@@ -40,6 +44,8 @@
             Self::SyncRequest => 7,
             Self::SyncReply => 8,
             Self::Origin => 9,
+            Self::AdmissionRequest => 10,
+            Self::AdmissionReply => 11,
         }
     }
 }
--- a/crates/briarrail_peer/src/origin_message.rs
+++ b/crates/briarrail_peer/src/origin_message.rs
@@ -13,6 +13,20 @@
     pub release: Option<u64>,
 }
 
+/// What a router knows of a stream that another one asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginAnswer {
+    /// Hash of the identifier of the attempt that brought the stream's first event.
+    #[serde(rename = "s")]
+    pub stream: u64,
+    /// Hash of the service and the version of its targets; `None` if the router doesn't know it.
+    #[serde(rename = "r")]
+    pub release: Option<u64>,
+    /// Whether the router knows of another one that may have been lost with streams under way.
+    #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
+    pub knows_lost_router: bool,
+}
+
 /// A datagram from one router to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OriginMessage {
@@ -27,5 +41,5 @@
     Query(u64),
     /// Answers a query.
     #[serde(rename = "a")]
-    Answer(OriginNotice),
+    Answer(OriginAnswer),
 }
