fix: take a status above 599 for no answer

Cause: the HTTP client takes any three digits from 100, and what is neither a refusal nor a failure of the server was relayed. briarraild also recorded it with the claim. Change: such a status is an invalid answer, on all paths of the gateway by `classify_response` and in briarraild by `TargetResponse::check`. Requests that may be repeated are answered by another target, others get 502.

--- a/crates/briarrail_gateway/src/traffic/response_class.rs
+++ b/crates/briarrail_gateway/src/traffic/response_class.rs
@@ -6,6 +6,9 @@
 
 use crate::{ResponseHeaders, WireDialect};
 
+/// Highest status code of HTTP; the HTTP client takes any of three digits from 100.
+const MAX_STATUS: u16 = 599;
+
 /// What to do with a response, according to its head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ResponseClass {
@@ -37,6 +40,9 @@
     if head.status.is_informational() {
         return ResponseClass::Invalid("interim answer");
     }
+    if head.status.as_u16() > MAX_STATUS {
+        return ResponseClass::Invalid("unknown status class");
+    }
     let is_refusal = marks.not_run || head.status == StatusCode::MISDIRECTED_REQUEST;
     if is_refusal && marks.request_id.is_none() && is_reused_connection {
         return ResponseClass::Invalid("refusal without identifier");
--- a/crates/briarraild/src/traffic/target_response.rs
+++ b/crates/briarraild/src/traffic/target_response.rs
@@ -1,5 +1,7 @@
 //! Response heads from targets.
 
+use std::ops::RangeInclusive;
+
 use briarrail_model::PoolKind;
 use briarrail_outcome::{AttemptEvent, NOT_RUN_HEADER, REQUEST_ID_HEADER, StreamChecker};
 use http::{HeaderMap, StatusCode};
@@ -9,6 +11,9 @@
 const PROMPT_TOKENS_HEADER: &str = "x-prompt-tokens";
 const CACHED_TOKENS_HEADER: &str = "x-cached-tokens";
 
+/// Status codes of final responses; the HTTP client takes any of three digits from 100.
+const STATUS_CODES: RangeInclusive<u16> = 200..=599;
+
 /// A response with a checked head and an unread body.
 #[derive(Debug)]
 pub(crate) struct TargetResponse {
@@ -33,6 +38,9 @@
     ) -> Result<Self, AttemptEvent> {
         let echoed = header_text(response.headers(), REQUEST_ID_HEADER);
         let status = response.status();
+        if !STATUS_CODES.contains(&status.as_u16()) {
+            return Err(AttemptEvent::BadAnswer);
+        }
         let is_refusal = status == StatusCode::TOO_MANY_REQUESTS || status.is_server_error();
         if is_refusal {
             let states_not_run = header_text(response.headers(), NOT_RUN_HEADER) == Some("true");
--- a/crates/briarraild/tests/suite/main.rs
+++ b/crates/briarraild/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the daemon against stand-in targets and platform services.
 
+mod broken_targets;
 mod callers;
 mod claims;
 mod load;
