fix: take the end of a connection with an unfinished upload for no end of an answer

Cause: a body without a length ends with its connection, and nobody looked at whether the request had been taken. A write can also get the error of a reset, and the read after it only the end. Change: reads of the end fail while the last write is unfinished (`UploadStream`), with at most 64 KB of a request unsent in the operating system; briarraild watches whether its client took the last piece of a long body.

--- a/crates/briarrail_gateway/src/net/http_connection.rs
+++ b/crates/briarrail_gateway/src/net/http_connection.rs
@@ -14,11 +14,15 @@
 use tokio::task::JoinHandle;
 
 use super::head_limit::{HeadBudget, LimitedStream};
+use super::upload_stream::UploadStream;
 use crate::traffic::ConnectionSlot;
 
 /// Time after which unacknowledged data, or data for which the receiver has no room, closes a
 /// connection; a sound target may pause for a second before it reads on.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Maximum number of bytes of a request that the operating system takes but has not sent yet. More
+/// would hide from [`UploadStream`] that the receiver has not taken the request.
+const MAX_UNSENT_BYTES: u32 = 64 << 10;
 /// Idle time before the first keepalive probe and between probes; the shortest time that the
 /// operating system accepts.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -59,7 +63,8 @@
         let stream = tokio::time::timeout(timeout, connecting).await??;
         set_socket_options(&stream)?;
         let head_budget = HeadBudget::default();
-        let limited = LimitedStream::new(stream, head_budget.clone());
+        let upload = UploadStream::new(stream);
+        let limited = LimitedStream::new(upload, head_budget.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(limited))
@@ -133,6 +138,7 @@
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+    socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
--- a/crates/briarrail_gateway/src/net/mod.rs
+++ b/crates/briarrail_gateway/src/net/mod.rs
@@ -3,6 +3,7 @@
 mod call_client;
 mod head_limit;
 mod http_connection;
+mod upload_stream;
 
 pub use call_client::{CallClient, CallError, CallErrorKind, CallReply};
 pub(crate) use http_connection::{HttpConnection, SendError};
--- a/crates/briarraild/src/traffic/call_driver.rs
+++ b/crates/briarraild/src/traffic/call_driver.rs
@@ -14,7 +14,7 @@
 
 use super::{
     AdmissionGuard, AttemptHeaders, BufferedResponse, CallPermit, CallRecorder, CallerReply,
-    CallerRequest, ClaimGrant, RoutedCall, TargetResponse, TrafficContext,
+    CallerRequest, ClaimGrant, RoutedCall, TargetResponse, TrafficContext, UploadProgress,
 };
 use crate::state::{InFlightGuard, RouteMatch, TargetEntry, TargetPick};
 
@@ -277,7 +277,9 @@
         self.target = Some(target);
         let kind = self.source.pool.row.kind;
         let is_new_connection = self.is_at_most_once();
-        let response = TargetResponse::check(response?, kind, &request_id, is_new_connection)?;
+        let (response, upload) = response?;
+        let response =
+            TargetResponse::check(response, upload, kind, &request_id, is_new_connection)?;
         if let Some((prompt, cached)) = response.prompt_tokens() {
             self.recorder.record_prompt_tokens(prompt, cached);
             if self.request.is_returning() {
@@ -296,7 +298,7 @@
         &self,
         target: &TargetEntry,
         headers: AttemptHeaders<'_>,
-    ) -> Result<reqwest::Response, AttemptEvent> {
+    ) -> Result<(reqwest::Response, UploadProgress), AttemptEvent> {
         let client = &self.context.client;
         let send = async {
             if self.is_at_most_once() {
--- a/crates/briarraild/src/traffic/mod.rs
+++ b/crates/briarraild/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod target_client;
 mod target_response;
 mod traffic_context;
+mod upload_body;
 
 pub(crate) use admission_guard::AdmissionGuard;
 pub(crate) use call_driver::CallDriver;
@@ -32,3 +33,4 @@
 pub(crate) use target_client::{AttemptHeaders, TargetClient, forwarded_headers};
 pub(crate) use target_response::TargetResponse;
 pub(crate) use traffic_context::TrafficContext;
+pub(crate) use upload_body::{UploadProgress, watched_body};
--- a/crates/briarraild/src/traffic/response_relay.rs
+++ b/crates/briarraild/src/traffic/response_relay.rs
@@ -7,7 +7,6 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http::{HeaderMap, StatusCode};
-use reqwest::Response;
 
 use super::target_response::header_text;
 use super::{CallDriver, CallerReply, ReplyBody, TargetResponse, forwarded_headers};
@@ -17,7 +16,7 @@
     /// The response is complete.
     Complete(BufferedResponse),
     /// The response exceeds the limit: its start, and the response to read the rest from.
-    TooLarge(BufferedResponse, Response),
+    TooLarge(BufferedResponse, TargetResponse),
     /// The response was interrupted; none of it was sent to the caller.
     Interrupted(AttemptEvent),
 }
@@ -59,12 +58,11 @@
 /// Buffers a response until its body ends or exceeds `limit` bytes.
 pub(crate) async fn buffer_response(
     driver: &CallDriver,
-    response: TargetResponse,
+    mut response: TargetResponse,
     limit: u64,
 ) -> BufferResult {
-    let mut response = response.inner;
-    let status = response.status();
-    let headers = forwarded_headers(response.headers());
+    let status = response.inner.status();
+    let headers = forwarded_headers(response.inner.headers());
     let mut body = BytesMut::new();
     loop {
         let buffered = |body: BytesMut| BufferedResponse {
@@ -91,24 +89,20 @@
 
 /// Returns whether an empty body can be that of a success whose target stopped after the head: it has
 /// no length and no chunks, and so ends with its connection.
-fn is_empty_body_lost(driver: &CallDriver, response: &Response) -> bool {
-    let headers = response.headers();
-    let is_bodyless = matches!(
-        response.status(),
-        StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT
-    );
-    response.status().is_success()
+fn is_empty_body_lost(driver: &CallDriver, response: &TargetResponse) -> bool {
+    let status = response.inner.status();
+    let is_bodyless = matches!(status, StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT);
+    status.is_success()
         && !is_bodyless
         && driver.request.method.as_str() != "HEAD"
-        && !headers.contains_key(http::header::CONTENT_LENGTH)
-        && !headers.contains_key(http::header::TRANSFER_ENCODING)
+        && response.ends_with_connection()
 }
 
 /// Relays a response that exceeds the buffer limit; an interruption aborts the transfer.
 pub(crate) fn relay_large_response(
     mut driver: CallDriver,
     buffered: BufferedResponse,
-    response: Response,
+    response: TargetResponse,
 ) -> CallerReply {
     driver.handle(AttemptEvent::HeadReceived);
     let relay = LargeResponseRelay {
@@ -132,7 +126,7 @@
 struct LargeResponseRelay {
     driver: CallDriver,
     buffered: Option<Bytes>,
-    response: Response,
+    response: TargetResponse,
     has_failed: bool,
 }
 
@@ -149,7 +143,7 @@
             Ok(Ok(Some(chunk))) => Some(Ok(chunk)),
             Ok(Ok(None)) => {
                 self.driver
-                    .complete_streamed(self.response.status().as_u16());
+                    .complete_streamed(self.response.inner.status().as_u16());
                 None
             }
             Ok(Err(_)) => Some(Err(self.fail(AttemptEvent::BodyBroken { resume_at: None }))),
--- a/crates/briarraild/src/traffic/target_client.rs
+++ b/crates/briarraild/src/traffic/target_client.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::header::CONTENT_LENGTH;
 use reqwest::{Client, Method, Response};
 
-use super::CallerRequest;
+use super::{CallerRequest, UploadProgress, watched_body};
 use crate::state::TargetEntry;
 
 const IDLE_CONNECTIONS_PER_TARGET: usize = 64;
@@ -86,7 +87,7 @@
         target: &TargetEntry,
         request: &CallerRequest,
         headers: AttemptHeaders<'_>,
-    ) -> reqwest::Result<Response> {
+    ) -> reqwest::Result<(Response, UploadProgress)> {
         send_with(&self.pooled, target, request, headers).await
     }
 
@@ -102,7 +103,7 @@
         target: &TargetEntry,
         request: &CallerRequest,
         headers: AttemptHeaders<'_>,
-    ) -> reqwest::Result<Response> {
+    ) -> reqwest::Result<(Response, UploadProgress)> {
         send_with(&self.single_use, target, request, headers).await
     }
 }
@@ -112,22 +113,26 @@
     target: &TargetEntry,
     request: &CallerRequest,
     headers: AttemptHeaders<'_>,
-) -> reqwest::Result<Response> {
+) -> reqwest::Result<(Response, UploadProgress)> {
     let url = format!("http://{}{}", target.address, request.path_and_query());
     let method = Method::from_bytes(request.method.as_str().as_bytes()).unwrap_or_default();
+    let (body, progress) = watched_body(request.body.clone());
     let mut attempt = client
         .request(method, url)
         .headers(forwarded_headers(&request.headers))
         .header("x-request-id", headers.request_id)
         .header("x-priority", headers.priority)
-        .body(request.body.clone());
+        .body(body);
+    if !request.body.is_empty() {
+        attempt = attempt.header(CONTENT_LENGTH, request.body.len());
+    }
     if let Some(fencing) = headers.fencing {
         attempt = attempt.header("x-fencing-number", fencing.to_string());
     }
     if let Some(event) = headers.last_event_id {
         attempt = attempt.header("last-event-id", event.to_string());
     }
-    attempt.send().await
+    Ok((attempt.send().await?, progress))
 }
 
 /// Returns the headers to forward, of a request or a response.
--- a/crates/briarraild/src/traffic/target_response.rs
+++ b/crates/briarraild/src/traffic/target_response.rs
@@ -4,8 +4,12 @@
 
 use briarrail_model::PoolKind;
 use briarrail_outcome::{AttemptEvent, NOT_RUN_HEADER, REQUEST_ID_HEADER, StreamChecker};
-use http::{HeaderMap, StatusCode};
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode, header};
 use reqwest::Response;
+use thiserror::Error;
+
+use super::UploadProgress;
 
 const EVENT_STREAM_MEDIA_TYPE: &str = "text/event-stream";
 const PROMPT_TOKENS_HEADER: &str = "x-prompt-tokens";
@@ -19,6 +23,19 @@
 pub(crate) struct TargetResponse {
     /// The HTTP response.
     pub(crate) inner: Response,
+    /// Progress of the request's body.
+    upload: UploadProgress,
+}
+
+/// Failure to read the body of a response.
+#[derive(Debug, Error)]
+pub(crate) enum BodyError {
+    /// The connection broke.
+    #[error("the connection broke")]
+    ConnectionLost(#[from] reqwest::Error),
+    /// The connection ended as the body requires, but before it had taken the request.
+    #[error("the connection ended before the request was written")]
+    UnfinishedUpload,
 }
 
 impl TargetResponse {
@@ -32,6 +49,7 @@
     /// Fails with the event to pass to the retry state machine.
     pub(crate) fn check(
         response: Response,
+        upload: UploadProgress,
         kind: PoolKind,
         request_id: &str,
         is_new_connection: bool,
@@ -52,12 +70,36 @@
         if needs_echo && StreamChecker::check_request_id(request_id, echoed).is_err() {
             return Err(AttemptEvent::BadAnswer);
         }
-        Ok(Self { inner: response })
+        Ok(Self {
+            inner: response,
+            upload,
+        })
+    }
+
+    /// Reads the next chunk of the body, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks, or if it ends the body while the request is still being written:
+    /// then the target may have reset it, and the body may be a part only.
+    pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, BodyError> {
+        let chunk = self.inner.chunk().await?;
+        if chunk.is_none() && self.ends_with_connection() && !self.upload.is_complete() {
+            return Err(BodyError::UnfinishedUpload);
+        }
+        Ok(chunk)
+    }
+
+    /// Returns whether the body has no length and no chunks, and so ends with its connection.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        let headers = self.inner.headers();
+        !headers.contains_key(header::CONTENT_LENGTH)
+            && !headers.contains_key(header::TRANSFER_ENCODING)
     }
 
     /// Returns whether the body is an event stream.
     pub(crate) fn is_event_stream(&self) -> bool {
-        let content_type = header_text(self.inner.headers(), http::header::CONTENT_TYPE.as_str());
+        let content_type = header_text(self.inner.headers(), header::CONTENT_TYPE.as_str());
         content_type.is_some_and(|value| value.starts_with(EVENT_STREAM_MEDIA_TYPE))
     }
 
--- a/crates/briarraild/tests/suite/broken_targets.rs
+++ b/crates/briarraild/tests/suite/broken_targets.rs
@@ -1,4 +1,5 @@
-//! Targets whose responses are no answers: their status is none of HTTP.
+//! Targets whose responses are no answers: their status is none of HTTP, or they break off while the
+//! request is still being written.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 const READ_BYTES: usize = 100;
 /// Size of the bodies of long requests, in bytes; more than the buffers of the operating system take.
 const UPLOAD_BYTES: usize = 12_000_000;
+const CALL_COUNT: usize = 6;
 /// Status lines without the protocol version.
 const INVALID_STATUSES: [&str; 7] = [
     "000 OK", "099 OK", "20 OK", "2000 OK", "600 OK", "999 OK", "-20 OK",
@@ -103,3 +105,16 @@
         harness.stop().await;
     }
 }
+
+/// Guards against a part of a response that passes for the whole, because its connection ended while the
+/// request was still being written.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_early_response_that_ends_with_its_connection_is_no_answer() {
+    let harness = start_harness("HTTP/1.1 200 OK\r\n\r\na part".to_owned()).await;
+    let body = "u".repeat(UPLOAD_BYTES);
+    for _ in 0..CALL_COUNT {
+        let (code, text) = post(&harness, body.clone()).await;
+        assert!((500..=504).contains(&code), "{code} {text}");
+    }
+    harness.stop().await;
+}
