fix(gateway): ask the routers once for all streams that are inferred at a time

Cause: streams of a lost router are taken up within moments of each other, and each asked all routers again before the answers to the first were there: at 295 routers and eight streams 2,400 datagrams at once, more than a socket's buffer holds of the answers. Change: one round of questions at a time, whose answers count for 100 ms. The load at 295 routers is worked out, not measured.

--- a/crates/briarrail_gateway/src/control/live_router.rs
+++ b/crates/briarrail_gateway/src/control/live_router.rs
@@ -1,7 +1,6 @@
 //! A router that answered a question about a stream.
 
 use briarrail_dispatch::ReleaseUser;
-use briarrail_model::MilliTime;
 
 /// A router that answered a question about a stream.
 #[derive(Debug, Clone)]
@@ -10,6 +9,4 @@
     pub(super) user: ReleaseUser,
     /// Whether it knows of a router that may have been lost with streams under way.
     pub(super) knows_lost_router: bool,
-    /// Time of the answer.
-    pub(super) answered_at: MilliTime,
 }
--- a/crates/briarrail_gateway/src/control/origin_exchange.rs
+++ b/crates/briarrail_gateway/src/control/origin_exchange.rs
@@ -6,7 +6,7 @@
 //! a connection would cost more than the message.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,7 +21,7 @@
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Mutex, Notify, watch};
 
 use super::SharedControlState;
 use super::control_state::ControlState;
@@ -89,8 +89,9 @@
     pub(super) page_requests: Notify,
     /// Epoch of the store to which the page was last written.
     page_epoch: Cell<u64>,
-    /// Routers that answered lately that they don't know a stream.
-    pub(super) live_routers: RefCell<BTreeMap<HostName, LiveRouter>>,
+    /// Routers that answered that they don't know a stream, and the time of the answers; locked while
+    /// they are asked.
+    pub(super) census: Mutex<Option<(MilliTime, Rc<Vec<LiveRouter>>)>>,
     /// Whether this router is asking for admission to releases.
     pub(super) is_requesting_admission: Cell<bool>,
     /// Number of consecutive requests for admission that failed.
@@ -121,7 +122,7 @@
             stored_changes: watch::Sender::new(0),
             page_requests: Notify::new(),
             page_epoch: Cell::default(),
-            live_routers: RefCell::default(),
+            census: Mutex::default(),
             is_requesting_admission: Cell::default(),
             failed_admissions: Cell::default(),
             recorder: RefCell::default(),
@@ -503,7 +504,6 @@
                 let source = LiveRouter {
                     user,
                     knows_lost_router: answer.knows_lost_router,
-                    answered_at: self.now(),
                 };
                 self.handle_answer(&source, answer);
             }
--- a/crates/briarrail_gateway/src/control/origin_inference.rs
+++ b/crates/briarrail_gateway/src/control/origin_inference.rs
@@ -1,8 +1,11 @@
 //! Infers the release of a stream that neither a router nor the store knows.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
-use briarrail_dispatch::{FleetEvidence, ReleaseUser, StreamKey, infer_release, users_to_ask};
+use briarrail_dispatch::{
+    FleetEvidence, ReleaseKey, ReleaseUser, StreamKey, infer_release, users_to_ask,
+};
 use briarrail_model::{HostName, MilliDuration, MilliTime};
 
 use super::live_router::LiveRouter;
@@ -10,9 +13,9 @@
 use crate::SiteStore;
 use crate::traffic::StreamOrigin;
 
-/// Time for which an answer of a router counts for other streams, so that many streams that are taken up
-/// at once cost one question.
-const ANSWER_MAX_AGE: MilliDuration = MilliDuration::from_millis(250);
+/// Time for which the answers of the routers count for other streams, so that many that are taken up at
+/// once cost one round of questions.
+const CENSUS_MAX_AGE: MilliDuration = MilliDuration::from_millis(100);
 /// Maximum number of routers that are asked; in larger fleets the stream is refused.
 const MAX_ASKED_ROUTERS: usize = 512;
 
@@ -51,14 +54,11 @@
         if names.len() > MAX_ASKED_ROUTERS {
             return StreamOrigin::Ambiguous;
         }
-        let silent = self.silent_routers(&names);
-        let sources = addresses(&self.state.borrow(), &silent);
-        let answers = self.ask(stream, sources).await;
-        if let Some(release) = answers.release {
-            return StreamOrigin::Known(release, "router");
-        }
-        self.record_live(answers.answered);
-        let evidence = self.evidence(&names);
+        let routers = match self.take_census(stream, &names).await {
+            Ok(routers) => routers,
+            Err(release) => return StreamOrigin::Known(release, "router"),
+        };
+        let evidence = self.evidence(&names, &routers);
         let in_use = self.state.borrow().releases_in_use();
         let release = infer_release(service, &listed, &in_use, &origins.users, &evidence);
         tracing::info!(
@@ -74,36 +74,47 @@
         })
     }
 
-    /// Returns the routers that have not answered lately.
-    fn silent_routers(&self, names: &BTreeSet<HostName>) -> BTreeSet<HostName> {
+    /// Asks all routers whether they know the stream, unless they were asked for another one a moment
+    /// ago, and returns those that answered.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the release of the stream if one of them knows it.
+    async fn take_census(
+        &self,
+        stream: StreamKey,
+        names: &BTreeSet<HostName>,
+    ) -> Result<Rc<Vec<LiveRouter>>, ReleaseKey> {
+        let mut census = self.census.lock().await;
         let now = self.now();
-        let mut live = self.live_routers.borrow_mut();
-        live.retain(|_, router| now.since(router.answered_at) <= ANSWER_MAX_AGE);
-        let silent = names.iter().filter(|name| !live.contains_key(*name));
-        silent.cloned().collect()
-    }
-
-    fn record_live(&self, answered: Vec<LiveRouter>) {
-        let mut live = self.live_routers.borrow_mut();
-        for router in answered {
-            live.insert(router.user.router.clone(), router);
+        if let Some((at, routers)) = census.as_ref()
+            && now.since(*at) <= CENSUS_MAX_AGE
+        {
+            return Ok(Rc::clone(routers));
+        }
+        let sources = addresses(&self.state.borrow(), names);
+        let answers = self.ask(stream, sources).await;
+        if let Some(release) = answers.release {
+            return Err(release);
         }
+        let routers = Rc::new(answers.answered);
+        *census = Some((self.now(), Rc::clone(&routers)));
+        Ok(routers)
     }
 
     /// Returns which of the routers live, and whether one may have been lost with its streams.
-    fn evidence(&self, names: &BTreeSet<HostName>) -> FleetEvidence {
+    fn evidence(&self, names: &BTreeSet<HostName>, routers: &[LiveRouter]) -> FleetEvidence {
         let state = self.state.borrow();
-        let routers = self.live_routers.borrow();
-        let answered = names.iter().filter_map(|name| routers.get(name));
-        let answered: Vec<&LiveRouter> = answered.collect();
-        let has_lost_router = answered.len() < names.len()
-            || answered.iter().any(|router| router.knows_lost_router)
+        let answered: BTreeSet<&HostName> =
+            routers.iter().map(|router| &router.user.router).collect();
+        let has_lost_router = names.iter().any(|name| !answered.contains(name))
+            || routers.iter().any(|router| router.knows_lost_router)
             || state.knows_lost_router(self.now());
         let local = ReleaseUser {
             router: state.local.name.clone(),
             incarnation: state.incarnation,
         };
-        let live = answered.into_iter().map(|router| router.user.clone());
+        let live = routers.iter().map(|router| router.user.clone());
         FleetEvidence {
             live: live.chain([local]).collect(),
             has_lost_router,
