fix(gateway): bind no stream to a target that refused a connection since the view

Cause: five targets ended and started again under their identifiers and addresses as a newer version. The router took them for the ones that it knew, although they had refused connections meanwhile: it continued streams of v1 there, and streams that it began there at v1. Since a router of a lost fleet infers releases from what is listed, a stream that begins at a release under a wrong name would also be inferred wrongly. Change: a target that refused a connection gets no resumable stream, new or continued, until the view of the targets is newer than the refusal. Once the view is older than 1.5 s, a connection that breaks in an answer is followed by a check, so that the refusal is seen. The traffic thread is told as of which time its targets are known. Why it works: a process can't take connections while it isn't there, and one that comes back changes its entry at once; in touch the next view settles it within a sync.

--- a/crates/briarrail_dispatch/src/send_denial.rs
+++ b/crates/briarrail_dispatch/src/send_denial.rs
@@ -20,6 +20,8 @@
     OutsideHomes,
     /// Only targets of another release can continue the request's stream.
     OtherRelease,
+    /// The target may have started again as another release since this router last heard of it.
+    UncertainRelease,
     /// The target asked for no requests until a time.
     Paused {
         /// End of the pause.
@@ -42,6 +44,7 @@
             Self::Evacuated => "evacuated",
             Self::OutsideHomes => "outside_homes",
             Self::OtherRelease => "other_release",
+            Self::UncertainRelease => "uncertain_release",
             Self::Paused { .. } => "paused",
             Self::Cold => "cold",
             Self::RateLimited => "rate_limited",
@@ -53,7 +56,7 @@
     #[must_use]
     pub const fn passes_soon(self) -> bool {
         match self {
-            Self::Paused { .. } | Self::Cold | Self::RateLimited => true,
+            Self::UncertainRelease | Self::Paused { .. } | Self::Cold | Self::RateLimited => true,
             Self::Gone
             | Self::Draining
             | Self::Leaving
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -70,6 +70,9 @@
     standing: TargetStanding,
     /// Bound on the requests while the target is cold.
     pub(crate) cold_limiter: ColdLimiter,
+    /// Time at which the target last refused a connection, if the view of the targets is not newer: the
+    /// process may have ended since.
+    refused_at: Option<MilliTime>,
 }
 
 impl TargetState {
@@ -113,6 +116,9 @@
             Some(denial) if !denial.passes_soon() => Some(denial),
             _ if is_outside => Some(SendDenial::OutsideHomes),
             _ if is_other => Some(SendDenial::OtherRelease),
+            _ if need.is_resumable && self.refused_at.is_some() => {
+                Some(SendDenial::UncertainRelease)
+            }
             denial => denial,
         }
     }
@@ -213,6 +219,7 @@
                 state.peer_outcomes = OutcomeTotals::default();
                 state.service_time = ServiceTimeMeter::default();
                 state.listed_at = now;
+                state.refused_at = None;
                 let known = self.notice_memory.take(lifetime);
                 let earlier = state.standing.begin_lifetime(known);
                 self.notice_memory.keep(state.lifetime, earlier, now);
@@ -248,6 +255,7 @@
             listed_at: now,
             standing,
             cold_limiter,
+            refused_at: None,
         });
         self.by_id.insert(id, key);
         self.by_service.add(&service, key);
@@ -359,6 +367,22 @@
         }
     }
 
+    /// Records that a target refused a connection. A process that starts again at its address, under its
+    /// identifier, may be of another release.
+    pub fn record_refused(&mut self, key: TargetKey, now: MilliTime) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.refused_at = Some(now);
+        }
+    }
+
+    /// Records that the view of the targets reflects the store as of a time: what is listed at another
+    /// address, release or start by then is known.
+    pub fn record_view(&mut self, observed_at: MilliTime) {
+        for state in self.targets.values_mut() {
+            state.refused_at = state.refused_at.filter(|at| *at >= observed_at);
+        }
+    }
+
     /// Returns the change of a target's standing since this was last called for it, if there is one.
     pub fn take_standing_change(
         &mut self,
--- a/crates/briarrail_dispatch/tests/suite/stream_releases.rs
+++ b/crates/briarrail_dispatch/tests/suite/stream_releases.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use briarrail_dispatch::{
-    LiveOrigins, PlacementRequest, ReleaseEntry, ReleaseKey, ReleaseLedger, SendNeed, SendOutcome,
-    ServiceRelease, StreamKey, StreamOrigins, TargetPhase, TargetRecord, TargetRegistry,
-    is_in_touch, origin_holders, origin_sources, origin_witnesses, sole_release,
+    LiveOrigins, PlacementRequest, ReleaseEntry, ReleaseKey, ReleaseLedger, SendDenial, SendNeed,
+    SendOutcome, ServiceRelease, StreamKey, StreamOrigins, TargetPhase, TargetRecord,
+    TargetRegistry, is_in_touch, origin_holders, origin_sources, origin_witnesses, sole_release,
 };
 use briarrail_model::HostName;
 
@@ -111,6 +111,38 @@
     );
 }
 
+/// A target that refused a connection may be another one when it is back, until a newer view lists it.
+#[test]
+fn a_target_that_refused_a_connection_gets_no_resumable_stream_until_the_view_is_newer() {
+    let resumable = SendNeed {
+        is_resumable: true,
+        ..SendNeed::ANY
+    };
+    let mut registry = TargetRegistry::default();
+    let key = registry.upsert(target_of("one", "1"), at(0));
+    registry.record_view(at(1_000));
+    let denial =
+        |registry: &TargetRegistry, need: &SendNeed<'_>| registry.denial(key, need, at(9_000));
+    assert_eq!(denial(&registry, &resumable), None);
+    registry.record_refused(key, at(2_000));
+    assert_eq!(
+        denial(&registry, &resumable),
+        Some(SendDenial::UncertainRelease)
+    );
+    assert_eq!(denial(&registry, &SendNeed::ANY), None);
+    registry.record_view(at(1_900));
+    assert!(denial(&registry, &resumable).is_some());
+    registry.record_view(at(2_001));
+    assert_eq!(denial(&registry, &resumable), None);
+    registry.record_refused(key, at(3_000));
+    let restarted = TargetRecord {
+        started_unix_ms: 2,
+        ..target_of("one", "2")
+    };
+    registry.upsert(restarted, at(3_500));
+    assert_eq!(denial(&registry, &resumable), None);
+}
+
 #[test]
 fn versions_of_two_services_are_different_releases() {
     let other = ReleaseKey::new("other", "1");
--- a/crates/briarrail_gateway/src/control/hub_sync.rs
+++ b/crates/briarrail_gateway/src/control/hub_sync.rs
@@ -70,6 +70,7 @@
         {
             let state = state.borrow();
             state.send_router_list(state.clock.now());
+            state.send_view_time();
             let counts = state.peer_counts(now);
             state.send_update(ControlUpdate::PeerCounts(counts));
         }
--- a/crates/briarrail_gateway/src/control/member_list.rs
+++ b/crates/briarrail_gateway/src/control/member_list.rs
@@ -25,4 +25,11 @@
         };
         self.send_update(ControlUpdate::Routers(list));
     }
+
+    /// Tells the traffic thread as of which time the roster reflects the store.
+    pub(crate) fn send_view_time(&self) {
+        if let Some(observed_at) = self.view_tracker.observed_at() {
+            self.send_update(ControlUpdate::View(observed_at));
+        }
+    }
 }
--- a/crates/briarrail_gateway/src/traffic/control_update.rs
+++ b/crates/briarrail_gateway/src/traffic/control_update.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use briarrail_dispatch::{RosterChange, RouterList, SuspectReports};
-use briarrail_model::DataCentre;
+use briarrail_model::{DataCentre, MilliTime};
 use tokio::sync::oneshot;
 
 use crate::fleet_counts::FleetCounts;
@@ -15,6 +15,8 @@
     Roster(Vec<RosterChange>),
     /// The evacuated data centres.
     Evacuations(BTreeSet<DataCentre>),
+    /// Time as of which the roster reflects the store.
+    View(MilliTime),
     /// Current requests, recent outcomes and demand of the other routers.
     PeerCounts(FleetCounts),
     /// The routers among which the bounds of cold targets are divided.
--- a/crates/briarrail_gateway/src/traffic/crash_check.rs
+++ b/crates/briarrail_gateway/src/traffic/crash_check.rs
@@ -45,22 +45,25 @@
 #[derive(Debug, Default)]
 pub(super) struct CrashChecks(HashMap<TargetKey, CrashCheck>);
 
-/// Checks in the background whether a target crashed, after a request lost its connection before
-/// the answer began.
+/// Checks in the background whether a target crashed, after a request lost its connection; `lost` is
+/// the request if its answer had not begun.
 ///
 /// Losses during a check share its result, so that a crash costs one connection.
-pub(super) fn check_target<D>(state: &Rc<TrafficState<D>>, key: TargetKey, lost: LostRequest)
-where
+pub(super) fn check_target<D>(
+    state: &Rc<TrafficState<D>>,
+    key: TargetKey,
+    lost: Option<LostRequest>,
+) where
     D: 'static,
 {
     let mut checks = state.crash_checks.borrow_mut();
     if let Some(check) = checks.0.get_mut(&key) {
-        check.lost_requests.push(lost);
+        check.lost_requests.extend(lost);
         return;
     }
     let check = CrashCheck {
         lost_at: state.clock.now(),
-        lost_requests: vec![lost],
+        lost_requests: lost.into_iter().collect(),
     };
     checks.0.insert(key, check);
     tokio::task::spawn_local(run_check(Rc::clone(state), key));
@@ -95,7 +98,10 @@
         }
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             state.record_outcome(key, SendOutcome::Unreachable);
-            state.record_crash(key, &check.lost_requests, check.lost_at);
+            state.record_refused(key);
+            if !check.lost_requests.is_empty() {
+                state.record_crash(key, &check.lost_requests, check.lost_at);
+            }
             "crashed"
         }
         Ok(Err(_)) => "silent",
--- a/crates/briarrail_gateway/src/traffic/request_context.rs
+++ b/crates/briarrail_gateway/src/traffic/request_context.rs
@@ -93,6 +93,7 @@
     pub(crate) fn need(&self, resume_point: Option<ResumePoint>) -> SendNeed<'_> {
         SendNeed {
             release: resume_point.map(|point| point.release),
+            is_resumable: self.semantics == RouteSemantics::ResumableStream,
             homes: self.homes.as_ref(),
             seed: Some(self.seed()),
         }
--- a/crates/briarrail_gateway/src/traffic/send_guard.rs
+++ b/crates/briarrail_gateway/src/traffic/send_guard.rs
@@ -119,11 +119,12 @@
         D: 'static,
     {
         self.record_outcome(SendOutcome::Broken);
-        if !self.has_begun {
-            let lost = LostRequest {
-                traits: self.traits.clone(),
-                sent_at: self.started_at,
-            };
+        let lost = (!self.has_begun).then(|| LostRequest {
+            traits: self.traits.clone(),
+            sent_at: self.started_at,
+        });
+        // While the view is current, it tells of a target that starts again.
+        if lost.is_some() || !self.state.has_current_view() {
             check_target(&self.state, self.key, lost);
         }
     }
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one target and waits for the head of its response.
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -160,6 +161,9 @@
         }
         Err(ConnectError::ConnectFailed(error)) => {
             guard.record_outcome(SendOutcome::Unreachable);
+            if error.kind() == ErrorKind::ConnectionRefused {
+                state.record_refused(key);
+            }
             trace.send_log().record_failure("connect_failed", &error);
             Err(AttemptEvent::ConnectFailed)
         }
--- a/crates/briarrail_gateway/src/traffic/target_updates.rs
+++ b/crates/briarrail_gateway/src/traffic/target_updates.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeSet;
 
 use briarrail_dispatch::{RosterChange, TargetKey};
-use briarrail_model::DataCentre;
+use briarrail_model::{DataCentre, MilliDuration, MilliTime};
 
 use super::target_standings::STORE_SOURCE;
 use super::traffic_state::TrafficState;
 
+/// Maximum age of a view that is current: a few syncs at the longest interval.
+const MAX_CURRENT_AGE: MilliDuration = MilliDuration::from_millis(1_500);
 /// Source of a change that the operators asked for.
 const OPERATOR_SOURCE: &str = "operators";
 
@@ -38,6 +40,34 @@
         }
     }
 
+    /// Records that a target refused a connection.
+    pub(super) fn record_refused(&self, key: TargetKey) {
+        let now = self.clock.now();
+        self.registry.borrow_mut().record_refused(key, now);
+        if !self.has_current_view()
+            && let Some(target) = self.registry.borrow().get(key)
+        {
+            tracing::info!(
+                event = "target_release_uncertain",
+                target_id = target.record.id,
+                service = target.record.service,
+                version = target.record.version,
+                view_age_ms = now.since(self.view_observed_at.get()).as_millis(),
+            );
+        }
+    }
+
+    /// Records that the roster reflects the store as of a time.
+    pub(super) fn record_view(&self, observed_at: MilliTime) {
+        self.view_observed_at.set(observed_at);
+        self.registry.borrow_mut().record_view(observed_at);
+    }
+
+    /// Returns whether the view of the targets is as recent as the exchange keeps it.
+    pub(super) fn has_current_view(&self) -> bool {
+        self.clock.now().since(self.view_observed_at.get()) <= MAX_CURRENT_AGE
+    }
+
     /// Stops sending requests to the targets of evacuated data centres, and closes the idle
     /// connections to them.
     ///
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -125,6 +125,8 @@
     quarantine: RefCell<CrashQuarantine>,
     /// Checks of targets that are in progress.
     pub(super) crash_checks: RefCell<CrashChecks>,
+    /// Time as of which the targets are known as the store lists them.
+    pub(super) view_observed_at: Cell<MilliTime>,
     /// Messages to the control thread about streams.
     origin_calls: UnboundedSender<OriginCall>,
 }
@@ -156,6 +158,7 @@
             cold_sources: RefCell::default(),
             quarantine: RefCell::default(),
             crash_checks: RefCell::default(),
+            view_observed_at: Cell::default(),
             origin_calls,
         }
     }
@@ -369,6 +372,7 @@
     pub(crate) fn apply(&self, update: ControlUpdate) {
         match update {
             ControlUpdate::Roster(changes) => self.apply_roster_changes(changes),
+            ControlUpdate::View(observed_at) => self.record_view(observed_at),
             ControlUpdate::Evacuations(data_centres) => self.apply_evacuations(&data_centres),
             ControlUpdate::PeerCounts(counts) => self.apply_peer_counts(&counts, self.clock.now()),
             ControlUpdate::Routers(list) => self.apply_router_list(&list),
