refactor(gateway): split the exchange of origins, and join the two connection wrappers

Cause: `origin_exchange` had grown to 630 lines, and `UploadStream` repeated the delegation of `LimitedStream`. Change: pages and queries of origins get modules of their own; one `ResponseStream` limits heads and sees unfinished writes. No behaviour is meant to change.

--- a/crates/briarrail_gateway/src/control/mod.rs
+++ b/crates/briarrail_gateway/src/control/mod.rs
@@ -18,6 +18,8 @@
 mod monitoring_server;
 mod origin_exchange;
 mod origin_inference;
+mod origin_pages;
+mod origin_queries;
 mod origin_store;
 mod release_admission;
 mod release_gating;
--- a/crates/briarrail_gateway/src/control/origin_exchange.rs
+++ b/crates/briarrail_gateway/src/control/origin_exchange.rs
@@ -12,20 +12,22 @@
 use std::time::Duration;
 
 use briarrail_dispatch::{
-    LiveOrigins, ReleaseEntry, ReleaseKey, ReleaseUser, ReleaseUsers, ServiceRelease, StreamKey,
-    StreamOrigins, is_in_touch, origin_holders, origin_sources, origin_witnesses, sole_release,
+    LiveOrigins, ReleaseEntry, ReleaseKey, ReleaseUser, ServiceRelease, StreamKey, StreamOrigins,
+    is_in_touch, origin_holders, origin_sources, origin_witnesses, sole_release,
 };
 use briarrail_model::{HostName, MilliTime, StableHash};
 use briarrail_peer::{
     Envelope, FrameError, MessageKind, OriginAnswer, OriginMessage, OriginNotice,
 };
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::{Mutex, Notify, watch};
+use tokio::sync::Mutex;
+use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::SharedControlState;
 use super::control_state::ControlState;
 use super::live_router::LiveRouter;
+use super::origin_pages::OriginPages;
+use super::origin_queries::OriginQueries;
 use super::origin_store::OriginStore;
 use super::release_admission::{AdmissionCall, answer_admission, request_admission};
 use crate::SiteStore;
@@ -35,34 +37,12 @@
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 /// Maximum number of notices in a datagram.
 const MAX_NOTICES: usize = 32;
-/// Maximum number of ended streams in a datagram.
-const MAX_ENDED_STREAMS: usize = 96;
-/// Time after which a question that was not answered is sent again; many round trips within a site.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
-/// Number of times that a question is sent; routers that are down do not answer.
-const MAX_QUESTIONS: u32 = 3;
 /// Interval at which new origins are written to the store. Streams that began since the last time
 /// can't be continued after the loss of all routers, and each call of the store has a price.
 const RECORD_INTERVAL: Duration = Duration::from_millis(200);
 /// Delay after a failed receive.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Answer of another router to a question; no release if it does not know the stream.
-#[derive(Debug)]
-struct SourceAnswer {
-    source: LiveRouter,
-    release: Option<ReleaseKey>,
-}
-
-/// What other routers answered to a question.
-#[derive(Debug)]
-pub(super) struct SourceAnswers {
-    asked: usize,
-    /// Routers that answered that they don't know the stream.
-    pub(super) answered: Vec<LiveRouter>,
-    pub(super) release: Option<ReleaseKey>,
-}
-
 /// Knows where streams began, from this router's own streams and from other routers.
 #[derive(Debug)]
 pub(crate) struct OriginExchange<S> {
@@ -72,23 +52,8 @@
     origins: RefCell<StreamOrigins>,
     /// This router's own streams.
     own_streams: RefCell<LiveOrigins>,
-    /// Own streams that ended since the router that writes origins to the store was told.
-    ended_streams: RefCell<Vec<StreamKey>>,
-    /// Receivers of answers, by stream and number of the search.
-    searches: RefCell<HashMap<(StreamKey, u64), UnboundedSender<SourceAnswer>>>,
-    last_search: Cell<u64>,
-    /// Streams that this router writes to the store for its data centre.
-    pub(super) recorded_streams: RefCell<LiveOrigins>,
-    /// Users of guarded releases that this router lists on its page in the store.
-    pub(super) users: RefCell<ReleaseUsers>,
-    /// Number of changes of the page that other routers wait for.
-    pub(super) page_changes: Cell<u64>,
-    /// Number of these changes that the store has.
-    pub(super) stored_changes: watch::Sender<u64>,
-    /// Wakes the task that writes the page.
-    pub(super) page_requests: Notify,
-    /// Epoch of the store to which the page was last written.
-    page_epoch: Cell<u64>,
+    pub(super) queries: OriginQueries,
+    pub(super) pages: OriginPages,
     /// Routers that answered that they don't know a stream, and the time of the answers; locked while
     /// they are asked.
     pub(super) census: Mutex<Option<(MilliTime, Rc<Vec<LiveRouter>>)>>,
@@ -99,7 +64,7 @@
     /// Router that was told of this router's streams last, to write them to the store.
     recorder: RefCell<Option<HostName>>,
     /// Releases of the services of which several serve; only their streams are told of.
-    ambiguous: RefCell<BTreeSet<ReleaseKey>>,
+    pub(super) ambiguous: RefCell<BTreeSet<ReleaseKey>>,
 }
 
 impl<S> OriginExchange<S>
@@ -113,15 +78,8 @@
             socket,
             origins: RefCell::default(),
             own_streams: RefCell::default(),
-            ended_streams: RefCell::default(),
-            searches: RefCell::default(),
-            last_search: Cell::new(0),
-            recorded_streams: RefCell::default(),
-            users: RefCell::default(),
-            page_changes: Cell::default(),
-            stored_changes: watch::Sender::new(0),
-            page_requests: Notify::new(),
-            page_epoch: Cell::default(),
+            queries: OriginQueries::default(),
+            pages: OriginPages::new(),
             census: Mutex::default(),
             is_requesting_admission: Cell::default(),
             failed_admissions: Cell::default(),
@@ -151,7 +109,7 @@
     fn record_end(&self, stream: StreamKey) {
         self.own_streams.borrow_mut().record_end(stream);
         if !self.ambiguous.borrow().is_empty() {
-            self.ended_streams.borrow_mut().push(stream);
+            self.pages.ended_streams.borrow_mut().push(stream);
         }
     }
 
@@ -192,7 +150,7 @@
         let is_new = self.origins.borrow_mut().record(stream, release, now);
         let is_recorder = self.state.borrow().origin_recorder().is_none();
         if is_new && is_recorder && self.ambiguous.borrow().contains(&release) {
-            let mut recorded = self.recorded_streams.borrow_mut();
+            let mut recorded = self.pages.streams.borrow_mut();
             recorded.record_begin(stream, release, now);
         }
     }
@@ -281,37 +239,6 @@
         self.origins.borrow_mut().find(stream, self.now())
     }
 
-    /// Asks other routers where a stream began.
-    pub(super) async fn ask(
-        &self,
-        stream: StreamKey,
-        mut sources: Vec<(HostName, SocketAddr)>,
-    ) -> SourceAnswers {
-        let asked = sources.len();
-        let search = (stream, self.last_search.get() + 1);
-        self.last_search.set(search.1);
-        let (sender, mut answers) = unbounded_channel();
-        self.searches.borrow_mut().insert(search, sender);
-        let mut answered = Vec::new();
-        let mut release = None;
-        for _ in 0..MAX_QUESTIONS {
-            for (source, address) in &sources {
-                let message = OriginMessage::Query(stream.0.0);
-                self.send(source, *address, message).await;
-            }
-            release = await_answers(&mut answers, &mut sources, &mut answered).await;
-            if release.is_some() || sources.is_empty() {
-                break;
-            }
-        }
-        self.searches.borrow_mut().remove(&search);
-        SourceAnswers {
-            asked,
-            answered,
-            release,
-        }
-    }
-
     /// Updates which releases need their streams told of, and tells of those under way that are new
     /// among them, or of all if another router is to write them to the store.
     pub(super) async fn update_ambiguous(&self) {
@@ -325,9 +252,9 @@
         };
         self.own_streams.borrow_mut().retain(|_| true, now);
         self.drop_users();
-        let has_users = !self.users.borrow().is_empty();
+        let has_users = !self.pages.users.borrow().is_empty();
         let is_kept = |release| has_users || found.contains(&release);
-        self.recorded_streams.borrow_mut().retain(is_kept, now);
+        self.pages.streams.borrow_mut().retain(is_kept, now);
         let is_same = self.recorder.replace(recorder.clone()) == recorder;
         let known = self.ambiguous.replace(found.clone());
         let untold = found.into_iter();
@@ -341,7 +268,7 @@
             untold.flat_map(of_release).collect()
         };
         if recorder.is_none() {
-            let mut recorded = self.recorded_streams.borrow_mut();
+            let mut recorded = self.pages.streams.borrow_mut();
             for (stream, release) in &own {
                 recorded.record_begin(*stream, *release, now);
             }
@@ -349,72 +276,6 @@
         self.tell_holders(&own).await;
     }
 
-    /// Tells the router that writes origins to the store which streams have ended.
-    async fn tell_ended(&self) {
-        let ended = std::mem::take(&mut *self.ended_streams.borrow_mut());
-        let recorder = self.state.borrow().origin_recorder().cloned();
-        let Some(recorder) = recorder else {
-            self.drop_ended(ended.into_iter());
-            return;
-        };
-        for streams in ended.chunks(MAX_ENDED_STREAMS) {
-            let streams = streams.iter().map(|stream| stream.0.0).collect();
-            let message = OriginMessage::Ended(streams);
-            self.send(&recorder.name, recorder.address, message).await;
-        }
-    }
-
-    fn drop_ended<I>(&self, streams: I)
-    where
-        I: Iterator<Item = StreamKey>,
-    {
-        let mut recorded = self.recorded_streams.borrow_mut();
-        for stream in streams {
-            recorded.record_end(stream);
-        }
-    }
-
-    /// Writes the new origins to the store.
-    async fn write_origins(&self) {
-        let (is_recorder, epoch) = {
-            let state = self.state.borrow();
-            let is_recorder = state.is_listed && state.origin_recorder().is_none();
-            (is_recorder, state.store_epoch())
-        };
-        let has_streams = is_recorder && !self.ambiguous.borrow().is_empty();
-        let has_users = !self.users.borrow().is_empty();
-        if (!has_streams && !has_users) || !self.store.choose_page(&self.users).await {
-            return;
-        }
-        if self.page_epoch.replace(epoch) != epoch {
-            // A restore of the store may have taken the page back.
-            self.recorded_streams.borrow_mut().request_page();
-        }
-        let change = self.page_changes.get();
-        let Some(streams) = self.recorded_streams.borrow_mut().next_page() else {
-            return;
-        };
-        let users = self.users.borrow().clone();
-        let is_partial = self.recorded_streams.borrow().is_partial(self.now());
-        if self.store.write_page(streams, users, is_partial).await {
-            self.recorded_streams.borrow_mut().confirm_page();
-            self.stored_changes.send_replace(change);
-        }
-    }
-
-    /// Drops the users of releases that the store lists no more.
-    fn drop_users(&self) {
-        let state = self.state.borrow();
-        let Some(ledger) = &state.releases else {
-            return;
-        };
-        let in_use = state.releases_in_use();
-        let listed = ledger.listed().union(&in_use);
-        let listed: BTreeSet<ReleaseKey> = listed.map(ServiceRelease::key).collect();
-        let mut users = self.users.borrow_mut();
-        users.retain(|release, _| listed.contains(release));
-    }
-
     /// Returns this router's streams of services of which several releases serve.
     pub(super) fn ambiguous_streams(&self) -> Vec<OriginNotice> {
         let streams = self.own_streams.borrow();
@@ -429,7 +290,12 @@
         notices.collect()
     }
 
-    async fn send(&self, receiver: &HostName, address: SocketAddr, message: OriginMessage) {
+    pub(super) async fn send(
+        &self,
+        receiver: &HostName,
+        address: SocketAddr,
+        message: OriginMessage,
+    ) {
         let frame = self.seal(receiver, message);
         let sent = match frame {
             Ok(frame) => self.socket.send_to(&frame, address).await,
@@ -509,23 +375,6 @@
             }
         }
     }
-
-    fn handle_answer(&self, source: &LiveRouter, answer: OriginAnswer) {
-        let stream = StreamKey(StableHash(answer.stream));
-        let searches = self.searches.borrow();
-        let receivers = searches.iter().filter(|((asked, _), _)| *asked == stream);
-        for (_, receiver) in receivers {
-            let answer = SourceAnswer {
-                source: source.clone(),
-                release: answer
-                    .release
-                    .map(|release| ReleaseKey(StableHash(release))),
-            };
-            if receiver.send(answer).is_err() {
-                tracing::trace!("a search for a stream's origin has ended");
-            }
-        }
-    }
 }
 
 /// Returns the releases of entries of the store.
@@ -544,28 +393,6 @@
         .collect()
 }
 
-/// Waits until a source knows the release, all have answered, or the time is over; removes the
-/// sources that answered.
-async fn await_answers(
-    answers: &mut UnboundedReceiver<SourceAnswer>,
-    sources: &mut Vec<(HostName, SocketAddr)>,
-    answered: &mut Vec<LiveRouter>,
-) -> Option<ReleaseKey> {
-    let deadline = tokio::time::Instant::now() + ANSWER_TIMEOUT;
-    while !sources.is_empty() {
-        let answer = tokio::time::timeout_at(deadline, answers.recv()).await;
-        let Ok(Some(answer)) = answer else {
-            return None;
-        };
-        if answer.release.is_some() {
-            return answer.release;
-        }
-        sources.retain(|(source, _)| *source != answer.source.user.router);
-        answered.push(answer.source);
-    }
-    None
-}
-
 /// Handles the messages of the traffic thread and of the other routers about streams, indefinitely.
 pub(crate) async fn run_origin_exchange<S>(
     exchange: OriginExchange<S>,
@@ -620,7 +447,7 @@
         tokio::select! {
             () = tokio::time::sleep(RECORD_INTERVAL) => {}
             () = gate_wakeup.notified() => {}
-            () = exchange.page_requests.notified() => {}
+            () = exchange.pages.requests.notified() => {}
         }
         request_admission(&exchange);
         exchange.update_ambiguous().await;
--- a/crates/briarrail_gateway/src/control/release_admission.rs
+++ b/crates/briarrail_gateway/src/control/release_admission.rs
@@ -4,11 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briarrail_dispatch::{ReleaseEntry, ReleaseKey, ReleaseUser, ServiceRelease, StreamKey};
+use briarrail_dispatch::{ReleaseEntry, ReleaseKey, ReleaseUser, ServiceRelease};
 use briarrail_model::{MilliDuration, MilliTime, StableHash};
 use briarrail_peer::{
-    AdmissionReply, AdmissionRequest, Envelope, FrameError, MessageKind, OriginNotice, ReleaseName,
-    SyncRouter,
+    AdmissionReply, AdmissionRequest, Envelope, FrameError, MessageKind, ReleaseName, SyncRouter,
 };
 use bytes::Bytes;
 use tokio::sync::oneshot;
@@ -20,8 +19,6 @@
 
 /// Path of admission requests.
 pub(super) const ADMISSION_PATH: &str = "/admission";
-/// Time for which an admission waits for the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of an admission request; longer than the receiver waits for the store.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -240,37 +237,6 @@
         }
         admitted
     }
-
-    /// Adds a user and its streams to this router's page, and returns whether the store has the page.
-    async fn store_user(
-        &self,
-        user: &ReleaseUser,
-        releases: &BTreeSet<ReleaseKey>,
-        streams: &[OriginNotice],
-    ) -> bool {
-        let now = self.now();
-        for release in releases {
-            let mut users = self.users.borrow_mut();
-            users.entry(*release).or_default().insert(user.clone());
-        }
-        {
-            let mut recorded = self.recorded_streams.borrow_mut();
-            for notice in streams {
-                if let Some(release) = notice.release {
-                    let stream = StreamKey(StableHash(notice.stream));
-                    recorded.record_begin(stream, ReleaseKey(StableHash(release)), now);
-                }
-            }
-            recorded.request_page();
-        }
-        let change = self.page_changes.get() + 1;
-        self.page_changes.set(change);
-        let mut stored = self.stored_changes.subscribe();
-        self.page_requests.notify_one();
-        let storing = stored.wait_for(|stored| *stored >= change);
-        let stored = tokio::time::timeout(STORE_TIMEOUT, storing).await;
-        matches!(stored, Ok(Ok(_)))
-    }
 }
 
 fn local_user(state: &ControlState) -> ReleaseUser {
--- a/crates/briarrail_gateway/src/net/http_connection.rs
+++ b/crates/briarrail_gateway/src/net/http_connection.rs
@@ -13,15 +13,15 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-use super::head_limit::{HeadBudget, LimitedStream};
-use super::upload_stream::UploadStream;
+use super::head_budget::HeadBudget;
+use super::response_stream::ResponseStream;
 use crate::traffic::ConnectionSlot;
 
 /// Time after which unacknowledged data, or data for which the receiver has no room, closes a
 /// connection; a sound target may pause for a second before it reads on.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Maximum number of bytes of a request that the operating system takes but has not sent yet. More
-/// would hide from [`UploadStream`] that the receiver has not taken the request.
+/// would hide from [`ResponseStream`] that the receiver has not taken the request.
 const MAX_UNSENT_BYTES: u32 = 64 << 10;
 /// Idle time before the first keepalive probe and between probes; the shortest time that the
 /// operating system accepts.
@@ -63,11 +63,10 @@
         let stream = tokio::time::timeout(timeout, connecting).await??;
         set_socket_options(&stream)?;
         let head_budget = HeadBudget::default();
-        let upload = UploadStream::new(stream);
-        let limited = LimitedStream::new(upload, head_budget.clone());
+        let stream = ResponseStream::new(stream, head_budget.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(limited))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
--- a/crates/briarrail_gateway/src/net/upload_stream.rs
+++ b/crates/briarrail_gateway/src/net/response_stream.rs
@@ -1,7 +1,4 @@
-//! Tells the end of a response from that of a connection whose request was never taken.
-//!
-//! A response without a length ends with its connection. If the peer resets the connection while the
-//! request is still being written, the write may get the error, and the next read only the end.
+//! The connection to a target, another router or the store, as the HTTP client reads it.
 
 use std::io;
 use std::pin::Pin;
@@ -9,18 +6,26 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// A connection whose reads fail at its end if the peer has not taken all that was written.
+use super::head_budget::HeadBudget;
+
+/// A connection whose reads fail when the head of a response exceeds its budget, and at the end of the
+/// connection if the peer has not taken all that was written.
+///
+/// A response without a length ends with its connection. If the peer resets the connection while the
+/// request is still being written, the write may get the error, and the next read only the end.
 #[derive(Debug)]
-pub(super) struct UploadStream<S> {
+pub(super) struct ResponseStream<S> {
     stream: S,
+    budget: HeadBudget,
     /// Whether the last write failed or left bytes over.
     is_write_unfinished: bool,
 }
 
-impl<S> UploadStream<S> {
-    pub(super) const fn new(stream: S) -> Self {
+impl<S> ResponseStream<S> {
+    pub(super) const fn new(stream: S, budget: HeadBudget) -> Self {
         Self {
             stream,
+            budget,
             is_write_unfinished: false,
         }
     }
@@ -31,7 +36,7 @@
     }
 }
 
-impl<S> AsyncRead for UploadStream<S>
+impl<S> AsyncRead for ResponseStream<S>
 where
     S: AsyncRead + Unpin,
 {
@@ -40,9 +45,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.budget.is_used_up() {
+            let message = "the head of the response is too large";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
+        }
         let filled = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let is_end = buffer.filled().len() == filled && buffer.remaining() > 0;
+        let read = buffer.filled().len() - filled;
+        self.budget.record_read(read);
+        let is_end = read == 0 && buffer.remaining() > 0;
         if is_end && self.is_write_unfinished {
             let message = "the connection ended before the request was written";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionReset, message)));
@@ -51,7 +62,7 @@
     }
 }
 
-impl<S> AsyncWrite for UploadStream<S>
+impl<S> AsyncWrite for ResponseStream<S>
 where
     S: AsyncWrite + Unpin,
 {
