feat(gateway): log what becomes of the notices of targets, and what a send knew of them

Change: target_notice for each step of a notice (taken, kept, taken_back, left_behind, forgotten, passed_over), with its run and source, counted by step; request and send_failed name the listed run of the target, and from whom and for how long the router had known that it leaves. One line for each change; no change of logic.

--- a/crates/briarrail_dispatch/src/notice_memory.rs
+++ b/crates/briarrail_dispatch/src/notice_memory.rs
@@ -21,20 +21,22 @@
 }
 
 impl NoticeMemory {
-    /// Keeps what a target said before it was dropped.
+    /// Keeps what a target said before it was dropped, and returns whether an older one was forgotten.
     pub(crate) fn keep(
         &mut self,
         lifetime: TargetLifetime,
         standing: TargetStanding,
         now: MilliTime,
-    ) {
+    ) -> bool {
         if !standing.has_notice(now) {
-            return;
+            return false;
         }
-        if self.standings.len() == MAX_LIFETIMES {
+        let is_full = self.standings.len() == MAX_LIFETIMES;
+        if is_full {
             self.standings.pop_front();
         }
         self.standings.push_back((lifetime, standing));
+        is_full
     }
 
     /// Takes back what a target said in a lifetime.
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -12,9 +12,9 @@
 use crate::service_time_meter::{ServiceTimeMeter, SlotUse};
 use crate::target_limiter::TargetLimiter;
 use crate::{
-    ColdSource, FleetSize, LimitReport, LimitedRequest, OutcomeTotals, OutcomeWindow,
-    OutlierDetector, PauseReport, ReleaseKey, SendDenial, SendNeed, SendOutcome, StandingChange,
-    TargetLifetime, TargetNotice, TargetRecord, TargetStanding,
+    ColdSource, FleetSize, LimitReport, LimitedRequest, NoticeEvent, NoticeSource, NoticeStep,
+    OutcomeTotals, OutcomeWindow, OutlierDetector, PauseReport, ReleaseKey, SendDenial, SendNeed,
+    SendOutcome, StandingChange, TargetLifetime, TargetNotice, TargetRecord, TargetStanding,
 };
 
 new_key_type! {
@@ -192,6 +192,8 @@
     /// Bounds on the requests to cold targets.
     pub(crate) cold_policy: ColdPolicy,
     notice_memory: NoticeMemory,
+    /// What became of the words of targets since the log was last written.
+    notice_events: Vec<NoticeEvent>,
 }
 
 impl TargetRegistry {
@@ -221,7 +223,15 @@
                 state.listed_at = now;
                 state.refused_at = None;
                 let known = self.notice_memory.take(lifetime);
+                let is_taken_back = known.is_some();
                 let earlier = state.standing.begin_lifetime(known);
+                let (id, started) = (&record.id, state.record.started_unix_ms);
+                let events = &mut self.notice_events;
+                note_step(events, id, started, &earlier, NoticeStep::LeftBehind, now);
+                if is_taken_back {
+                    let (standing, started) = (&state.standing, record.started_unix_ms);
+                    note_step(events, id, started, standing, NoticeStep::TakenBack, now);
+                }
                 self.notice_memory.keep(state.lifetime, earlier, now);
                 state.lifetime = lifetime;
             }
@@ -235,6 +245,10 @@
         }
         let (id, service) = (record.id.clone(), record.service.clone());
         let known = self.notice_memory.take(lifetime);
+        if let Some(known) = &known {
+            let (events, started) = (&mut self.notice_events, record.started_unix_ms);
+            note_step(events, &id, started, known, NoticeStep::TakenBack, now);
+        }
         let mut standing = known.unwrap_or_default();
         standing.record_listed(record.phase);
         standing.set_evacuated(self.evacuated.contains(&record.data_centre), now);
@@ -306,11 +320,31 @@
         key: TargetKey,
         lifetime: TargetLifetime,
         notice: TargetNotice,
+        now: MilliTime,
     ) {
-        let state = self.targets.get_mut(key);
-        if let Some(state) = state.filter(|state| state.lifetime == lifetime) {
-            state.standing.record_notice(notice);
+        let Some(state) = self.targets.get_mut(key) else {
+            return;
+        };
+        let is_same = state.lifetime == lifetime;
+        let source = NoticeSource::Answer;
+        if is_same && !state.standing.record_notice(notice, source, now) {
+            return;
         }
+        self.notice_events.push(NoticeEvent {
+            target_id: state.record.id.clone(),
+            started_unix_ms: state.record.started_unix_ms,
+            is_leaving: notice == TargetNotice::Leaving,
+            step: if is_same {
+                NoticeStep::Taken(source)
+            } else {
+                NoticeStep::OtherRun
+            },
+        });
+    }
+
+    /// Returns what became of the words of targets since this was last called.
+    pub fn take_notice_events(&mut self) -> Vec<NoticeEvent> {
+        std::mem::take(&mut self.notice_events)
     }
 
     /// Returns the short hashes of the lifetimes of the targets that said that they leave.
@@ -325,13 +359,23 @@
 
     /// Records that other routers heard from the targets with some short hashes of lifetimes that they
     /// leave.
-    pub fn record_leaving(&mut self, lifetimes: &BTreeSet<u32>) {
+    pub fn record_leaving(&mut self, lifetimes: &BTreeSet<u32>, now: MilliTime) {
         if lifetimes.is_empty() {
             return;
         }
         for state in self.targets.values_mut() {
-            if lifetimes.contains(&state.lifetime.short_hash()) {
-                state.standing.record_notice(TargetNotice::Leaving);
+            if !lifetimes.contains(&state.lifetime.short_hash()) {
+                continue;
+            }
+            let source = NoticeSource::Exchange;
+            let standing = &mut state.standing;
+            if standing.record_notice(TargetNotice::Leaving, source, now) {
+                self.notice_events.push(NoticeEvent {
+                    target_id: state.record.id.clone(),
+                    started_unix_ms: state.record.started_unix_ms,
+                    is_leaving: true,
+                    step: NoticeStep::Taken(source),
+                });
             }
         }
     }
@@ -620,8 +664,38 @@
         let Some(state) = self.targets.remove(key) else {
             return;
         };
-        self.notice_memory.keep(state.lifetime, state.standing, now);
+        let (id, started) = (&state.record.id, state.record.started_unix_ms);
+        let events = &mut self.notice_events;
+        note_step(events, id, started, &state.standing, NoticeStep::Kept, now);
+        let standing = state.standing;
+        if self.notice_memory.keep(state.lifetime, standing, now) {
+            self.notice_events.push(NoticeEvent {
+                target_id: String::new(),
+                started_unix_ms: 0,
+                is_leaving: true,
+                step: NoticeStep::Forgotten,
+            });
+        }
         self.by_id.remove(&state.record.id);
         self.by_service.remove(&state.record.service, key);
     }
 }
+
+/// Notes what became of the words of a lifetime, if it has said anything that still holds.
+fn note_step(
+    events: &mut Vec<NoticeEvent>,
+    target_id: &str,
+    started_unix_ms: u64,
+    standing: &TargetStanding,
+    step: NoticeStep,
+    now: MilliTime,
+) {
+    if standing.has_notice(now) {
+        events.push(NoticeEvent {
+            target_id: target_id.to_owned(),
+            started_unix_ms,
+            is_leaving: standing.is_leaving(),
+            step,
+        });
+    }
+}
--- a/crates/briarrail_dispatch/src/target_standing.rs
+++ b/crates/briarrail_dispatch/src/target_standing.rs
@@ -2,7 +2,10 @@
 
 use briarrail_model::{MilliDuration, MilliTime, StableHash};
 
-use crate::{PauseReport, SendDenial, StandingChange, TargetNotice, TargetPause, TargetPhase};
+use crate::{
+    LeavingNotice, NoticeSource, PauseReport, SendDenial, StandingChange, TargetNotice,
+    TargetPause, TargetPhase,
+};
 
 /// Time for which a target that left without draining still serves; the shortest drain of a site.
 pub(crate) const REMOVED_RETENTION: MilliDuration = MilliDuration::from_millis(1_500);
@@ -17,8 +20,10 @@
     is_draining: bool,
     /// Time at which the store's entry was removed.
     removed_at: Option<MilliTime>,
-    /// Whether the target said that it leaves.
-    is_leaving: bool,
+    /// The target's word that it leaves.
+    leaving: Option<LeavingNotice>,
+    /// The word of an earlier lifetime that it leaves; it does not hold for this one.
+    earlier_leaving: Option<LeavingNotice>,
     /// The pause for which the target asked.
     pause: Option<TargetPause>,
     /// The pause for which it asked other routers, if it means all of them.
@@ -37,6 +42,7 @@
     pub(crate) fn begin_lifetime(&mut self, known: Option<Self>) -> Self {
         let next = Self {
             reported: self.reported,
+            earlier_leaving: self.leaving.or(self.earlier_leaving),
             ..known.unwrap_or_default()
         };
         std::mem::replace(self, next)
@@ -53,13 +59,29 @@
         self.removed_at = Some(now);
     }
 
-    /// Records what the target said about itself.
+    /// Records what the target said about itself, and returns whether that is news.
     ///
     /// A target that leaves does so until its lifetime ends, and of two pauses the longer one counts.
-    pub fn record_notice(&mut self, notice: TargetNotice) {
+    pub fn record_notice(
+        &mut self,
+        notice: TargetNotice,
+        source: NoticeSource,
+        now: MilliTime,
+    ) -> bool {
         match notice {
-            TargetNotice::Leaving => self.is_leaving = true,
-            TargetNotice::Paused(pause) => self.pause = Some(pause.latest(self.pause)),
+            TargetNotice::Leaving => {
+                let is_news = self.leaving.is_none();
+                self.leaving.get_or_insert(LeavingNotice {
+                    heard_at: now,
+                    source,
+                });
+                is_news
+            }
+            TargetNotice::Paused(pause) => {
+                let is_news = self.pause_left(now).is_none();
+                self.pause = Some(pause.latest(self.pause));
+                is_news
+            }
         }
     }
 
@@ -83,7 +105,7 @@
     /// Returns whether the target said something about itself that still holds.
     #[must_use]
     pub fn has_notice(&self, now: MilliTime) -> bool {
-        self.is_leaving
+        self.is_leaving()
             || self
                 .longest_pause()
                 .is_some_and(|pause| !pause.is_over(now))
@@ -92,7 +114,13 @@
     /// Returns whether the target said that it leaves.
     #[must_use]
     pub const fn is_leaving(&self) -> bool {
-        self.is_leaving
+        self.leaving.is_some()
+    }
+
+    /// Returns the last word of the target that it leaves, also that of an earlier lifetime.
+    #[must_use]
+    pub fn last_leaving(&self) -> Option<LeavingNotice> {
+        self.leaving.or(self.earlier_leaving)
     }
 
     /// Sets whether the operators have evacuated the target's data centre.
@@ -126,7 +154,7 @@
         if self.is_draining {
             return Some(SendDenial::Draining);
         }
-        if self.is_leaving {
+        if self.is_leaving() {
             return Some(SendDenial::Leaving);
         }
         if self.is_evacuated {
@@ -160,7 +188,7 @@
     /// without a word keeps serving for a while.
     #[must_use]
     pub fn is_up(&self, now: MilliTime) -> bool {
-        let may_serve = !self.is_draining && !self.is_leaving;
+        let may_serve = !self.is_draining && !self.is_leaving();
         self.removed_at
             .is_none_or(|at| may_serve && now.since(at) <= REMOVED_RETENTION)
     }
--- a/crates/briarrail_dispatch/tests/suite/target_notices.rs
+++ b/crates/briarrail_dispatch/tests/suite/target_notices.rs
@@ -231,7 +231,7 @@
             for (_, call) in finished {
                 self.finish(index, call, SendOutcome::Good, now);
                 if self.is_affected(index, now) && self.scenario.notice == Notice::Leaving {
-                    self.tell(index, call.router, TargetNotice::Leaving);
+                    self.tell(index, call.router, TargetNotice::Leaving, now);
                 }
             }
             while self.targets[index].running.len() < SLOTS {
@@ -246,12 +246,12 @@
         }
     }
 
-    fn tell(&mut self, index: usize, router: usize, notice: TargetNotice) {
+    fn tell(&mut self, index: usize, router: usize, notice: TargetNotice, now: u64) {
         let router = &mut self.routers[router];
         let lifetime = router.registry.get(self.keys[index]).unwrap().lifetime;
         router
             .registry
-            .record_notice(self.keys[index], lifetime, notice);
+            .record_notice(self.keys[index], lifetime, notice, at(now));
         router.told.insert(index);
     }
 
@@ -296,7 +296,7 @@
         let routers = self.routers.len();
         self.published.clear();
         for router in &mut self.routers {
-            router.registry.record_leaving(&leaving);
+            router.registry.record_leaving(&leaving, at(now));
             router.registry.record_pauses(&pauses, routers, at(now));
             let local = |key: &TargetKey| {
                 let outcomes = router.registry.local_outcomes(*key, at(now));
@@ -391,7 +391,7 @@
         if is_paused && self.scenario.notice == Notice::Pause {
             let seconds = (BACK_AT_MS - now) as f64 / 1_000.0;
             let pause = TargetPause::from_secs(seconds, at(now)).unwrap();
-            self.tell(index, call.router, TargetNotice::Paused(pause));
+            self.tell(index, call.router, TargetNotice::Paused(pause), now);
         }
         false
     }
@@ -492,14 +492,14 @@
     let mut registry = TargetRegistry::default();
     let key = registry.upsert(run(1), at(0));
     let first = registry.get(key).unwrap().lifetime;
-    registry.record_notice(key, first, TargetNotice::Leaving);
+    registry.record_notice(key, first, TargetNotice::Leaving, at(0));
     let denial = |registry: &TargetRegistry, now| {
         let key = registry.key_by_id("t0").unwrap();
         registry.denial(key, &SendNeed::ANY, at(now))
     };
     assert_eq!(denial(&registry, 1), Some(SendDenial::Leaving));
     registry.upsert(run(2), at(2));
-    registry.record_notice(key, first, TargetNotice::Leaving);
+    registry.record_notice(key, first, TargetNotice::Leaving, at(2));
     assert_eq!(
         denial(&registry, 3),
         None,
--- a/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/briarrail_gateway/src/telemetry/gateway_metrics.rs
@@ -28,6 +28,7 @@
     ejections: Counter<u64>,
     cold_denials: Counter<u64>,
     standing_changes: Counter<u64>,
+    notice_steps: Counter<u64>,
     target_checks: Counter<u64>,
     take_ups: Counter<u64>,
     suspect_changes: Counter<u64>,
@@ -81,6 +82,10 @@
                 "briarrail_target_standing_changes",
                 "Changes of what targets may get by service and new standing",
             ),
+            notice_steps: counter(
+                "briarrail_target_notice_steps",
+                "Steps in the use of what targets said about themselves",
+            ),
             take_ups: counter(
                 "briarrail_stream_take_ups",
                 "Streams that callers continued, by where the release that began them was found",
@@ -153,6 +158,11 @@
         self.standing_changes.add(1, &labels);
     }
 
+    /// Counts a step in the use of something that a target said about itself.
+    pub(crate) fn count_notice_step(&self, step: &'static str) {
+        self.notice_steps.add(1, &[KeyValue::new("step", step)]);
+    }
+
     /// Counts a check of a target after a lost connection.
     pub(crate) fn count_target_check(&self, service: &str, outcome: &'static str) {
         let labels = [service_label(service), KeyValue::new("outcome", outcome)];
--- /dev/null
+++ b/crates/briarrail_gateway/src/traffic/notice_log.rs
@@ -0,0 +1,53 @@
+//! Log of what became of what targets said about themselves.
+
+use briarrail_dispatch::{NoticeSource, NoticeStep};
+use bytes::Bytes;
+
+use super::response_class::ResponseClass;
+use super::traffic_state::TrafficState;
+use crate::ResponseHeaders;
+
+impl<D> TrafficState<D> {
+    /// Logs what became of the words of targets since the last call.
+    pub(super) fn log_notice_events(&self) {
+        let events = self.registry.borrow_mut().take_notice_events();
+        for event in events {
+            self.metrics.count_notice_step(event.step.name());
+            tracing::info!(
+                event = "target_notice",
+                target_id = event.target_id,
+                target_started_ms = event.started_unix_ms,
+                notice = notice_name(event.is_leaving),
+                step = event.step.name(),
+                source = event.step.source().map(NoticeSource::name),
+            );
+        }
+    }
+
+    /// Logs that an answer with a notice is not taken as the target's word, because it may not be the
+    /// answer to its request.
+    pub(super) fn log_unattributed_notice(
+        &self,
+        request_id: &Bytes,
+        marks: &ResponseHeaders,
+        class: ResponseClass,
+    ) {
+        if !marks.is_leaving && marks.pause.is_none() {
+            return;
+        }
+        let step = NoticeStep::OtherRun.name();
+        self.metrics.count_notice_step(step);
+        tracing::info!(
+            event = "target_notice",
+            request_id = %String::from_utf8_lossy(request_id),
+            notice = notice_name(marks.is_leaving),
+            step,
+            source = NoticeSource::Answer.name(),
+            cause = ?class,
+        );
+    }
+}
+
+const fn notice_name(is_leaving: bool) -> &'static str {
+    if is_leaving { "leaving" } else { "paused" }
+}
--- a/crates/briarrail_gateway/src/traffic/request_trace.rs
+++ b/crates/briarrail_gateway/src/traffic/request_trace.rs
@@ -9,6 +9,7 @@
 
 use super::request_traits::RequestTraits;
 use super::send_log::SendLog;
+use super::target_knowledge::TargetKnowledge;
 use super::traffic_state::TrafficState;
 
 /// Collects the decisions about a request, and logs them as one line when the request ends.
@@ -25,6 +26,8 @@
     pub(crate) customer: Option<String>,
     pub(crate) config_version: u64,
     pub(crate) target_id: String,
+    /// What was known of the target when it was selected.
+    pub(crate) target_knowledge: TargetKnowledge,
     /// Position of the target in the request's rendezvous order.
     pub(crate) rank: Option<usize>,
     /// Load above which targets in rendezvous order were skipped.
@@ -63,6 +66,7 @@
             customer: None,
             config_version: 0,
             target_id: String::new(),
+            target_knowledge: TargetKnowledge::default(),
             rank: None,
             load_limit: 0.0,
             context_hash: None,
@@ -114,6 +118,7 @@
             request_id: self.request_id.clone(),
             service: self.service.clone(),
             target_id: self.target_id.clone(),
+            target_knowledge: self.target_knowledge,
             send: self.sends,
             arrived_at: self.arrived_at,
         }
@@ -155,6 +160,11 @@
             customer = self.customer,
             config_version = self.config_version,
             target_id = self.target_id,
+            target_started_ms = self.target_knowledge.started_unix_ms,
+            leaving_source = self.target_knowledge.leaving_source(),
+            leaving_age_ms = self
+                .target_knowledge
+                .leaving_age_ms(self.state.clock.now()),
             rank = self.rank,
             load_limit = self.load_limit,
             context = self.context_hash,
--- a/crates/briarrail_gateway/src/traffic/send_log.rs
+++ b/crates/briarrail_gateway/src/traffic/send_log.rs
@@ -5,6 +5,7 @@
 use briarrail_model::MilliTime;
 use bytes::Bytes;
 
+use super::target_knowledge::TargetKnowledge;
 use super::traffic_state::TrafficState;
 
 /// Logs and counts what became of one send of a request, also while another one is under way.
@@ -14,6 +15,8 @@
     pub(super) request_id: Bytes,
     pub(super) service: String,
     pub(super) target_id: String,
+    /// What was known of the target when it was selected.
+    pub(super) target_knowledge: TargetKnowledge,
     /// Number of the send within the request, from 1.
     pub(super) send: u32,
     pub(super) arrived_at: MilliTime,
@@ -27,14 +30,18 @@
 
     /// Logs that the send failed.
     pub(crate) fn log_failure(&self, cause: &'static str, detail: &str) {
+        let now = self.state.clock.now();
         tracing::info!(
             event = "send_failed",
             request_id = %String::from_utf8_lossy(&self.request_id),
             target_id = self.target_id,
+            target_started_ms = self.target_knowledge.started_unix_ms,
+            leaving_source = self.target_knowledge.leaving_source(),
+            leaving_age_ms = self.target_knowledge.leaving_age_ms(now),
             send = self.send,
             cause,
             detail,
-            elapsed_ms = self.state.clock.now().since(self.arrived_at).as_millis(),
+            elapsed_ms = now.since(self.arrived_at).as_millis(),
         );
     }
 
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -24,6 +24,7 @@
 use super::send_log::SendLog;
 use super::stream_origin::ResumePoint;
 use super::target_connections::reserve_connection;
+use super::target_knowledge::TargetKnowledge;
 use super::target_response::TargetResponse;
 use super::traffic_state::TrafficState;
 use super::tried_targets::TriedTargets;
@@ -349,6 +350,7 @@
     trace.load_limit = placement.limit;
     let target = registry.get(key)?;
     trace.target_id.clone_from(&target.record.id);
+    trace.target_knowledge = TargetKnowledge::new(target);
     trace.target_load = target.expected_load(now);
     trace.counts_age = target.peer_count_age(now);
     trace.mean_load = registry.mean_load(&context.service, now);
--- a/crates/briarrail_gateway/src/traffic/target_standings.rs
+++ b/crates/briarrail_gateway/src/traffic/target_standings.rs
@@ -103,11 +103,13 @@
             class,
             ResponseClass::WrongTarget | ResponseClass::Invalid(_)
         ) {
+            self.log_unattributed_notice(request_id, marks, class);
             return;
         }
         self.record_rate_limit(key, marks.rate_limit);
         self.record_cold(key, marks.cold_left);
         if marks.request_id.as_ref() != Some(request_id) {
+            self.log_unattributed_notice(request_id, marks, class);
             return;
         }
         if marks.is_leaving {
@@ -155,7 +157,8 @@
     ) {
         self.registry
             .borrow_mut()
-            .record_notice(key, lifetime, notice);
+            .record_notice(key, lifetime, notice, now);
+        self.log_notice_events();
         self.report_standing(key, ANSWER_SOURCE, now);
     }
 
@@ -175,9 +178,10 @@
         let routers = self.fleet_size.get().routers();
         {
             let mut registry = self.registry.borrow_mut();
-            registry.record_leaving(&counts.leaving);
+            registry.record_leaving(&counts.leaving, now);
             registry.record_pauses(&counts.pauses, routers, now);
         }
+        self.log_notice_events();
         for key in keys() {
             self.report_standing(key, EXCHANGE_SOURCE, now);
         }
--- a/crates/briarrail_gateway/src/traffic/target_updates.rs
+++ b/crates/briarrail_gateway/src/traffic/target_updates.rs
@@ -19,6 +19,7 @@
         for change in changes {
             self.apply_roster_change(change);
         }
+        self.log_notice_events();
     }
 
     fn apply_roster_change(&self, change: RosterChange) {
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -402,6 +402,9 @@
         self.review_standings(counts, now);
         let mut registry = self.registry.borrow_mut();
         registry.purge_removed(now);
+        drop(registry);
+        self.log_notice_events();
+        let mut registry = self.registry.borrow_mut();
         let keys: Vec<(TargetKey, u32)> = registry
             .iter()
             .map(|(key, target)| (key, target.hash.0 as u32))
