fix(dispatch): bind what a target said to the run that said it

What callers saw: requests ran at a target that had said that it was leaving (DRAIN), or that had asked for a pause, more than the drain time after the same router had passed on its answer.

Cause: a router kept what a target said for one listing of it, a hash of identifier, service, address and start. An entry that was rewritten (another service, no start, an earlier start from an older copy or list) began another listing, and the word was left with the one before. The other way round, a target that had started again under its identifier was asked as the run before while its entry was not read, so its word went with that run once the entry came. And 1,024 listings were remembered, fewer than the targets of a large site.

The log shows target_notice left_behind on each router just before these requests.

Change: a run is an identifier, an address and a start; only a later start, or another address, shows another one. What holds is what any run from the listed one on said. Words in answers to requests that left since the start of a run that is listed later hold for it too; as they may be of the run before, for 30 s, and only at the router that heard them. 16,384 targets are remembered, by place.

--- a/crates/briarrail_dispatch/src/notice_event.rs
+++ b/crates/briarrail_dispatch/src/notice_event.rs
@@ -26,9 +26,11 @@
     TakenBack,
     /// Another run of the target is listed, for which it does not hold.
     LeftBehind,
+    /// Another run of the target is listed that may have said it, so it holds for a while.
+    Carried,
     /// It was dropped from memory in favour of newer ones.
     Forgotten,
-    /// It belongs to a run that is not listed.
+    /// It belongs to a run that is not the latest one of its target.
     OtherRun,
 }
 
@@ -41,6 +43,7 @@
             Self::Kept => "kept",
             Self::TakenBack => "taken_back",
             Self::LeftBehind => "left_behind",
+            Self::Carried => "carried",
             Self::Forgotten => "forgotten",
             Self::OtherRun => "passed_over",
         }
@@ -52,7 +55,9 @@
         match self {
             Self::Taken(source) => Some(source),
             Self::OtherRun => Some(NoticeSource::Answer),
-            Self::Kept | Self::TakenBack | Self::LeftBehind | Self::Forgotten => None,
+            Self::Kept | Self::TakenBack | Self::LeftBehind | Self::Carried | Self::Forgotten => {
+                None
+            }
         }
     }
 }
--- a/crates/briarrail_dispatch/src/notice_memory.rs
+++ b/crates/briarrail_dispatch/src/notice_memory.rs
@@ -1,48 +1,68 @@
 //! What targets said that are not listed at present.
 
-use std::collections::VecDeque;
+use std::num::NonZeroUsize;
 
 use briarrail_model::MilliTime;
+use lru::LruCache;
 
-use crate::{TargetLifetime, TargetStanding};
+use crate::TargetPlace;
+use crate::run_notices::RunNotices;
 
-/// Maximum number of lifetimes that are remembered; far more than the targets of a site that leave
-/// within the age of a copy of the store.
-const MAX_LIFETIMES: usize = 1_024;
+/// Maximum number of targets that are remembered; more than the engines of the largest sites, all of
+/// which may leave within the age of a copy of the store.
+const MAX_TARGETS: NonZeroUsize = NonZeroUsize::new(16_384).unwrap();
 
-/// What targets said in their last lifetime, from when they were dropped until they are listed again.
+/// What a target said before it was listed no more.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RememberedTarget {
+    pub(crate) id: String,
+    pub(crate) runs: RunNotices,
+}
+
+impl RememberedTarget {
+    fn is_worth_keeping(&self, now: MilliTime) -> bool {
+        self.runs.of_any().has_any(now)
+    }
+}
+
+/// What targets said, from when they were dropped until they are listed again.
 ///
 /// Entries lapse while the store is down, and a restored store lists targets that have left; both
-/// bring back a target that said that it leaves.
-#[derive(Debug, Clone, Default)]
+/// bring back a target that said something about itself.
+#[derive(Debug)]
 pub(crate) struct NoticeMemory {
-    /// Oldest first.
-    standings: VecDeque<(TargetLifetime, TargetStanding)>,
+    targets: LruCache<TargetPlace, RememberedTarget>,
+}
+
+impl Default for NoticeMemory {
+    fn default() -> Self {
+        Self {
+            // Grows with its content, up to the maximum.
+            targets: LruCache::unbounded(),
+        }
+    }
 }
 
 impl NoticeMemory {
-    /// Keeps what a target said before it was dropped, and returns whether an older one was forgotten.
+    /// Keeps what a target said before it was dropped, and returns an older one that gives way to it.
     pub(crate) fn keep(
         &mut self,
-        lifetime: TargetLifetime,
-        standing: TargetStanding,
+        place: TargetPlace,
+        target: RememberedTarget,
         now: MilliTime,
-    ) -> bool {
-        if !standing.has_notice(now) {
-            return false;
-        }
-        let is_full = self.standings.len() == MAX_LIFETIMES;
-        if is_full {
-            self.standings.pop_front();
+    ) -> Option<RememberedTarget> {
+        if !target.is_worth_keeping(now) {
+            return None;
         }
-        self.standings.push_back((lifetime, standing));
-        is_full
+        self.targets.put(place, target);
+        let is_over = self.targets.len() > MAX_TARGETS.get();
+        is_over
+            .then(|| self.targets.pop_lru())?
+            .map(|(_, target)| target)
     }
 
-    /// Takes back what a target said in a lifetime.
-    pub(crate) fn take(&mut self, lifetime: TargetLifetime) -> Option<TargetStanding> {
-        let is_sought = |(known, _): &(TargetLifetime, TargetStanding)| *known == lifetime;
-        let index = self.standings.iter().position(is_sought)?;
-        self.standings.remove(index).map(|(_, standing)| standing)
+    /// Takes back what a target said.
+    pub(crate) fn take(&mut self, place: TargetPlace) -> Option<RememberedTarget> {
+        self.targets.pop(&place)
     }
 }
--- a/crates/briarrail_dispatch/src/notice_source.rs
+++ b/crates/briarrail_dispatch/src/notice_source.rs
@@ -1,12 +1,12 @@
 //! Where something that a target said about itself is known from.
 
-/// Where something that a target said about itself is known from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Where something that a target said about itself is known from, in rising order of weight.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum NoticeSource {
-    /// An answer to a request of this router.
-    Answer,
     /// An answer to a request of another router.
     Exchange,
+    /// An answer to a request of this router.
+    Answer,
 }
 
 impl NoticeSource {
--- a/crates/briarrail_dispatch/src/target_lifetime.rs
+++ b/crates/briarrail_dispatch/src/target_lifetime.rs
@@ -1,24 +1,16 @@
-//! One run of a target.
+//! What a target is listed as.
 
 use briarrail_model::{StableHash, hash_bytes, hash_pair};
 
 use crate::TargetRecord;
 
-/// Identifies one run of a target; the same on all routers.
+/// Identifies what a target is listed as: a run of it, at an address, in a service.
 ///
-/// A target that starts again, or that is found at another address or in another service, is another
-/// one, whatever was said of the earlier run.
+/// What was measured of a target holds for one listing. What the target said holds for its
+/// [`TargetRun`](crate::TargetRun), whatever its entry names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TargetLifetime(StableHash);
 
-impl TargetLifetime {
-    /// Returns the short form with which routers name the lifetime to each other.
-    #[must_use]
-    pub const fn short_hash(self) -> u32 {
-        self.0.0 as u32
-    }
-}
-
 impl From<&TargetRecord> for TargetLifetime {
     fn from(record: &TargetRecord) -> Self {
         let id = hash_bytes(record.id.as_bytes());
--- a/crates/briarrail_dispatch/src/target_record.rs
+++ b/crates/briarrail_dispatch/src/target_record.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use briarrail_model::{DataCentre, MilliDuration};
+use briarrail_model::{DataCentre, MilliDuration, MilliTime};
 use serde::{Deserialize, Serialize};
 
 /// Lifecycle phase of a target.
@@ -42,3 +42,15 @@
     #[serde(default)]
     pub cold_left: MilliDuration,
 }
+
+impl TargetRecord {
+    /// Returns the time at which the target started by the clock of `now`, if its start is known;
+    /// `unix_ms` is the same moment as `now`, as a Unix time in milliseconds.
+    #[must_use]
+    pub fn started_at(&self, unix_ms: u64, now: MilliTime) -> Option<MilliTime> {
+        let started = self.started_unix_ms;
+        let ahead = MilliDuration::from_millis(started.saturating_sub(unix_ms));
+        let age = MilliDuration::from_millis(unix_ms.saturating_sub(started));
+        (started > 0).then(|| now + ahead - age)
+    }
+}
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -1,6 +1,6 @@
 //! State of each target as known to this router.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 
 use briarrail_model::{DataCentre, MilliDuration, MilliTime, StableHash, hash_bytes, hash_pair};
 use slotmap::{SlotMap, new_key_type};
@@ -12,9 +12,9 @@
 use crate::service_time_meter::{ServiceTimeMeter, SlotUse};
 use crate::target_limiter::TargetLimiter;
 use crate::{
-    ColdSource, FleetSize, LimitReport, LimitedRequest, NoticeEvent, NoticeSource, NoticeStep,
-    OutcomeTotals, OutcomeWindow, OutlierDetector, PauseReport, ReleaseKey, SendDenial, SendNeed,
-    SendOutcome, StandingChange, TargetLifetime, TargetNotice, TargetRecord, TargetStanding,
+    ColdSource, FleetSize, LimitReport, LimitedRequest, NoticeEvent, OutcomeTotals, OutcomeWindow,
+    OutlierDetector, ReleaseKey, SendDenial, SendNeed, SendOutcome, StandingChange, TargetLifetime,
+    TargetPlace, TargetRecord, TargetStanding,
 };
 
 new_key_type! {
@@ -58,7 +58,7 @@
     peer_requests: Option<(f32, MilliTime)>,
     reported_load: Option<ReportedLoad>,
     /// Rate limit that the target names for all routers together.
-    limiter: TargetLimiter,
+    pub(crate) limiter: TargetLimiter,
     /// Outcomes of this router's requests.
     local_outcomes: OutcomeWindow,
     peer_outcomes: OutcomeTotals,
@@ -66,8 +66,8 @@
     service_time: ServiceTimeMeter,
     /// Time at which the target, or a new run of it, was first listed.
     listed_at: MilliTime,
-    /// What the store, the target itself and the operators say of this lifetime.
-    standing: TargetStanding,
+    /// What the store, the target itself and the operators say of it.
+    pub(crate) standing: TargetStanding,
     /// Bound on the requests while the target is cold.
     pub(crate) cold_limiter: ColdLimiter,
     /// Time at which the target last refused a connection, if the view of the targets is not newer: the
@@ -129,7 +129,7 @@
         self.denial(&SendNeed::ANY, now).is_none()
     }
 
-    /// Returns what the store, the target itself and the operators say of this lifetime.
+    /// Returns what the store, the target itself and the operators say of the target.
     #[must_use]
     pub const fn standing(&self) -> &TargetStanding {
         &self.standing
@@ -184,25 +184,40 @@
 /// All targets, indexed by key, identifier and service.
 #[derive(Debug, Default)]
 pub struct TargetRegistry {
-    targets: SlotMap<TargetKey, TargetState>,
+    pub(crate) targets: SlotMap<TargetKey, TargetState>,
     by_id: HashMap<String, TargetKey>,
     by_service: ServiceIndex,
     /// Data centres that the operators have evacuated.
     evacuated: BTreeSet<DataCentre>,
     /// Bounds on the requests to cold targets.
     pub(crate) cold_policy: ColdPolicy,
-    notice_memory: NoticeMemory,
+    pub(crate) notice_memory: NoticeMemory,
     /// What became of the words of targets since the log was last written.
-    notice_events: Vec<NoticeEvent>,
+    pub(crate) notice_events: Vec<NoticeEvent>,
 }
 
 impl TargetRegistry {
-    /// Adds a target or updates its record; a restart, or a change of its service, resets its state.
+    /// Adds a target or updates its record, without the time at which its run started.
     pub fn upsert(&mut self, record: TargetRecord, now: MilliTime) -> TargetKey {
+        self.upsert_started(record, None, now)
+    }
+
+    /// Adds a target or updates its record; a restart, or a change of its service, resets its state.
+    ///
+    /// `started_at` is the time at which the run of the record started, by the clock of this router. What
+    /// was heard from the target since then holds for that run, also if it was not listed yet.
+    pub fn upsert_started(
+        &mut self,
+        record: TargetRecord,
+        started_at: Option<MilliTime>,
+        now: MilliTime,
+    ) -> TargetKey {
         let is_known_fleet = self.cold_policy.record_listing(now);
         let lifetime = TargetLifetime::from(&record);
         if let Some(&key) = self.by_id.get(&record.id) {
             let is_evacuated = self.evacuated.contains(&record.data_centre);
+            self.move_target(key, &record, now);
+            self.list_run(key, record.started_unix_ms, started_at, now);
             let state = &mut self.targets[key];
             if state.record.service != record.service {
                 self.by_service.remove(&state.record.service, key);
@@ -215,24 +230,13 @@
             if state.lifetime != lifetime {
                 state.outlier_detector = OutlierDetector::default();
                 state.reported_load = None;
-                state.limiter = TargetLimiter::new(now);
                 state.peer_requests = None;
                 state.local_outcomes.clear();
                 state.peer_outcomes = OutcomeTotals::default();
                 state.service_time = ServiceTimeMeter::default();
                 state.listed_at = now;
                 state.refused_at = None;
-                let known = self.notice_memory.take(lifetime);
-                let is_taken_back = known.is_some();
-                let earlier = state.standing.begin_lifetime(known);
-                let (id, started) = (&record.id, state.record.started_unix_ms);
-                let events = &mut self.notice_events;
-                note_step(events, id, started, &earlier, NoticeStep::LeftBehind, now);
-                if is_taken_back {
-                    let (standing, started) = (&state.standing, record.started_unix_ms);
-                    note_step(events, id, started, standing, NoticeStep::TakenBack, now);
-                }
-                self.notice_memory.keep(state.lifetime, earlier, now);
+                state.standing.clear_return();
                 state.lifetime = lifetime;
             }
             let cold_limiter = &mut state.cold_limiter;
@@ -244,12 +248,10 @@
             return key;
         }
         let (id, service) = (record.id.clone(), record.service.clone());
-        let known = self.notice_memory.take(lifetime);
-        if let Some(known) = &known {
-            let (events, started) = (&mut self.notice_events, record.started_unix_ms);
-            note_step(events, &id, started, known, NoticeStep::TakenBack, now);
-        }
-        let mut standing = known.unwrap_or_default();
+        let place = TargetPlace::from(&record);
+        let started_unix_ms = record.started_unix_ms;
+        let known = self.take_back(place, now);
+        let mut standing = TargetStanding::new(place, known.runs);
         standing.record_listed(record.phase);
         standing.set_evacuated(self.evacuated.contains(&record.data_centre), now);
         let cold_limiter = ColdLimiter::listed(record.cold_left, is_known_fleet, now);
@@ -273,6 +275,7 @@
         });
         self.by_id.insert(id, key);
         self.by_service.add(&service, key);
+        self.list_run(key, started_unix_ms, started_at, now);
         key
     }
 
@@ -312,105 +315,6 @@
         }
     }
 
-    /// Records what a target said about itself in an answer of a lifetime.
-    ///
-    /// An answer of an earlier lifetime says nothing about the present one.
-    pub fn record_notice(
-        &mut self,
-        key: TargetKey,
-        lifetime: TargetLifetime,
-        notice: TargetNotice,
-        now: MilliTime,
-    ) {
-        let Some(state) = self.targets.get_mut(key) else {
-            return;
-        };
-        let is_same = state.lifetime == lifetime;
-        let source = NoticeSource::Answer;
-        if is_same && !state.standing.record_notice(notice, source, now) {
-            return;
-        }
-        self.notice_events.push(NoticeEvent {
-            target_id: state.record.id.clone(),
-            started_unix_ms: state.record.started_unix_ms,
-            is_leaving: notice == TargetNotice::Leaving,
-            step: if is_same {
-                NoticeStep::Taken(source)
-            } else {
-                NoticeStep::OtherRun
-            },
-        });
-    }
-
-    /// Returns what became of the words of targets since this was last called.
-    pub fn take_notice_events(&mut self) -> Vec<NoticeEvent> {
-        std::mem::take(&mut self.notice_events)
-    }
-
-    /// Returns the short hashes of the lifetimes of the targets that said that they leave.
-    #[must_use]
-    pub fn leaving_lifetimes(&self) -> BTreeSet<u32> {
-        let states = self.targets.values();
-        states
-            .filter(|state| state.standing.is_leaving())
-            .map(|state| state.lifetime.short_hash())
-            .collect()
-    }
-
-    /// Records that other routers heard from the targets with some short hashes of lifetimes that they
-    /// leave.
-    pub fn record_leaving(&mut self, lifetimes: &BTreeSet<u32>, now: MilliTime) {
-        if lifetimes.is_empty() {
-            return;
-        }
-        for state in self.targets.values_mut() {
-            if !lifetimes.contains(&state.lifetime.short_hash()) {
-                continue;
-            }
-            let source = NoticeSource::Exchange;
-            let standing = &mut state.standing;
-            if standing.record_notice(TargetNotice::Leaving, source, now) {
-                self.notice_events.push(NoticeEvent {
-                    target_id: state.record.id.clone(),
-                    started_unix_ms: state.record.started_unix_ms,
-                    is_leaving: true,
-                    step: NoticeStep::Taken(source),
-                });
-            }
-        }
-    }
-
-    /// Returns the pauses for which targets asked this router, by the short hash of the lifetime.
-    #[must_use]
-    pub fn pause_reports(&self, now: MilliTime) -> BTreeMap<u32, PauseReport> {
-        let states = self.targets.values();
-        let reports = states.filter_map(|state| {
-            let left = state.standing.pause_left(now)?;
-            Some((
-                state.lifetime.short_hash(),
-                PauseReport { routers: 1, left },
-            ))
-        });
-        reports.collect()
-    }
-
-    /// Records the pauses for which targets asked other routers, of the fleet's number of routers.
-    pub fn record_pauses(
-        &mut self,
-        reports: &BTreeMap<u32, PauseReport>,
-        routers: usize,
-        now: MilliTime,
-    ) {
-        if reports.is_empty() {
-            return;
-        }
-        for state in self.targets.values_mut() {
-            if let Some(report) = reports.get(&state.lifetime.short_hash()) {
-                state.standing.record_peer_pause(*report, routers, now);
-            }
-        }
-    }
-
     /// Records that a target refused a connection. A process that starts again at its address, under its
     /// identifier, may be of another release.
     pub fn record_refused(&mut self, key: TargetKey, now: MilliTime) {
@@ -664,38 +568,8 @@
         let Some(state) = self.targets.remove(key) else {
             return;
         };
-        let (id, started) = (&state.record.id, state.record.started_unix_ms);
-        let events = &mut self.notice_events;
-        note_step(events, id, started, &state.standing, NoticeStep::Kept, now);
-        let standing = state.standing;
-        if self.notice_memory.keep(state.lifetime, standing, now) {
-            self.notice_events.push(NoticeEvent {
-                target_id: String::new(),
-                started_unix_ms: 0,
-                is_leaving: true,
-                step: NoticeStep::Forgotten,
-            });
-        }
+        self.remember_target(&state, now);
         self.by_id.remove(&state.record.id);
         self.by_service.remove(&state.record.service, key);
     }
 }
-
-/// Notes what became of the words of a lifetime, if it has said anything that still holds.
-fn note_step(
-    events: &mut Vec<NoticeEvent>,
-    target_id: &str,
-    started_unix_ms: u64,
-    standing: &TargetStanding,
-    step: NoticeStep,
-    now: MilliTime,
-) {
-    if standing.has_notice(now) {
-        events.push(NoticeEvent {
-            target_id: target_id.to_owned(),
-            started_unix_ms,
-            is_leaving: standing.is_leaving(),
-            step,
-        });
-    }
-}
--- a/crates/briarrail_dispatch/src/target_standing.rs
+++ b/crates/briarrail_dispatch/src/target_standing.rs
@@ -1,33 +1,36 @@
-//! What the store, the target itself and the operators say of one lifetime of a target.
+//! What the store, the target itself and the operators say of a target.
 
 use briarrail_model::{MilliDuration, MilliTime, StableHash};
 
+use crate::heard_notices::HeardNotices;
+use crate::run_notices::RunNotices;
 use crate::{
     LeavingNotice, NoticeSource, PauseReport, SendDenial, StandingChange, TargetNotice,
-    TargetPause, TargetPhase,
+    TargetPhase, TargetPlace, TargetRun,
 };
 
 /// Time for which a target that left without draining still serves; the shortest drain of a site.
 pub(crate) const REMOVED_RETENTION: MilliDuration = MilliDuration::from_millis(1_500);
 
-/// What is known of one lifetime of a target: whether it may get requests, and if not, why.
+/// What is known of a target: whether it may get requests, and if not, why.
 ///
 /// Each source has a word of its own, and none overrides another: a target that said that it leaves
-/// does so whether the store lists it as ready or not.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+/// does so whether the store lists it as ready or not. What the target says holds for its run, the
+/// rest for the entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetStanding {
+    /// Where the target is found.
+    place: TargetPlace,
+    /// What its runs there said.
+    runs: RunNotices,
+    /// Start of the listed run, as a Unix time in milliseconds; 0 if unknown.
+    listed_unix_ms: u64,
+    /// What the runs said that holds for the listed one.
+    heard: HeardNotices,
     /// Whether the store's last entry calls the target draining.
     is_draining: bool,
     /// Time at which the store's entry was removed.
     removed_at: Option<MilliTime>,
-    /// The target's word that it leaves.
-    leaving: Option<LeavingNotice>,
-    /// The word of an earlier lifetime that it leaves; it does not hold for this one.
-    earlier_leaving: Option<LeavingNotice>,
-    /// The pause for which the target asked.
-    pause: Option<TargetPause>,
-    /// The pause for which it asked other routers, if it means all of them.
-    peer_pause: Option<TargetPause>,
     /// Whether the operators have evacuated the target's data centre.
     is_evacuated: bool,
     /// Time at which the last evacuation of its data centre ended.
@@ -37,15 +40,46 @@
 }
 
 impl TargetStanding {
-    /// Begins another lifetime, of which something may be known, and returns what was said of the one
-    /// before.
-    pub(crate) fn begin_lifetime(&mut self, known: Option<Self>) -> Self {
-        let next = Self {
-            reported: self.reported,
-            earlier_leaving: self.leaving.or(self.earlier_leaving),
-            ..known.unwrap_or_default()
-        };
-        std::mem::replace(self, next)
+    /// Creates the standing of a target that is listed for the first time, of whose runs something may
+    /// be known.
+    pub(crate) fn new(place: TargetPlace, known: RunNotices) -> Self {
+        Self {
+            place,
+            runs: known,
+            listed_unix_ms: 0,
+            heard: HeardNotices::default(),
+            is_draining: false,
+            removed_at: None,
+            is_evacuated: false,
+            returned_at: None,
+            reported: None,
+        }
+    }
+
+    /// Moves the target to another place, where something may be known of its runs, and returns what
+    /// was said at the one before.
+    pub(crate) fn move_to(&mut self, place: TargetPlace, known: RunNotices) -> RunNotices {
+        self.place = place;
+        std::mem::replace(&mut self.runs, known)
+    }
+
+    /// Records that the store lists a run that started at `started_at` by the clock of this router, if
+    /// that is known, and returns whether the run begins with that.
+    pub(crate) fn list_run(
+        &mut self,
+        started_unix_ms: u64,
+        started_at: Option<MilliTime>,
+        now: MilliTime,
+    ) -> bool {
+        let begins = self.runs.list(started_unix_ms, started_at, now);
+        self.listed_unix_ms = started_unix_ms;
+        self.refresh();
+        begins
+    }
+
+    /// Forgets when the evacuation of an earlier lifetime ended.
+    pub(crate) const fn clear_return(&mut self) {
+        self.returned_at = None;
     }
 
     /// Records that the store lists the target.
@@ -59,68 +93,102 @@
         self.removed_at = Some(now);
     }
 
-    /// Records what the target said about itself, and returns whether that is news.
-    ///
-    /// A target that leaves does so until its lifetime ends, and of two pauses the longer one counts.
-    pub fn record_notice(
+    /// Returns the latest known run of the target.
+    #[must_use]
+    pub fn run(&self) -> TargetRun {
+        TargetRun {
+            place: self.place,
+            started_unix_ms: self.runs.latest_start(),
+        }
+    }
+
+    /// Returns what the runs at the present place said.
+    pub(crate) const fn runs(&self) -> &RunNotices {
+        &self.runs
+    }
+
+    /// Returns what holds for the listed run.
+    pub(crate) const fn heard(&self) -> &HeardNotices {
+        &self.heard
+    }
+
+    /// Records what a run at the present place said about itself in the answer to a request that left at
+    /// `asked_at`, and returns whether that is news.
+    pub(crate) fn record_notice(
         &mut self,
+        started_unix_ms: u64,
         notice: TargetNotice,
-        source: NoticeSource,
+        asked_at: MilliTime,
         now: MilliTime,
     ) -> bool {
-        match notice {
-            TargetNotice::Leaving => {
-                let is_news = self.leaving.is_none();
-                self.leaving.get_or_insert(LeavingNotice {
-                    heard_at: now,
-                    source,
-                });
-                is_news
-            }
-            TargetNotice::Paused(pause) => {
-                let is_news = self.pause_left(now).is_none();
-                self.pause = Some(pause.latest(self.pause));
-                is_news
+        let is_news = self.runs.record(started_unix_ms, notice, asked_at, now);
+        self.refresh();
+        is_news
+    }
+
+    /// Records that other routers heard from one of some runs that it leaves, and returns whether that
+    /// is news of this target.
+    pub(crate) fn record_peer_leaving<F>(&mut self, is_leaving: F, now: MilliTime) -> bool
+    where
+        F: Fn(TargetRun) -> bool,
+    {
+        let place = self.place;
+        let mut is_news = false;
+        self.runs.update_each(|started_unix_ms, notices| {
+            let run = TargetRun {
+                place,
+                started_unix_ms,
+            };
+            if is_leaving(run) {
+                let source = NoticeSource::Exchange;
+                is_news |= notices.record_leaving(source, now, now);
             }
-        }
+        });
+        self.refresh();
+        is_news
     }
 
-    /// Records a pause for which the target asked other routers, of the fleet's number of routers.
-    pub fn record_peer_pause(&mut self, report: PauseReport, routers: usize, now: MilliTime) {
-        if report.means_all(routers) {
-            let pause = TargetPause::new(report.left, now);
-            // The end is kept, since each report is about as old as the one before.
-            let known = self.peer_pause.filter(|known| known.until() > now);
-            self.peer_pause = Some(known.unwrap_or(pause));
-        }
+    /// Records the pauses for which runs asked other routers, of the fleet's number of routers.
+    pub(crate) fn record_peer_pause<F>(&mut self, report_of: F, routers: usize, now: MilliTime)
+    where
+        F: Fn(TargetRun) -> Option<PauseReport>,
+    {
+        let place = self.place;
+        self.runs.update_each(|started_unix_ms, notices| {
+            let run = TargetRun {
+                place,
+                started_unix_ms,
+            };
+            if let Some(report) = report_of(run) {
+                notices.record_peer_pause(report, routers, now);
+            }
+        });
+        self.refresh();
     }
 
-    /// Returns the time that is left of the pause for which the target asked this router.
-    #[must_use]
-    pub fn pause_left(&self, now: MilliTime) -> Option<MilliDuration> {
-        let pause = self.pause.filter(|pause| pause.until() > now)?;
-        Some(pause.until().since(now))
+    fn refresh(&mut self) {
+        self.heard = self.runs.in_effect(self.listed_unix_ms);
     }
 
-    /// Returns whether the target said something about itself that still holds.
+    /// Returns the time that is left of the pause for which the present run asked this router.
     #[must_use]
-    pub fn has_notice(&self, now: MilliTime) -> bool {
-        self.is_leaving()
-            || self
-                .longest_pause()
-                .is_some_and(|pause| !pause.is_over(now))
+    pub fn pause_left(&self, now: MilliTime) -> Option<MilliDuration> {
+        self.runs.of_latest().pause_left(now)
     }
 
-    /// Returns whether the target said that it leaves.
+    /// Returns whether the present run certainly said that it leaves.
     #[must_use]
-    pub const fn is_leaving(&self) -> bool {
-        self.leaving.is_some()
+    pub fn is_surely_leaving(&self) -> bool {
+        self.runs.of_latest().is_surely_leaving()
     }
 
-    /// Returns the last word of the target that it leaves, also that of an earlier lifetime.
+    /// Returns the last word of a run at the present place that it leaves, also one that does not hold
+    /// for the listed run.
     #[must_use]
     pub fn last_leaving(&self) -> Option<LeavingNotice> {
-        self.leaving.or(self.earlier_leaving)
+        self.heard
+            .leaving()
+            .or_else(|| self.runs.of_any().leaving())
     }
 
     /// Sets whether the operators have evacuated the target's data centre.
@@ -154,24 +222,17 @@
         if self.is_draining {
             return Some(SendDenial::Draining);
         }
-        if self.is_leaving() {
+        if self.heard.leaving().is_some_and(|notice| notice.holds(now)) {
             return Some(SendDenial::Leaving);
         }
         if self.is_evacuated {
             return Some(SendDenial::Evacuated);
         }
-        let pause = self.longest_pause()?;
+        let pause = self.heard.longest_pause()?;
         let until = seed.map_or(pause.until(), |seed| pause.until_for(seed));
         (until > now).then_some(SendDenial::Paused { until })
     }
 
-    fn longest_pause(&self) -> Option<TargetPause> {
-        match self.pause {
-            Some(pause) => Some(pause.latest(self.peer_pause)),
-            None => self.peer_pause,
-        }
-    }
-
     /// Returns the change since this was last called, if there is one.
     pub fn take_change(&mut self, now: MilliTime) -> Option<StandingChange> {
         let change = StandingChange {
@@ -188,7 +249,7 @@
     /// without a word keeps serving for a while.
     #[must_use]
     pub fn is_up(&self, now: MilliTime) -> bool {
-        let may_serve = !self.is_draining && !self.is_leaving();
+        let may_serve = !self.is_draining && self.heard.leaving().is_none();
         self.removed_at
             .is_none_or(|at| may_serve && now.since(at) <= REMOVED_RETENTION)
     }
--- a/crates/briarrail_dispatch/tests/suite/main.rs
+++ b/crates/briarrail_dispatch/tests/suite/main.rs
@@ -32,6 +32,7 @@
 mod target_notices;
 mod target_registry;
 mod target_roster;
+mod target_runs;
 mod thread_watch;
 mod view_time;
 mod view_tracker;
--- a/crates/briarrail_dispatch/tests/suite/target_notices.rs
+++ b/crates/briarrail_dispatch/tests/suite/target_notices.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use briarrail_dispatch::{
-    AdmissionController, CompletionBasis, OutcomeTotals, PauseReport, PlacementRequest,
+    AdmissionController, AskedRun, CompletionBasis, OutcomeTotals, PauseReport, PlacementRequest,
     RefusalCause, RetryBudget, RetryBudgetLimits, SendDenial, SendNeed, SendOutcome, TargetKey,
     TargetNotice, TargetPause, TargetRegistry, retry_after,
 };
@@ -248,14 +248,22 @@
 
     fn tell(&mut self, index: usize, router: usize, notice: TargetNotice, now: u64) {
         let router = &mut self.routers[router];
-        let lifetime = router.registry.get(self.keys[index]).unwrap().lifetime;
+        let asked = AskedRun {
+            run: router
+                .registry
+                .get(self.keys[index])
+                .unwrap()
+                .standing()
+                .run(),
+            asked_at: at(now),
+        };
         router
             .registry
-            .record_notice(self.keys[index], lifetime, notice, at(now));
+            .record_notice(self.keys[index], asked, notice, at(now));
         router.told.insert(index);
     }
 
-    /// Exchanges the counts of the last round, and the lifetimes that leave.
+    /// Exchanges the counts of the last round, and the runs that leave.
     fn exchange(&mut self, now: u64) {
         let mut leaving = BTreeSet::new();
         let mut sums = vec![(0, OutcomeTotals::default()); TARGETS];
@@ -286,7 +294,7 @@
         }
         let mut pauses: BTreeMap<u32, PauseReport> = BTreeMap::new();
         for router in &self.routers {
-            leaving.extend(router.registry.leaving_lifetimes());
+            leaving.extend(router.registry.leaving_runs());
             for (target, pause) in router.registry.pause_reports(at(now)) {
                 let sum = pauses.entry(target);
                 sum.and_modify(|sum| *sum = sum.plus(pause))
@@ -491,7 +499,10 @@
     };
     let mut registry = TargetRegistry::default();
     let key = registry.upsert(run(1), at(0));
-    let first = registry.get(key).unwrap().lifetime;
+    let first = AskedRun {
+        run: registry.get(key).unwrap().standing().run(),
+        asked_at: at(0),
+    };
     registry.record_notice(key, first, TargetNotice::Leaving, at(0));
     let denial = |registry: &TargetRegistry, now| {
         let key = registry.key_by_id("t0").unwrap();
--- a/crates/briarrail_gateway/src/control/suspect_exchange.rs
+++ b/crates/briarrail_gateway/src/control/suspect_exchange.rs
@@ -1,7 +1,7 @@
 //! Exchanges evidence on requests and prompt parts that crash targets, and keeps the blocked ones in
 //! the store, so that they outlast the processes.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use briarrail_dispatch::{BlockReport, BlockedSuspect, SuspectKind, SuspectReport, SuspectReports};
 use briarrail_model::{MilliDuration, MilliTime};
@@ -11,6 +11,7 @@
 use super::SharedControlState;
 use super::control_state::ControlState;
 use super::store_health::read_conditions;
+use crate::process_clock::unix_millis;
 use crate::traffic::{ControlUpdate, suspect_kind_name};
 use crate::{BlockedSuspectRecord, SiteStore};
 
@@ -235,8 +236,3 @@
             && record.until_unix_ms.abs_diff(until_unix_ms) <= MAX_END_DIFFERENCE_MS
     })
 }
-
-fn unix_millis() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |time| time.as_millis() as u64)
-}
--- a/crates/briarrail_gateway/src/fleet_counts.rs
+++ b/crates/briarrail_gateway/src/fleet_counts.rs
@@ -19,9 +19,9 @@
     pub(crate) targets: Vec<TargetCount>,
     pub(crate) demands: Vec<ServiceDemand>,
     pub(crate) limits: Vec<TargetLimit>,
-    /// Short hashes of the lifetimes of targets that said that they leave.
+    /// Short hashes of the runs of targets that said that they leave.
     pub(crate) leaving: BTreeSet<u32>,
-    /// Pauses for which targets asked routers, by the short hash of the lifetime.
+    /// Pauses for which targets asked routers, by the short hash of the run.
     pub(crate) pauses: BTreeMap<u32, PauseReport>,
 }
 
--- a/crates/briarrail_gateway/src/process_clock.rs
+++ b/crates/briarrail_gateway/src/process_clock.rs
@@ -1,6 +1,6 @@
 //! Monotonic clock of the process.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use briarrail_model::MilliTime;
 
@@ -31,3 +31,9 @@
         (self.start + Duration::from_millis(time.as_millis())).into()
     }
 }
+
+/// Returns the system time as a Unix time in milliseconds; 0 if it is before 1970.
+pub(crate) fn unix_millis() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |time| time.as_millis() as u64)
+}
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use briarrail_dispatch::{
-    Placement, PlacementRequest, ReleaseKey, SendNeed, SendOutcome, TargetKey, TargetLifetime,
+    AskedRun, Placement, PlacementRequest, ReleaseKey, SendNeed, SendOutcome, TargetKey,
+    TargetLifetime, TargetRun,
 };
 use briarrail_model::{CallSemantics, MilliDuration, MilliTime};
 use briarrail_outcome::AttemptEvent;
@@ -77,6 +78,7 @@
     connection: HttpConnection,
     context_source: Option<SocketAddr>,
     lifetime: TargetLifetime,
+    run: TargetRun,
     release: ReleaseKey,
     resume_point: Option<ResumePoint>,
 }
@@ -152,6 +154,7 @@
             connection,
             context_source: chosen.context_source,
             lifetime: chosen.lifetime,
+            run: chosen.run,
             release: chosen.release,
             resume_point,
         }),
@@ -189,6 +192,7 @@
         mut connection,
         context_source,
         lifetime,
+        run,
         release,
         resume_point,
     } = prepared;
@@ -205,6 +209,8 @@
         state.clock,
     );
     guard.record_departure();
+    let asked_at = state.clock.now();
+    let asked = AskedRun { run, asked_at };
     let response = match wait_for_head(state, context, &mut connection, request, retry_at).await {
         HeadResult::Received(response) => response,
         HeadResult::TimedOut => {
@@ -230,7 +236,7 @@
     let marks = read_response_marks(&state.dialect, &head);
     let request_id = &context.caller.request_id;
     let class = classify_response(&head, &marks, request_id, connection.is_reused());
-    state.record_marks(key, lifetime, request_id, &marks, class, head.status);
+    state.record_marks(key, asked, request_id, &marks, class, head.status);
     let refusal = AttemptEvent::Refused { not_run: true };
     match class {
         ResponseClass::NotRun => {
@@ -314,6 +320,7 @@
 struct ChosenTarget {
     key: TargetKey,
     lifetime: TargetLifetime,
+    run: TargetRun,
     release: ReleaseKey,
     /// Address of another target with the shared context, if there is one.
     context_source: Option<SocketAddr>,
@@ -361,6 +368,7 @@
     Some(ChosenTarget {
         key,
         lifetime: target.lifetime,
+        run: target.standing().run(),
         release: target.release,
         context_source,
     })
--- a/crates/briarrail_gateway/src/traffic/target_standings.rs
+++ b/crates/briarrail_gateway/src/traffic/target_standings.rs
@@ -1,8 +1,8 @@
 //! What targets may get, as the traffic thread learns it and tells it to the log.
 
 use briarrail_dispatch::{
-    RefusalCause, SendDenial, SendNeed, StandingChange, TargetKey, TargetLifetime, TargetNotice,
-    TargetPause,
+    AskedRun, RefusalCause, SendDenial, SendNeed, StandingChange, TargetKey, TargetLifetime,
+    TargetNotice, TargetPause,
 };
 use briarrail_model::{MilliDuration, MilliTime};
 use briarrail_outcome::NotRunReason;
@@ -88,7 +88,7 @@
     pub(crate) fn record_marks(
         &self,
         key: TargetKey,
-        lifetime: TargetLifetime,
+        asked: AskedRun,
         request_id: &Bytes,
         marks: &ResponseHeaders,
         class: ResponseClass,
@@ -113,29 +113,23 @@
             return;
         }
         if marks.is_leaving {
-            self.record_notice(key, lifetime, TargetNotice::Leaving, now);
+            self.record_notice(key, asked, TargetNotice::Leaving, now);
         }
         let pause = marks
             .pause
             .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
         if let Some(pause) = pause {
-            self.record_pause(key, lifetime, pause, now);
+            self.record_pause(key, asked, pause, now);
         }
     }
 
-    fn record_pause(
-        &self,
-        key: TargetKey,
-        lifetime: TargetLifetime,
-        notice: PauseNotice,
-        now: MilliTime,
-    ) {
+    fn record_pause(&self, key: TargetKey, asked: AskedRun, notice: PauseNotice, now: MilliTime) {
         let pause = match notice {
             PauseNotice::Seconds(seconds) => TargetPause::from_secs(seconds, now),
             PauseNotice::Unreadable => None,
         };
         if let Some(pause) = pause {
-            self.record_notice(key, lifetime, TargetNotice::Paused(pause), now);
+            self.record_notice(key, asked, TargetNotice::Paused(pause), now);
             return;
         }
         if let Some(target) = self.registry.borrow().get(key) {
@@ -148,16 +142,10 @@
         }
     }
 
-    fn record_notice(
-        &self,
-        key: TargetKey,
-        lifetime: TargetLifetime,
-        notice: TargetNotice,
-        now: MilliTime,
-    ) {
+    fn record_notice(&self, key: TargetKey, asked: AskedRun, notice: TargetNotice, now: MilliTime) {
         self.registry
             .borrow_mut()
-            .record_notice(key, lifetime, notice, now);
+            .record_notice(key, asked, notice, now);
         self.log_notice_events();
         self.report_standing(key, ANSWER_SOURCE, now);
     }
--- a/crates/briarrail_gateway/src/traffic/target_updates.rs
+++ b/crates/briarrail_gateway/src/traffic/target_updates.rs
@@ -7,6 +7,7 @@
 
 use super::target_standings::STORE_SOURCE;
 use super::traffic_state::TrafficState;
+use crate::process_clock::unix_millis;
 
 /// Maximum age of a view that is current: a few syncs at the longest interval.
 const MAX_CURRENT_AGE: MilliDuration = MilliDuration::from_millis(1_500);
@@ -26,7 +27,10 @@
         match change {
             RosterChange::Upserted(record) => {
                 let now = self.clock.now();
-                let key = self.registry.borrow_mut().upsert(record, now);
+                let started_at = record.started_at(unix_millis(), now);
+                let mut registry = self.registry.borrow_mut();
+                let key = registry.upsert_started(record, started_at, now);
+                drop(registry);
                 self.report_standing(key, STORE_SOURCE, now);
             }
             RosterChange::Removed(id) => {
--- a/crates/briarrail_gateway/src/traffic/traffic_state.rs
+++ b/crates/briarrail_gateway/src/traffic/traffic_state.rs
@@ -454,7 +454,7 @@
             targets: counts.filter(is_nonzero).collect(),
             demands: self.admissions.borrow_mut().demands(now),
             limits,
-            leaving: registry.leaving_lifetimes(),
+            leaving: registry.leaving_runs(),
             pauses: registry.pause_reports(now),
         }
     }
--- a/crates/briarrail_peer/src/sync_message.rs
+++ b/crates/briarrail_peer/src/sync_message.rs
@@ -62,7 +62,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "(u32, u32, u32)", into = "(u32, u32, u32)")]
 pub struct TargetPauseItem {
-    /// Short hash of the target's lifetime.
+    /// Short hash of the target's run.
     pub target: u32,
     /// Shortest time that is left of the pauses, in milliseconds.
     pub left_ms: u32,
@@ -125,7 +125,7 @@
     /// Rate limits that targets name; empty without any.
     #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<TargetLimit>,
-    /// Short hashes of the lifetimes of targets that said that they leave; empty without any.
+    /// Short hashes of the runs of targets that said that they leave; empty without any.
     #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<u32>,
     /// Pauses for which targets asked routers; empty without any.
@@ -266,7 +266,7 @@
     /// Rate limits that targets name; empty without any.
     #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<TargetLimit>,
-    /// Short hashes of the lifetimes of targets that said that they leave; empty without any.
+    /// Short hashes of the runs of targets that said that they leave; empty without any.
     #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<u32>,
     /// Pauses for which targets asked routers; empty without any.
