fix(dispatch): keep the rate limit of a target over a gap in its listing

What engines saw: a target that names a rate limit for all routers together (LIMIT) got requests without one from every router once its entry had lapsed and was back, was rewritten to another service, or had no start or an earlier one, until each router had its own next answer.

Cause: the limiter was made anew with each listing, and dropped with the target.

Change: the last limit in effect is remembered with the words of the target and restored, and the limiter is made anew only where another run begins, unless that may have named the limit. A limit that is out of date ends as before, with the next answer or after 30 s.

--- a/crates/briarrail_dispatch/src/notice_memory.rs
+++ b/crates/briarrail_dispatch/src/notice_memory.rs
@@ -5,8 +5,8 @@
 use briarrail_model::MilliTime;
 use lru::LruCache;
 
-use crate::TargetPlace;
 use crate::run_notices::RunNotices;
+use crate::{LimitStatement, TargetPlace};
 
 /// Maximum number of targets that are remembered; more than the engines of the largest sites, all of
 /// which may leave within the age of a copy of the store.
@@ -17,11 +17,13 @@
 pub(crate) struct RememberedTarget {
     pub(crate) id: String,
     pub(crate) runs: RunNotices,
+    /// The last statement of its rate limit.
+    pub(crate) limit: Option<LimitStatement>,
 }
 
 impl RememberedTarget {
     fn is_worth_keeping(&self, now: MilliTime) -> bool {
-        self.runs.of_any().has_any(now)
+        self.limit.is_some() || self.runs.of_any().has_any(now)
     }
 }
 
--- a/crates/briarrail_dispatch/src/target_limiter.rs
+++ b/crates/briarrail_dispatch/src/target_limiter.rs
@@ -71,6 +71,25 @@
         }
     }
 
+    /// Creates the limiter of a target that is listed again, with its last limit, if one is known.
+    pub(crate) fn restored(statement: Option<LimitStatement>, listed_at: MilliTime) -> Self {
+        Self {
+            statement,
+            ..Self::new(listed_at)
+        }
+    }
+
+    /// Returns the statement of a limit that is in effect.
+    pub(crate) fn last_limit(&self, now: MilliTime) -> Option<LimitStatement> {
+        let statement = newest([self.statement, self.peer_statement])?;
+        self.limit(now).is_some().then_some(statement)
+    }
+
+    /// Returns the time of the last answer to this router.
+    pub(crate) fn heard_at(&self) -> Option<MilliTime> {
+        self.statement.map(|statement| statement.at)
+    }
+
     /// Records what an answer said, and returns whether that is news.
     pub(crate) fn record_answer(&mut self, limit: Option<f32>, at: MilliTime) -> bool {
         let known = self.statement.and_then(|statement| statement.limit);
--- a/crates/briarrail_dispatch/src/target_notices.rs
+++ b/crates/briarrail_dispatch/src/target_notices.rs
@@ -125,10 +125,11 @@
         }
         let known = self.take_back(place, now);
         let state = &mut self.targets[key];
-        state.limiter = TargetLimiter::new(now);
+        let limiter = TargetLimiter::restored(known.limit, now);
         let earlier = RememberedTarget {
             id: record.id.clone(),
             runs: state.standing.move_to(place, known.runs),
+            limit: std::mem::replace(&mut state.limiter, limiter).last_limit(now),
         };
         self.note_step(&earlier, run.started_unix_ms, NoticeStep::LeftBehind, now);
         self.remember(run.place, earlier, now);
@@ -148,7 +149,10 @@
         if !state.standing.list_run(started_unix_ms, started_at, now) {
             return;
         }
-        state.limiter = TargetLimiter::new(now);
+        let is_said_since = |at: MilliTime| started_at.is_some_and(|started_at| at >= started_at);
+        if !state.limiter.heard_at().is_some_and(is_said_since) {
+            state.limiter = TargetLimiter::new(now);
+        }
         if earlier.has_any(now) {
             let is_carried = state.standing.heard().has_any(now);
             self.notice_events.push(NoticeEvent {
@@ -178,6 +182,7 @@
         let target = RememberedTarget {
             id: state.record.id.clone(),
             runs: state.standing.runs().clone(),
+            limit: state.limiter.last_limit(now),
         };
         self.note_step(&target, run.started_unix_ms, NoticeStep::Kept, now);
         self.remember(run.place, target, now);
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -264,7 +264,7 @@
             local_requests: 0,
             peer_requests: None,
             reported_load: None,
-            limiter: TargetLimiter::new(now),
+            limiter: TargetLimiter::restored(known.limit, now),
             local_outcomes: OutcomeWindow::default(),
             peer_outcomes: OutcomeTotals::default(),
             service_time: ServiceTimeMeter::default(),
--- a/crates/briarrail_dispatch/tests/suite/target_runs.rs
+++ b/crates/briarrail_dispatch/tests/suite/target_runs.rs
@@ -77,6 +77,11 @@
         denial.map_or("ready", SendDenial::name)
     }
 
+    fn limit(&self) -> Option<f32> {
+        let state = self.registry.get(self.key).unwrap();
+        state.rate_limit(at(self.now))
+    }
+
     /// Returns the steps of notices since the last call.
     fn steps(&mut self) -> String {
         let events = self.registry.take_notice_events();
@@ -138,8 +143,8 @@
     ]
 }
 
-/// Guards against requests at a target that leaves or wants none, while its entry is rewritten or after
-/// it was dropped.
+/// Guards against requests at a target that leaves or wants none, and against a rate limit that is
+/// forgotten, while its entry is rewritten or after it was dropped.
 #[test]
 fn what_a_run_said_holds_whatever_its_entry_names() {
     let mut text = String::new();
@@ -160,8 +165,20 @@
                 bench.list(record.clone());
                 bench.denial()
             });
+            let mut bench = Bench::start();
+            bench.wait(5_000);
+            let now = at(bench.now);
+            bench.registry.record_rate_limit(bench.key, Some(10.0), now);
+            if is_dropped {
+                bench.registry.mark_removed("t0", now);
+                bench.wait(3_000);
+                bench.registry.purge_removed(at(bench.now));
+            }
+            bench.wait(1_000);
+            bench.list(record.clone());
+            let limit = bench.limit();
             let when = if is_dropped { "after a gap" } else { "at once" };
-            writeln!(text, "{name}, {when}: {denials:?}").unwrap();
+            writeln!(text, "{name}, {when}: {denials:?}, limit {limit:?}").unwrap();
         }
     }
     insta::assert_snapshot!(text);
