fix(dispatch): keep the cold time of a target over a gap in its listing

Cause: a target that says in its answers that it stays cold for long was taken for cold only for the time of its service after its entry had lapsed and was back, unless the entry named the time.

Change: the end of the cold time is remembered with the words of the target, for the same run.

--- a/crates/briarrail_dispatch/src/cold_limiter.rs
+++ b/crates/briarrail_dispatch/src/cold_limiter.rs
@@ -72,6 +72,11 @@
         limiter
     }
 
+    /// Returns the latest end of the cold time that the target named.
+    pub(crate) fn named_until(&self) -> Option<MilliTime> {
+        self.named_until.map(|(until, _)| until)
+    }
+
     /// Records for how long the target stays cold.
     pub(crate) fn record_cold(&mut self, left: MilliDuration, source: ColdSource, now: MilliTime) {
         let until = now + left;
--- a/crates/briarrail_dispatch/src/notice_memory.rs
+++ b/crates/briarrail_dispatch/src/notice_memory.rs
@@ -19,11 +19,14 @@
     pub(crate) runs: RunNotices,
     /// The last statement of its rate limit.
     pub(crate) limit: Option<LimitStatement>,
+    /// The latest end of its cold time that its answers or its entry named.
+    pub(crate) cold_until: Option<MilliTime>,
 }
 
 impl RememberedTarget {
     fn is_worth_keeping(&self, now: MilliTime) -> bool {
-        self.limit.is_some() || self.runs.of_any().has_any(now)
+        let is_cold = self.cold_until.is_some_and(|until| until > now);
+        self.limit.is_some() || is_cold || self.runs.of_any().has_any(now)
     }
 }
 
--- a/crates/briarrail_dispatch/src/target_notices.rs
+++ b/crates/briarrail_dispatch/src/target_notices.rs
@@ -130,6 +130,7 @@
             id: record.id.clone(),
             runs: state.standing.move_to(place, known.runs),
             limit: std::mem::replace(&mut state.limiter, limiter).last_limit(now),
+            cold_until: state.cold_limiter.named_until(),
         };
         self.note_step(&earlier, run.started_unix_ms, NoticeStep::LeftBehind, now);
         self.remember(run.place, earlier, now);
@@ -183,6 +184,7 @@
             id: state.record.id.clone(),
             runs: state.standing.runs().clone(),
             limit: state.limiter.last_limit(now),
+            cold_until: state.cold_limiter.named_until(),
         };
         self.note_step(&target, run.started_unix_ms, NoticeStep::Kept, now);
         self.remember(run.place, target, now);
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -251,10 +251,14 @@
         let place = TargetPlace::from(&record);
         let started_unix_ms = record.started_unix_ms;
         let known = self.take_back(place, now);
+        let is_same_run = known.runs.latest_start() >= started_unix_ms;
         let mut standing = TargetStanding::new(place, known.runs);
         standing.record_listed(record.phase);
         standing.set_evacuated(self.evacuated.contains(&record.data_centre), now);
-        let cold_limiter = ColdLimiter::listed(record.cold_left, is_known_fleet, now);
+        let mut cold_limiter = ColdLimiter::listed(record.cold_left, is_known_fleet, now);
+        if let Some(until) = known.cold_until.filter(|_| is_same_run) {
+            cold_limiter.record_cold(until.since(now), ColdSource::Answer, now);
+        }
         let key = self.targets.insert(TargetState {
             hash: hash_bytes(id.as_bytes()),
             lifetime,
--- a/crates/briarrail_dispatch/tests/suite/target_runs.rs
+++ b/crates/briarrail_dispatch/tests/suite/target_runs.rs
@@ -1,11 +1,11 @@
 //! What targets said holds for the run that said it, whatever their entries name.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt::Write as _;
 
 use briarrail_dispatch::{
-    AskedRun, SendDenial, SendNeed, TargetKey, TargetNotice, TargetPause, TargetRecord,
-    TargetRegistry, TargetRun,
+    AskedRun, ColdChange, ColdTerms, SendDenial, SendNeed, TargetKey, TargetNotice, TargetPause,
+    TargetRecord, TargetRegistry, TargetRun,
 };
 use briarrail_model::{MilliDuration, MilliTime};
 
@@ -82,6 +82,15 @@
         state.rate_limit(at(self.now))
     }
 
+    /// Returns for how long the target stays cold, in seconds.
+    fn cold_left(&mut self) -> Option<u64> {
+        let changes = self.registry.take_cold_changes(at(self.now));
+        changes.into_iter().find_map(|(_, change)| match change {
+            ColdChange::Cold { left, .. } => Some(left.as_millis() / 1_000),
+            ColdChange::Warm => None,
+        })
+    }
+
     /// Returns the steps of notices since the last call.
     fn steps(&mut self) -> String {
         let events = self.registry.take_notice_events();
@@ -99,6 +108,12 @@
     TargetNotice::Paused(TargetPause::from_secs(seconds, now).unwrap())
 }
 
+/// Terms of services whose targets are cold for a second after their start.
+fn cold_terms() -> HashMap<String, ColdTerms> {
+    let terms = ColdTerms::new(MilliDuration::from_secs(1), 10.0, 1.5, 5.0).unwrap();
+    ["model", "other"].map(|name| (name.into(), terms)).into()
+}
+
 /// Entries of the target that name something else than its first one.
 fn rewritten_entries() -> [(&'static str, TargetRecord); 7] {
     let entry = started(target("t0"), 0);
@@ -143,8 +158,8 @@
     ]
 }
 
-/// Guards against requests at a target that leaves or wants none, and against a rate limit that is
-/// forgotten, while its entry is rewritten or after it was dropped.
+/// Guards against requests at a target that leaves or wants none, and against a rate limit or a cold
+/// time that is forgotten, while its entry is rewritten or after it was dropped.
 #[test]
 fn what_a_run_said_holds_whatever_its_entry_names() {
     let mut text = String::new();
@@ -169,6 +184,8 @@
             bench.wait(5_000);
             let now = at(bench.now);
             bench.registry.record_rate_limit(bench.key, Some(10.0), now);
+            let minute = MilliDuration::from_secs(60);
+            bench.registry.record_cold(bench.key, minute, now);
             if is_dropped {
                 bench.registry.mark_removed("t0", now);
                 bench.wait(3_000);
@@ -177,8 +194,14 @@
             bench.wait(1_000);
             bench.list(record.clone());
             let limit = bench.limit();
+            bench.registry.set_cold_terms(cold_terms());
+            let cold_left = bench.cold_left();
             let when = if is_dropped { "after a gap" } else { "at once" };
-            writeln!(text, "{name}, {when}: {denials:?}, limit {limit:?}").unwrap();
+            writeln!(
+                text,
+                "{name}, {when}: {denials:?}, limit {limit:?}, cold for {cold_left:?} s"
+            )
+            .unwrap();
         }
     }
     insta::assert_snapshot!(text);
