fix(dispatch): read the store before a followed view is as old as the shortest drain

Cause: a follower whose hub is cut off gets the hub's last view again and again while the hub looks for another view, and reads the store itself only once the view is 3 s old; the shortest drain of a site is 2 s.

The new test fails with 3,000 ms.

Change: a follower reads the store once the followed view is 1.7 s old, which with the read is less than the shortest drain. The bound in a_follower_with_an_outdated_view_probes_the_store moves with it.

--- a/crates/briarrail_dispatch/src/store_read_policy.rs
+++ b/crates/briarrail_dispatch/src/store_read_policy.rs
@@ -12,9 +12,10 @@
 /// Probe delay per router of the fleet; limits probes to twenty per second for a fleet of any size.
 const PROBE_DELAY_PER_ROUTER: MilliDuration = MilliDuration::from_millis(50);
 
-/// Age of a followed view above which a router reads the store itself; by then the followed router
-/// has tried several other routers.
-const MAX_FOLLOWED_VIEW_AGE: MilliDuration = MilliDuration::from_millis(3_000);
+/// Age of a followed view above which a router reads the store itself. With the time of a read it is less
+/// than the shortest drain of a site, after which a target that drains may get no request; with two
+/// syncs at the longest interval, a view that is kept up is younger.
+const MAX_FOLLOWED_VIEW_AGE: MilliDuration = MilliDuration::from_millis(1_700);
 /// Uptime after which a router that is not listed yet assumes that it is alone.
 const MAX_LISTING_WAIT: MilliDuration = MilliDuration::from_millis(1_000);
 
--- a/crates/briarrail_dispatch/tests/suite/store_read_policy.rs
+++ b/crates/briarrail_dispatch/tests/suite/store_read_policy.rs
@@ -65,8 +65,28 @@
         view_age: MilliDuration::from_millis(millis),
         ..FOLLOWER
     };
-    assert_eq!(with_view_age(3_000).read_reason(), None);
-    assert_eq!(with_view_age(3_001).read_reason(), Some(ReadReason::Probe));
+    assert_eq!(with_view_age(1_700).read_reason(), None);
+    assert_eq!(with_view_age(1_701).read_reason(), Some(ReadReason::Probe));
+}
+
+/// Guards against requests at a target that drains, by a router in touch whose hub is cut off and goes
+/// on answering with its last view.
+#[test]
+fn a_follower_of_a_router_that_is_cut_off_reads_the_store_before_a_drain_is_over() {
+    let shortest_drain = MilliDuration::from_millis(2_000);
+    let poll_interval = MilliDuration::from_millis(100);
+    let read_time = MilliDuration::from_millis(100);
+    let is_unread = |view_age: &MilliDuration| {
+        let conditions = ReadConditions {
+            view_age: *view_age,
+            ..FOLLOWER
+        };
+        conditions.read_reason().is_none()
+    };
+    let mut polls =
+        (0_u64..).map(|poll| MilliDuration::from_millis(poll * poll_interval.as_millis()));
+    let read_at = polls.find(|age| !is_unread(age)).unwrap();
+    assert!(read_at + read_time <= shortest_drain, "{read_at:?}");
 }
 
 /// Routers that start together must not each act as the reader, and read the store four times, until
