--- a/crates/briarrail_dispatch/src/run_notices.rs
+++ b/crates/briarrail_dispatch/src/run_notices.rs
@@ -55,6 +55,8 @@
         if self.runs.len() == MAX_RUNS {
             self.runs.remove(0);
         }
+        // Almost all targets have one run, and there are thousands of them.
+        self.runs.reserve_exact(1);
         self.runs.push(RunRecord {
             started_unix_ms,
             started_at,
--- a/crates/briarrail_gateway/src/traffic/request_handler.rs
+++ b/crates/briarrail_gateway/src/traffic/request_handler.rs
@@ -243,6 +243,7 @@
             }
             let silence = TargetSilence {
                 target_id: self.trace.target_id.clone(),
+                target_knowledge: self.trace.target_knowledge,
                 since: current.waiting_since(),
                 events: 0,
                 resume_at: None,
@@ -268,12 +269,14 @@
                 }
                 SearchEnd::Resumed(answer) => {
                     silence.log(&self.trace, now, "kept", "went on");
-                    self.trace.target_id = silence.target_id;
+                    self.trace
+                        .return_to(silence.target_id, silence.target_knowledge);
                     return answer;
                 }
                 SearchEnd::Kept => {
                     silence.log(&self.trace, now, "kept", "no other target");
-                    self.trace.target_id = silence.target_id;
+                    self.trace
+                        .return_to(silence.target_id, silence.target_knowledge);
                 }
             }
             next_search_at = now + timeout.max(MIN_SEARCH_INTERVAL);
--- a/crates/briarrail_gateway/src/traffic/request_trace.rs
+++ b/crates/briarrail_gateway/src/traffic/request_trace.rs
@@ -105,6 +105,12 @@
         self.status = status;
     }
 
+    /// Names a target that was selected before, because the request stays there or returns to it.
+    pub(crate) fn return_to(&mut self, target_id: String, knowledge: TargetKnowledge) {
+        self.target_id = target_id;
+        self.target_knowledge = knowledge;
+    }
+
     /// Counts a send and returns its log.
     pub(crate) fn start_send(&mut self) -> SendLog<D> {
         self.sends += 1;
@@ -161,10 +167,8 @@
             config_version = self.config_version,
             target_id = self.target_id,
             target_started_ms = self.target_knowledge.started_unix_ms,
-            leaving_source = self.target_knowledge.leaving_source(),
-            leaving_age_ms = self
-                .target_knowledge
-                .leaving_age_ms(self.state.clock.now()),
+            leaving_source = self.target_knowledge.leaving_source,
+            leaving_age_ms = self.target_knowledge.leaving_age_ms(),
             rank = self.rank,
             load_limit = self.load_limit,
             context = self.context_hash,
--- a/crates/briarrail_gateway/src/traffic/send_log.rs
+++ b/crates/briarrail_gateway/src/traffic/send_log.rs
@@ -30,18 +30,17 @@
 
     /// Logs that the send failed.
     pub(crate) fn log_failure(&self, cause: &'static str, detail: &str) {
-        let now = self.state.clock.now();
         tracing::info!(
             event = "send_failed",
             request_id = %String::from_utf8_lossy(&self.request_id),
             target_id = self.target_id,
             target_started_ms = self.target_knowledge.started_unix_ms,
-            leaving_source = self.target_knowledge.leaving_source(),
-            leaving_age_ms = self.target_knowledge.leaving_age_ms(now),
+            leaving_source = self.target_knowledge.leaving_source,
+            leaving_age_ms = self.target_knowledge.leaving_age_ms(),
             send = self.send,
             cause,
             detail,
-            elapsed_ms = now.since(self.arrived_at).as_millis(),
+            elapsed_ms = self.state.clock.now().since(self.arrived_at).as_millis(),
         );
     }
 
--- a/crates/briarrail_gateway/src/traffic/stream_relay.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_relay.rs
@@ -154,6 +154,7 @@
         let resume_at = self.checker.resume_offset().filter(|_| is_resumable);
         let progress = StreamProgress::new(resume_at, self.state.clock.now());
         let target_id = self.trace.target_id.clone();
+        let target_knowledge = self.trace.target_knowledge;
         let max_gap =
             MilliDuration::from_millis(self.context.event_gap.as_millis() * GAP_TIMEOUT_FACTOR);
         let mut relayed_events = 0;
@@ -223,7 +224,7 @@
                 guard.record_outcome(SendOutcome::Broken);
             }
         } else {
-            self.trace.target_id = target_id;
+            self.trace.return_to(target_id, target_knowledge);
         }
         self.trace.events += relayed_events;
         end
--- a/crates/briarrail_gateway/src/traffic/stream_transfer.rs
+++ b/crates/briarrail_gateway/src/traffic/stream_transfer.rs
@@ -123,6 +123,7 @@
         let now = self.state.clock.now();
         let silence = TargetSilence {
             target_id: self.trace.target_id.clone(),
+            target_knowledge: self.trace.target_knowledge,
             since: self.progress.waiting_since().unwrap_or(now),
             events: self.progress.events(),
             resume_at: self.progress.resume_at(),
@@ -324,7 +325,8 @@
     /// Records that the stream stays at the silent target.
     fn stay(&mut self, silence: TargetSilence, reason: &'static str) -> SearchEnd<D> {
         silence.log(self.trace, self.state.clock.now(), "kept", reason);
-        self.trace.target_id = silence.target_id;
+        self.trace
+            .return_to(silence.target_id, silence.target_knowledge);
         SearchEnd::Kept
     }
 
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -357,7 +357,7 @@
     trace.load_limit = placement.limit;
     let target = registry.get(key)?;
     trace.target_id.clone_from(&target.record.id);
-    trace.target_knowledge = TargetKnowledge::new(target);
+    trace.target_knowledge = TargetKnowledge::new(target, now);
     trace.target_load = target.expected_load(now);
     trace.counts_age = target.peer_count_age(now);
     trace.mean_load = registry.mean_load(&context.service, now);
--- a/crates/briarrail_gateway/src/traffic/target_silence.rs
+++ b/crates/briarrail_gateway/src/traffic/target_silence.rs
@@ -3,11 +3,14 @@
 use briarrail_model::{MilliDuration, MilliTime};
 
 use super::request_trace::RequestTrace;
+use super::target_knowledge::TargetKnowledge;
 
 /// The silence of a target, as seen when the search for another one began.
 #[derive(Debug)]
 pub(super) struct TargetSilence {
     pub(super) target_id: String,
+    /// What was known of the target when it was selected.
+    pub(super) target_knowledge: TargetKnowledge,
     /// Time since which the target is silent.
     pub(super) since: MilliTime,
     /// Number of events that the target had sent.
