fix(gateway): send nothing over a connection to an earlier address of a target

What callers saw: requests at a process that had said that it was leaving, once its target was listed at another address under its identifier.

Cause: idle connections were kept by target. One that carried a stream when the process said that it leaves came back to the pool after the target was listed elsewhere, so the target was ready, and the next request of the target went over it to the earlier process. Same class as the notices: tied to the listing rather than to the process.

Change: a connection knows its address. It is kept, and used, only while its target is listed there.

Result: leaving_runs, target_notices and target_releases pass (51).

--- a/crates/briarrail_gateway/src/net/http_connection.rs
+++ b/crates/briarrail_gateway/src/net/http_connection.rs
@@ -44,6 +44,8 @@
 /// An open connection, which is closed immediately on drop.
 #[derive(Debug)]
 pub(crate) struct HttpConnection {
+    /// Address that it was opened to.
+    address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     head_budget: HeadBudget,
@@ -75,6 +77,7 @@
             }
         });
         Ok(Self {
+            address,
             sender,
             driver,
             head_budget,
@@ -89,6 +92,11 @@
         self
     }
 
+    /// Returns the address that the connection was opened to.
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         &mut self,
--- a/crates/briarrail_gateway/src/traffic/connection_pool.rs
+++ b/crates/briarrail_gateway/src/traffic/connection_pool.rs
@@ -1,6 +1,7 @@
 //! Pool of idle connections to targets.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use briarrail_dispatch::TargetKey;
 use briarrail_model::{MilliDuration, MilliTime};
@@ -33,16 +34,21 @@
 
 impl ConnectionPool {
     /// Takes the most recently used connection, if one is usable for the request.
+    ///
+    /// Connections to another address than the present one lead to an earlier process of the target, and
+    /// are closed.
     pub(crate) fn take(
         &mut self,
         key: TargetKey,
+        address: SocketAddr,
         at_most_once: bool,
         now: MilliTime,
     ) -> Option<HttpConnection> {
         let connections = self.connections.get_mut(&key)?;
         while let Some(idle) = connections.pop() {
             let age = now.since(idle.idle_since);
-            if age >= idle.timeout || !idle.connection.is_idle() {
+            let is_elsewhere = idle.connection.address() != address;
+            if is_elsewhere || age >= idle.timeout || !idle.connection.is_idle() {
                 continue;
             }
             if at_most_once && age >= AT_MOST_ONCE_MAX_IDLE {
--- a/crates/briarrail_gateway/src/traffic/target_send.rs
+++ b/crates/briarrail_gateway/src/traffic/target_send.rs
@@ -448,19 +448,17 @@
 ) -> Result<HttpConnection, ConnectError> {
     let at_most_once = context.semantics.call_semantics() == CallSemantics::AtMostOnce;
     let now = state.clock.now();
-    let idle = state
-        .idle_connections
-        .borrow_mut()
-        .take(key, at_most_once, now);
-    if let Some(connection) = idle {
-        return Ok(connection);
-    }
     let address = {
         let registry = state.registry.borrow();
         let Some(target) = registry.get(key) else {
             let error = std::io::Error::other("target was removed");
             return Err(ConnectError::ConnectFailed(error));
         };
+        let mut pool = state.idle_connections.borrow_mut();
+        let idle = pool.take(key, target.record.address, at_most_once, now);
+        if let Some(connection) = idle {
+            return Ok(connection);
+        }
         let routers = state.shared.live_routers.load(Ordering::Relaxed).max(1);
         let share = CONNECTION_LIMIT_FRACTION * f64::from(context.max_connections) / routers as f64;
         let limit = share.max(MIN_CONNECTION_LIMIT);
--- a/crates/briarrail_gateway/src/traffic/target_standings.rs
+++ b/crates/briarrail_gateway/src/traffic/target_standings.rs
@@ -202,7 +202,8 @@
         );
     }
 
-    /// Keeps a connection for another request, unless its target will get none.
+    /// Keeps a connection for another request, unless its target will get none or is listed at another
+    /// address by now.
     pub(super) fn keep_connection(
         &self,
         key: TargetKey,
@@ -210,8 +211,11 @@
         keep_alive: Option<MilliDuration>,
     ) {
         let now = self.clock.now();
-        let denial = self.registry.borrow().denial(key, &SendNeed::ANY, now);
-        if denial.is_none_or(SendDenial::passes_soon) {
+        let registry = self.registry.borrow();
+        let denial = registry.denial(key, &SendNeed::ANY, now);
+        let target = registry.get(key);
+        let is_there = target.is_some_and(|target| target.record.address == connection.address());
+        if is_there && denial.is_none_or(SendDenial::passes_soon) {
             let mut pool = self.idle_connections.borrow_mut();
             pool.put(key, connection, keep_alive, now);
         }
