fix(dispatch): log a late notice that is carried over as such

A notice in an answer that came after a later run was listed was logged as passed_over even where it held for that run. No change of what it does. target_runs checks the step.

--- a/crates/briarrail_dispatch/src/target_notices.rs
+++ b/crates/briarrail_dispatch/src/target_notices.rs
@@ -14,7 +14,8 @@
 impl TargetRegistry {
     /// Records what a target said about itself in the answer to a request.
     ///
-    /// An answer that comes once a later run is listed, or before its entry, may be of that run.
+    /// If a later run is listed by now, or will be with a start before the request left, the answer may be
+    /// of that run.
     pub fn record_notice(
         &mut self,
         key: TargetKey,
@@ -35,6 +36,8 @@
             }
             if is_latest {
                 NoticeStep::Taken(NoticeSource::Answer)
+            } else if state.standing.heard().has_any(now) {
+                NoticeStep::Carried
             } else {
                 NoticeStep::OtherRun
             }
--- a/crates/briarrail_dispatch/tests/suite/target_runs.rs
+++ b/crates/briarrail_dispatch/tests/suite/target_runs.rs
@@ -242,7 +242,10 @@
 /// start.
 #[test]
 fn a_late_answer_holds_for_the_run_that_was_asked() {
-    for (asked_at, during, after) in [(2_000, "ready", "leaving"), (4_500, "leaving", "leaving")] {
+    for (asked_at, during, step) in [
+        (2_000, "ready", "passed_over"),
+        (4_500, "leaving", "carried"),
+    ] {
         let mut bench = Bench::start();
         bench.wait(asked_at);
         let asked = bench.ask();
@@ -251,11 +254,12 @@
         assert_eq!(bench.denial(), "ready");
         bench.answer(asked, TargetNotice::Leaving);
         assert_eq!(bench.denial(), during, "asked at {asked_at} ms");
+        assert_eq!(bench.steps(), step, "asked at {asked_at} ms");
         assert_eq!(bench.registry.leaving_runs(), BTreeSet::new());
         bench.wait(30_001);
         assert_eq!(bench.denial(), "ready", "asked at {asked_at} ms");
         bench.list(started(target("t0"), 0));
-        assert_eq!(bench.denial(), after, "asked at {asked_at} ms");
+        assert_eq!(bench.denial(), "leaving", "asked at {asked_at} ms");
     }
 }
 
