--- a/crates/briarrail_dispatch/src/heard_notices.rs
+++ b/crates/briarrail_dispatch/src/heard_notices.rs
@@ -6,8 +6,8 @@
 
 /// Tolerance for the start time that a target names by its own clock; clocks of a site differ by less.
 const CLOCK_TOLERANCE: MilliDuration = MilliDuration::from_secs(1);
-/// Time for which a target is taken to leave by a word that may be of an earlier run; one that leaves
-/// is delisted by then.
+/// Time for which a notice holds that may be one of an earlier run; a target that leaves is delisted by
+/// then.
 const UNCERTAIN_HOLD: MilliDuration = MilliDuration::from_secs(30);
 
 /// A pause for which a target asked this router.
@@ -16,7 +16,7 @@
     pause: TargetPause,
     /// Time at which the last request left that was answered with it.
     asked_at: MilliTime,
-    /// Whether it may be the word of an earlier run.
+    /// Whether it may be one of an earlier run.
     is_uncertain: bool,
 }
 
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Returns the word that the target leaves.
+    /// Returns the notice that the target leaves.
     pub(crate) const fn leaving(&self) -> Option<LeavingNotice> {
         self.leaving
     }
--- a/crates/briarrail_dispatch/src/leaving_notice.rs
+++ b/crates/briarrail_dispatch/src/leaving_notice.rs
@@ -1,10 +1,10 @@
-//! A target's word that it leaves.
+//! A target's notice that it leaves.
 
 use briarrail_model::MilliTime;
 
 use crate::NoticeSource;
 
-/// A target's word that it leaves.
+/// A target's notice that it leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeavingNotice {
     /// Time at which this router first heard it.
@@ -13,7 +13,7 @@
     pub(crate) asked_at: MilliTime,
     /// Where it is known from.
     pub source: NoticeSource,
-    /// End of its effect, if it may be the word of an earlier run; otherwise it holds for the whole
+    /// End of its effect, if it may be one of an earlier run; otherwise it holds for the whole
     /// run.
     pub held_until: Option<MilliTime>,
 }
--- a/crates/briarrail_dispatch/src/notice_event.rs
+++ b/crates/briarrail_dispatch/src/notice_event.rs
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Returns where the word is known from, if the step is that it was heard.
+    /// Returns where the notice is known from, if the step is that it was heard.
     #[must_use]
     pub const fn source(self) -> Option<NoticeSource> {
         match self {
--- a/crates/briarrail_dispatch/src/run_notices.rs
+++ b/crates/briarrail_dispatch/src/run_notices.rs
@@ -120,7 +120,7 @@
         self.runs.last().map(|run| run.notices).unwrap_or_default()
     }
 
-    /// Returns what holds while the store lists a run: the words of that run and of all later ones,
+    /// Returns what holds while the store lists a run: the notices of that run and of all later ones,
     /// since an older entry may be listed for a later run.
     pub(crate) fn in_effect(&self, listed_unix_ms: u64) -> HeardNotices {
         let is_later = |run: &&RunRecord| run.started_unix_ms >= listed_unix_ms;
--- a/crates/briarrail_dispatch/src/target_notices.rs
+++ b/crates/briarrail_dispatch/src/target_notices.rs
@@ -56,7 +56,7 @@
         });
     }
 
-    /// Returns what became of the words of targets since this was last called.
+    /// Returns what became of the notices of targets since this was last called.
     pub fn take_notice_events(&mut self) -> Vec<NoticeEvent> {
         std::mem::take(&mut self.notice_events)
     }
@@ -135,7 +135,7 @@
             limit: std::mem::replace(&mut state.limiter, limiter).last_limit(now),
             cold_until: state.cold_limiter.named_until(),
         };
-        self.note_step(&earlier, run.started_unix_ms, NoticeStep::LeftBehind, now);
+        self.record_step(&earlier, run.started_unix_ms, NoticeStep::LeftBehind, now);
         self.remember(run.place, earlier, now);
     }
 
@@ -176,7 +176,7 @@
     pub(crate) fn take_back(&mut self, place: TargetPlace, now: MilliTime) -> RememberedTarget {
         let known = self.notice_memory.take(place).unwrap_or_default();
         let started = known.runs.latest_start();
-        self.note_step(&known, started, NoticeStep::TakenBack, now);
+        self.record_step(&known, started, NoticeStep::TakenBack, now);
         known
     }
 
@@ -189,7 +189,7 @@
             limit: state.limiter.last_limit(now),
             cold_until: state.cold_limiter.named_until(),
         };
-        self.note_step(&target, run.started_unix_ms, NoticeStep::Kept, now);
+        self.record_step(&target, run.started_unix_ms, NoticeStep::Kept, now);
         self.remember(run.place, target, now);
     }
 
@@ -197,12 +197,12 @@
     fn remember(&mut self, place: TargetPlace, target: RememberedTarget, now: MilliTime) {
         if let Some(forgotten) = self.notice_memory.keep(place, target, now) {
             let started = forgotten.runs.latest_start();
-            self.note_step(&forgotten, started, NoticeStep::Forgotten, now);
+            self.record_step(&forgotten, started, NoticeStep::Forgotten, now);
         }
     }
 
-    /// Notes what became of the words of a target, if it has said anything that still holds.
-    fn note_step(
+    /// Records what became of the notices of a target, if any of them still holds.
+    fn record_step(
         &mut self,
         target: &RememberedTarget,
         started_unix_ms: u64,
--- a/crates/briarrail_dispatch/src/target_registry.rs
+++ b/crates/briarrail_dispatch/src/target_registry.rs
@@ -192,7 +192,7 @@
     /// Bounds on the requests to cold targets.
     pub(crate) cold_policy: ColdPolicy,
     pub(crate) notice_memory: NoticeMemory,
-    /// What became of the words of targets since the log was last written.
+    /// What became of the notices of targets since the log was last written.
     pub(crate) notice_events: Vec<NoticeEvent>,
 }
 
--- a/crates/briarrail_dispatch/src/target_standing.rs
+++ b/crates/briarrail_dispatch/src/target_standing.rs
@@ -182,7 +182,7 @@
         self.runs.of_latest().is_surely_leaving()
     }
 
-    /// Returns the last word of a run at the present place that it leaves, also one that does not hold
+    /// Returns the last notice of a run at the present place that it leaves, also one that does not hold
     /// for the listed run.
     #[must_use]
     pub fn last_leaving(&self) -> Option<LeavingNotice> {
--- a/crates/briarrail_gateway/src/traffic/notice_log.rs
+++ b/crates/briarrail_gateway/src/traffic/notice_log.rs
@@ -8,7 +8,7 @@
 use crate::ResponseHeaders;
 
 impl<D> TrafficState<D> {
-    /// Logs what became of the words of targets since the last call.
+    /// Logs what became of the notices of targets since the last call.
     pub(super) fn log_notice_events(&self) {
         let events = self.registry.borrow_mut().take_notice_events();
         for event in events {
@@ -24,8 +24,7 @@
         }
     }
 
-    /// Logs that an answer with a notice is not taken as the target's word, because it may not be the
-    /// answer to its request.
+    /// Logs that a notice is passed over, because its answer may not be the one to its request.
     pub(super) fn log_unattributed_notice(
         &self,
         request_id: &Bytes,
--- a/crates/briarrail_gateway/src/traffic/target_knowledge.rs
+++ b/crates/briarrail_gateway/src/traffic/target_knowledge.rs
@@ -8,10 +8,10 @@
 pub(crate) struct TargetKnowledge {
     /// Unix time at which the listed run of the target started, in milliseconds; 0 if unknown.
     pub(crate) started_unix_ms: u64,
-    /// From where the last word of the target that it leaves is known, also one that does not hold for
-    /// the listed run.
+    /// From where the last notice that the target leaves is known, also one that does not hold for the
+    /// listed run.
     pub(crate) leaving_source: Option<&'static str>,
-    /// Time for which that word has been known.
+    /// Time for which that notice has been known.
     leaving_age: Option<MilliDuration>,
 }
 
