fix(gateway): name the target of a notice that is passed over

Found in the read-through.

Change: the line names the target and its listed run. senseless_pauses_are_ignored checks it for an answer to another request; without the change that check fails by reading, since no passed_over line had a target. No change of logic.

--- a/crates/briarrail_gateway/src/traffic/notice_log.rs
+++ b/crates/briarrail_gateway/src/traffic/notice_log.rs
@@ -1,6 +1,6 @@
 //! Log of what became of what targets said about themselves.
 
-use briarrail_dispatch::{NoticeSource, NoticeStep};
+use briarrail_dispatch::{NoticeSource, NoticeStep, TargetKey};
 use bytes::Bytes;
 
 use super::response_class::ResponseClass;
@@ -27,6 +27,7 @@
     /// Logs that a notice is passed over, because its answer may not be the one to its request.
     pub(super) fn log_unattributed_notice(
         &self,
+        key: TargetKey,
         request_id: &Bytes,
         marks: &ResponseHeaders,
         class: ResponseClass,
@@ -36,8 +37,12 @@
         }
         let step = NoticeStep::OtherRun.name();
         self.metrics.count_notice_step(step);
+        let registry = self.registry.borrow();
+        let record = registry.get(key).map(|target| &target.record);
         tracing::info!(
             event = "target_notice",
+            target_id = record.map(|record| record.id.as_str()),
+            target_started_ms = record.map(|record| record.started_unix_ms),
             request_id = %String::from_utf8_lossy(request_id),
             notice = notice_name(marks.is_leaving),
             step,
--- a/crates/briarrail_gateway/src/traffic/target_standings.rs
+++ b/crates/briarrail_gateway/src/traffic/target_standings.rs
@@ -103,13 +103,13 @@
             class,
             ResponseClass::WrongTarget | ResponseClass::Invalid(_)
         ) {
-            self.log_unattributed_notice(request_id, marks, class);
+            self.log_unattributed_notice(key, request_id, marks, class);
             return;
         }
         self.record_rate_limit(key, marks.rate_limit);
         self.record_cold(key, marks.cold_left);
         if marks.request_id.as_ref() != Some(request_id) {
-            self.log_unattributed_notice(request_id, marks, class);
+            self.log_unattributed_notice(key, request_id, marks, class);
             return;
         }
         if marks.is_leaving {
